--- /dev/null
+++ b/crates/wirehost/src/lib.rs
@@ -0,0 +1,5 @@
+//! The adapter between the simulator's wire and the decision module.
+
+pub mod codec;
+pub mod host;
+pub mod settings;
--- /dev/null
+++ b/crates/wirehost/src/settings.rs
@@ -0,0 +1,166 @@
+//! The settings text of a fresh instance: JSON with the wire's names, read into the interface's types.
+//!
+//! Unknown keys are skipped. A missing optional figure gets its neutral meaning: nothing permitted, no
+//! bound that the site did not state, one class of one kind.
+
+use serde::Deserialize;
+use violetseam::interface::{
+    Class, Contract, DedupGroup, Effect, GateMode, Limits, Rollout, Settings, Tenant,
+};
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "PascalCase", default)]
+struct Info {
+    caps: Caps,
+    classes: Vec<ClassInfo>,
+    contract: ContractInfo,
+    discovery: String,
+    family_info: Family,
+    fleet_size: usize,
+    granularity: u64,
+    over_share_worth: Option<f64>,
+    position: usize,
+    tenants: Vec<TenantInfo>,
+    weights: String,
+    zone: u16,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "PascalCase", default)]
+struct Caps {
+    attempts_cap: Option<usize>,
+    cancelling: bool,
+    max_retry_after: u64,
+    may_duplicate: bool,
+    may_probe: bool,
+    may_tell: bool,
+    retry_after: bool,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "PascalCase", default)]
+struct ClassInfo {
+    effect: String,
+    gain: Option<f64>,
+    group: String,
+    hard_limit: u64,
+    late_worth: f64,
+    objective: u64,
+    stream: bool,
+    window: u64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "PascalCase", default)]
+struct ContractInfo {
+    ask_within: Option<u64>,
+    cold: u64,
+    cold_from: Option<f64>,
+    drain_grace: u64,
+    fall_multiple: Option<f64>,
+    grace_to_answer: u64,
+    tip_after: u64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "PascalCase", default)]
+struct Family {
+    call_timeout: Option<u64>,
+    counted_over: u64,
+    flag_share: f64,
+    gate_mode: String,
+    one_way: bool,
+    per: String,
+    safe_only_stages: u8,
+    stage_cap: Vec<f64>,
+    style: String,
+    uncounted: f64,
+    vote_allowance: Option<f64>,
+    vote_ttl: Option<u64>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "PascalCase", default)]
+struct TenantInfo {
+    quota_per_s: f64,
+}
+
+fn class(info: ClassInfo) -> Result<Class, String> {
+    let effect = match info.effect.as_str() {
+        "retryable" => Effect::Retryable,
+        "dedup" => Effect::Deduplicated,
+        "fragile" | "" => Effect::Fragile,
+        other => return Err(format!("unknown effect {other:?}")),
+    };
+    let group = match info.group.as_str() {
+        "zone" => DedupGroup::Zone,
+        "cell" => DedupGroup::Cell,
+        "all" | "" => DedupGroup::All,
+        other => return Err(format!("unknown group {other:?}")),
+    };
+    Ok(Class {
+        aim: info.objective,
+        deadline: info.hard_limit,
+        effect,
+        group,
+        dedup_window: info.window,
+        worth: info.gain.unwrap_or(1.0),
+        late_worth: info.late_worth,
+        stream: info.stream,
+    })
+}
+
+/// Reads the settings text.
+pub fn parse(text: &[u8]) -> Result<Settings, String> {
+    let info: Info = serde_json::from_slice(text).map_err(|e| format!("settings: {e}"))?;
+    let family = info.family_info;
+    let gate = match family.gate_mode.as_str() {
+        "any" | "" => GateMode::Any,
+        "share" => GateMode::Share,
+        "timer" => GateMode::Timer,
+        other => return Err(format!("unknown gate mode {other:?}")),
+    };
+    Ok(Settings {
+        classes: info.classes.into_iter().map(class).collect::<Result<_, _>>()?,
+        tenants: info.tenants.into_iter().map(|t| Tenant { quota_per_s: t.quota_per_s }).collect(),
+        rollout: Rollout {
+            gate,
+            in_place: family.style == "in_place",
+            stage_cap: family.stage_cap,
+            guarded_stages: family.safe_only_stages,
+            counted_over: family.counted_over,
+            uncounted: family.uncounted,
+            per_class: family.per == "class",
+            one_way: family.one_way,
+            vote_ttl: family.vote_ttl.unwrap_or(u64::MAX),
+            call_timeout: family.call_timeout.unwrap_or(u64::MAX),
+            flag_share: family.flag_share,
+            vote_allowance: family.vote_allowance.unwrap_or(f64::INFINITY),
+        },
+        limits: Limits {
+            max_attempts: info.caps.attempts_cap.unwrap_or(1),
+            second_copies: info.caps.may_duplicate,
+            cancel: info.caps.cancelling,
+            probes: info.caps.may_probe,
+            peer_messages: info.caps.may_tell,
+            retry_after: info.caps.retry_after,
+            max_retry_after: info.caps.max_retry_after,
+        },
+        contract: Contract {
+            answer_grace: info.contract.grace_to_answer,
+            ask_within: info.contract.ask_within.unwrap_or(u64::MAX),
+            cold_from: info.contract.cold_from.unwrap_or(1.0),
+            cold_span: info.contract.cold,
+            drain_grace: info.contract.drain_grace,
+            fall_multiple: info.contract.fall_multiple.unwrap_or(f64::INFINITY),
+            fall_span: info.contract.tip_after,
+        },
+        list_on_request: info.discovery == "on_request",
+        fleet_size: info.fleet_size.max(1),
+        position: info.position,
+        zone: info.zone,
+        tick: info.granularity,
+        over_share_worth: info.over_share_worth.unwrap_or(1.0),
+        sizes_known: !matches!(info.weights.as_str(), "silent" | ""),
+    })
+}
--- /dev/null
+++ b/src/balance.rs
@@ -0,0 +1,1108 @@
+//! All decisions of one balancer. Its events, actions and settings are the plain types of `src/interface.rs`.
+//!
+//! In the order of a request's life it decides: whether to take it (`on_request`), which build and server
+//! get it (`place`, `pick`), when to hurry a slow attempt (`hurry`), what follows an attempt's end
+//! (`on_attempt_ended`), and the final answer (`give_up`). Beside that it follows the server list, keeps the
+//! guards that the rules need (`build_admits`, `cold_room`), and judges the build on trial in windows of its
+//! own attempts (`judge`), which ends in a vote (`vote`). `docs/design.md` tells what follows which source.
+
+use crate::interface::*;
+use crate::state::*;
+use crate::stats::{difference_lower, quantile, wilson_lower};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+const MS: Micros = 1_000;
+const SECOND: Micros = 1_000_000;
+
+// The judge: the design page's defaults.
+const WINDOW_ATTEMPTS: usize = 100; // a window closes at so many attempts at the new build ...
+const WINDOW_SPAN: Micros = 3 * SECOND; // ... or after this span
+const WINDOW_LEAST: f64 = 20.0; // under this many attempts a window says nothing
+const Z95: f64 = 1.96; // normal quantile of 95% confidence
+const FAILURE_MARGIN: f64 = 0.02; // allowed above the earlier build's failure share
+const LATENCY_RATIO: f64 = 1.3; // median and 95th percentile must both exceed it
+const BREACHES_TO_BACK: u32 = 2; // consecutive breached windows
+// The judge: extensions (docs/design.md, "Changed").
+const CLASS_LEAST: f64 = 8.0; // attempts that a class of its own needs before it counts or is cleared
+const EVIDENCE_SPAN: Micros = 15 * SECOND; // samples older than this are forgotten
+const EARLIER_SLACK: Micros = 2 * SECOND; // earlier-build answers from so long before a window count with it
+const PEER_FRESH: Micros = 3 * SECOND; // a peer's summary counts for this long
+const PEER_EVERY: Micros = 500 * MS; // summaries go out this often
+const RENEW_SHARE: f64 = 0.6; // of a vote's life: then it is renewed
+const VOTE_RETRY: Micros = 400 * MS; // least wait after a vote that did not count, doubled by jitter
+// Routing and health.
+const STEP: Micros = 100 * MS; // slow upkeep
+const SMOOTHING: f64 = 0.15; // weight of the newest outcome in a server's record
+const STREAK_OUT: u32 = 3; // attempts in a row without an answer before a server is left out
+const OUT_FIRST: Micros = SECOND; // left out for so long at first, doubled at each repeat ...
+const OUT_LONGEST: Micros = 8 * SECOND; // ... up to this
+const STALL_FACTOR: f64 = 4.0; // typical answer times without any answer: the server may be standing still
+const RETRY_SHARE: f64 = 0.2; // further attempts earned by each request
+const RETRY_DEPTH: f64 = 20.0; // further attempts that may be saved up
+const HURRY_FACTOR: f64 = 1.3; // times the class's 95th percentile: then a second chance is worth its cost
+const HOLD_SHARE: f64 = 0.5; // of a class's aim: how long a request waits for a server before it is refused
+const COLD_SAFETY: f64 = 0.6; // share of a cold server's span budget that this balancer allows itself
+const SHED_LATE: f64 = 0.6; // median answer time over the aim that starts refusals
+const KEYS_KEPT: usize = 200_000; // one-way keys remembered; past that only known keys go to the new build
+const NOTES_MOST: u32 = 100; // log lines a life
+
+/// What this balancer knows of a class's answer times.
+#[derive(Clone, Default)]
+struct Typical {
+    recent: VecDeque<f64>,
+    median: f64,
+    tail: f64,
+}
+
+/// A peer's last summary: build, stage, and for each class attempts and failures of both builds.
+struct PeerSummary {
+    at: Micros,
+    build: Build,
+    stage: u8,
+    counts: Vec<[f64; 4]>,
+}
+
+/// A vote as the platform holds it or may hold it.
+#[derive(Clone, Copy, PartialEq)]
+struct Cast {
+    build: Build,
+    stage: u8,
+    verdict: Verdict,
+    at: Micros,
+}
+
+/// What a closed window says.
+#[derive(Clone, Debug, PartialEq)]
+enum Finding {
+    Thin,
+    Clean,
+    Breach(String),
+}
+
+/// One load balancer's decisions: a deterministic state machine.
+pub struct Balancer {
+    set: Settings,
+    rng: Rng,
+    started: bool,
+    servers: BTreeMap<ServerId, Server>,
+    open: BTreeMap<RequestId, Open>,
+    due: BTreeSet<(Micros, RequestId)>,
+    typical: Vec<Typical>,
+    retry_credit: f64,
+    arrivals: SpanSum,
+    guarded_arrivals: SpanSum,
+    tenant_arrivals: Vec<SpanSum>,
+    served: SpanSum,
+    carried: f64,
+    shed: f64,
+    next_step: Micros,
+    list_heard: Micros,
+    list_retry: Option<Micros>,
+    list_failures: u32,
+    news: Option<StageNews>,
+    cap_before: (f64, Micros),
+    exposure: BTreeMap<Build, Vec<Exposure>>,
+    keys: BTreeSet<u64>,
+    samples: VecDeque<Sample>,
+    window_start: Micros,
+    window_count: usize,
+    breaches: u32,
+    verdict: Verdict,
+    reference: BTreeMap<usize, (f64, f64)>,
+    standing: Option<Cast>,
+    pending: Option<Cast>,
+    vote_at: Micros,
+    peers: BTreeMap<usize, PeerSummary>,
+    next_tell: Micros,
+    notes: u32,
+}
+
+impl Balancer {
+    /// A fresh balancer that knows nothing but its settings.
+    pub fn new(set: Settings, seed: u64) -> Self {
+        let typical = set
+            .classes
+            .iter()
+            .map(|c| Typical {
+                recent: VecDeque::new(),
+                median: c.aim as f64 / 4.0,
+                tail: c.aim as f64 / 2.0,
+            })
+            .collect();
+        let tenant_arrivals = vec![SpanSum::default(); set.tenants.len()];
+        Balancer {
+            set,
+            rng: Rng(seed),
+            started: false,
+            servers: BTreeMap::new(),
+            open: BTreeMap::new(),
+            due: BTreeSet::new(),
+            typical,
+            retry_credit: RETRY_DEPTH / 2.0,
+            arrivals: SpanSum::default(),
+            guarded_arrivals: SpanSum::default(),
+            tenant_arrivals,
+            served: SpanSum::default(),
+            carried: 0.0,
+            shed: 0.0,
+            next_step: 0,
+            list_heard: 0,
+            list_retry: None,
+            list_failures: 0,
+            news: None,
+            cap_before: (0.0, 0),
+            exposure: BTreeMap::new(),
+            keys: BTreeSet::new(),
+            samples: VecDeque::new(),
+            window_start: 0,
+            window_count: 0,
+            breaches: 0,
+            verdict: Verdict::Withdraw,
+            reference: BTreeMap::new(),
+            standing: None,
+            pending: None,
+            vote_at: 0,
+            peers: BTreeMap::new(),
+            next_tell: 0,
+            notes: 0,
+        }
+    }
+
+    /// Takes one event and appends what to do about it.
+    pub fn on_event(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
+        if !self.started {
+            self.started = true;
+            self.list_heard = now;
+            out.push(Action::SetTimer { after: self.tick(), token: 0 });
+            if self.set.list_on_request {
+                out.push(Action::FollowList);
+            }
+        }
+        match event {
+            Event::ServerList { kind, entries } => self.on_list(now, kind, entries),
+            Event::Request { id, deadline, class, hint, key, tenant, .. } => {
+                self.on_request(now, id, deadline, class, hint, key, tenant, out);
+            }
+            Event::Timer { .. } => self.on_tick(now, out),
+            Event::AttemptEnded { request, attempt, server, outcome, elapsed, settled } => {
+                self.on_attempt_ended(now, request, attempt, server, outcome, elapsed, settled, out);
+            }
+            Event::StreamStarted { request, attempt: _ } => {
+                if let Some(open) = self.open.get_mut(&request) {
+                    open.streaming = true;
+                }
+            }
+            Event::AnswerFlagged { server, class, since } => self.on_flag(now, server, class, since),
+            Event::ClientGone { request } => self.finish(request, out),
+            Event::Stage(news) => self.on_news(now, news),
+            Event::VoteReply { outcome, news } => self.on_vote_reply(now, outcome, news),
+            Event::PeerMessage { from, payload } => self.on_peer(now, from, payload),
+            Event::Probed { .. } | Event::PlatformCount { .. } => {}
+        }
+    }
+
+    fn tick(&self) -> Micros {
+        self.set.tick.max(5 * MS)
+    }
+
+    fn class(&self, class: usize) -> Option<&Class> {
+        self.set.classes.get(class)
+    }
+
+    // ---- the server list
+
+    fn on_list(&mut self, now: Micros, kind: ListKind, entries: &[ServerEntry]) {
+        if kind == ListKind::Failed {
+            // Jittered back-off: all balancers share the list service, and a loss hits them together.
+            self.list_failures = (self.list_failures + 1).min(5);
+            let wait = (200 * MS << self.list_failures) as f64 * (0.5 + self.rng.unit());
+            self.list_retry = Some(now + wait as Micros);
+            return;
+        }
+        if kind != ListKind::Cached {
+            (self.list_heard, self.list_failures, self.list_retry) = (now, 0, None);
+        }
+        if kind != ListKind::Delta {
+            for server in self.servers.values_mut() {
+                server.entry.status = Status::Gone; // absent from a full list: it has left
+            }
+        }
+        for entry in entries {
+            let server = self.servers.entry(entry.id).or_insert_with(|| Server::new(*entry));
+            // A new machine or a restart under a known id starts with a clean record.
+            if server.entry.build != entry.build || server.entry.started_at != entry.started_at {
+                let in_flight = server.in_flight;
+                let sent = std::mem::take(&mut server.sent);
+                *server = Server { in_flight, sent, ..Server::new(*entry) };
+            }
+            server.entry = *entry;
+        }
+        self.servers.retain(|_, s| s.entry.status != Status::Gone || s.in_flight > 0);
+    }
+
+    fn follow_list(&mut self, now: Micros, out: &mut Vec<Action>) {
+        let silent = now.saturating_sub(self.list_heard) > self.set.contract.ask_within / 10 * 7;
+        if self.set.list_on_request && (self.list_retry.is_some_and(|at| at <= now) || silent) {
+            // A drop of the subscription can go unheard, so silence is answered by asking again.
+            (self.list_retry, self.list_heard) = (None, now);
+            out.push(Action::FollowList);
+        }
+    }
+
+    // ---- a request's life
+
+    #[allow(clippy::too_many_arguments)]
+    fn on_request(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        deadline: Micros,
+        class: usize,
+        hint: Option<Micros>,
+        key: Option<u64>,
+        tenant: usize,
+        out: &mut Vec<Action>,
+    ) {
+        self.arrivals.add(now, 1.0);
+        if self.class(class).is_some_and(|c| c.effect == Effect::Retryable) {
+            self.guarded_arrivals.add(now, 1.0);
+        }
+        if let Some(tenant) = self.tenant_arrivals.get_mut(tenant) {
+            tenant.add(now, 1.0);
+        }
+        self.retry_credit = (self.retry_credit + RETRY_SHARE).min(RETRY_DEPTH);
+        for build in self.trial_builds() {
+            let cap = self.cap(now, build);
+            if let Some(exposure) = self.exposure_of(build, class) {
+                exposure.earn(cap);
+            }
+        }
+        if class >= self.set.classes.len() {
+            out.push(Action::Refuse { request: id, come_back: 0 });
+            return;
+        }
+        let cost = hint.map_or(self.typical[class].median, |h| h as f64).max(1.0);
+        let open = Open {
+            class,
+            deadline,
+            arrived: now,
+            cost,
+            key,
+            attempts: Vec::new(),
+            done: false,
+            streaming: false,
+            due: 0,
+        };
+        self.open.insert(id, open);
+        if self.over_share(now, tenant) || self.rng.unit() < self.shed {
+            self.give_up(now, id, true, out);
+        } else {
+            self.place(now, id, out);
+        }
+    }
+
+    /// Under pressure, requests past a tenant's share go first: they are worth little whatever is done.
+    fn over_share(&mut self, now: Micros, tenant: usize) -> bool {
+        let Some(settings) = self.set.tenants.get(tenant) else { return false };
+        let quota = settings.quota_per_s / self.set.fleet_size as f64;
+        let rate = self.tenant_arrivals[tenant].sum(now, SECOND);
+        self.shed > 0.0 && rate > quota && self.rng.unit() < 1.0 - quota / rate
+    }
+
+    /// Sends a request to a server, or holds it for a while when none may take it.
+    fn place(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
+        let Some(open) = self.open.get(&id) else { return };
+        let (class, tick, arrived, deadline) = (open.class, self.tick(), open.arrived, open.deadline);
+        if let Some(server) = self.pick(now, id) {
+            self.send(now, id, server, out);
+            return;
+        }
+        let waited = now.saturating_sub(arrived);
+        let patience = self.set.classes[class].aim as f64 * HOLD_SHARE;
+        if waited as f64 >= patience || now + 3 * tick >= deadline {
+            self.give_up(now, id, true, out);
+        } else {
+            self.look_again(id, now + tick);
+        }
+    }
+
+    fn send(&mut self, now: Micros, id: RequestId, to: ServerId, out: &mut Vec<Action>) {
+        let warmth = self.servers.get(&to).map_or(1.0, |s| self.warmth(now, s));
+        let (Some(open), Some(server)) = (self.open.get_mut(&id), self.servers.get_mut(&to)) else { return };
+        let entry = server.entry;
+        if server.in_flight == 0 {
+            server.waiting_since = now;
+        }
+        server.in_flight += 1;
+        server.sent.add(now, open.cost);
+        open.attempts.push(Attempt {
+            server: to,
+            zone: entry.zone,
+            cell: entry.cell,
+            build: entry.build,
+            cold: warmth < 1.0,
+            sent_at: now,
+            ended: None,
+        });
+        let (class, deadline) = (open.class, open.deadline);
+        if self.trial_builds().contains(&entry.build) {
+            if let Some(exposure) = self.exposure_of(entry.build, class) {
+                exposure.spend(now);
+            }
+        }
+        let guard = deadline.saturating_sub(2 * self.tick()).max(now + 1);
+        out.push(Action::Send { request: id, server: to, cut_at: guard });
+        let hurry = now + (self.typical[class].tail * HURRY_FACTOR) as Micros;
+        self.look_again(id, hurry.min(guard));
+    }
+
+    fn look_again(&mut self, id: RequestId, at: Micros) {
+        if let Some(open) = self.open.get_mut(&id) {
+            self.due.remove(&(open.due, id));
+            open.due = at;
+            self.due.insert((at, id));
+        }
+    }
+
+    /// A request's time has come: it waits for a server, its attempt is slow, or its deadline is near.
+    fn on_due(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
+        let Some(open) = self.open.get(&id) else { return };
+        if open.done || open.streaming {
+            return;
+        }
+        if now + 3 * self.tick() >= open.deadline {
+            self.give_up(now, id, false, out);
+        } else if open.out() == 0 {
+            self.place(now, id, out);
+        } else {
+            self.hurry(now, id, out);
+        }
+    }
+
+    /// A slow attempt gets a second copy where allowed, else it is cut so that a retry can follow.
+    fn hurry(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
+        let open = &self.open[&id];
+        let (deadline, class) = (open.deadline, &self.set.classes[open.class]);
+        let next = deadline.saturating_sub(2 * self.tick());
+        let in_aim = now < open.arrived + class.aim;
+        let worth_it = open.out() == 1 && in_aim && self.retry_credit >= 1.0 && self.shed == 0.0;
+        let may_repeat =
+            class.effect != Effect::Fragile && open.attempts.len() < self.set.limits.max_attempts;
+        if worth_it && may_repeat && self.set.limits.second_copies {
+            if let Some(server) = self.pick(now, id) {
+                self.retry_credit -= 1.0;
+                self.send(now, id, server, out);
+            }
+        } else if worth_it && may_repeat && self.set.limits.cancel && class.effect == Effect::Retryable {
+            let attempt = open.attempts.len() - 1;
+            out.push(Action::Cancel { request: id, attempt });
+        }
+        self.look_again(id, next);
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn on_attempt_ended(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        number: usize,
+        server: ServerId,
+        outcome: Outcome,
+        elapsed: Micros,
+        settled: bool,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let Some(attempt) = open.attempts.get_mut(number) else { return };
+        if attempt.ended.replace(outcome).is_some() {
+            return;
+        }
+        let (attempt, class, cost, key) = (attempt.clone(), open.class, open.cost, open.key);
+        let late = now >= open.arrived + self.set.classes[class].aim;
+        self.learn_server(now, server, class, outcome, elapsed);
+        self.learn_build(now, &attempt, class, cost, outcome, elapsed, late);
+        if outcome == Outcome::Ok {
+            if !attempt.cold {
+                self.served.add(now, cost);
+            }
+            if let (true, Some(key), Some(news)) = (self.set.rollout.one_way, key, self.news) {
+                if attempt.build == news.build && matches!(news.phase, Phase::Trial | Phase::Released) {
+                    self.keys.insert(key);
+                }
+            }
+        }
+        let Some(open) = self.open.get(&id) else { return };
+        if settled {
+            self.finish(id, out);
+        } else if open.done {
+            if open.out() == 0 {
+                self.forget(id);
+            }
+        } else if open.out() == 0 && !open.streaming {
+            self.after_failure(now, id, outcome, out);
+        }
+    }
+
+    /// All attempts have ended without an answer: another one, or the final answer at once.
+    fn after_failure(&mut self, now: Micros, id: RequestId, outcome: Outcome, out: &mut Vec<Action>) {
+        let open = &self.open[&id];
+        let time_left = now + 4 * self.tick() < open.deadline;
+        let attempts_left = open.attempts.len() < self.set.limits.max_attempts && outcome != Outcome::Moot;
+        // The budget keeps retries from feeding an overload; proven non-runs cost as much as any.
+        if time_left && attempts_left && self.may_repeat(now, id) && self.retry_credit >= 1.0 {
+            self.retry_credit -= 1.0;
+            self.place(now, id, out);
+        } else {
+            self.give_up(now, id, false, out);
+        }
+    }
+
+    fn may_repeat(&self, now: Micros, id: RequestId) -> bool {
+        let open = &self.open[&id];
+        let class = &self.set.classes[open.class];
+        let ran = open.attempts.iter().find(|a| a.may_have_run());
+        match class.effect {
+            Effect::Retryable => true,
+            Effect::Fragile => ran.is_none(),
+            Effect::Deduplicated => {
+                ran.is_none_or(|a| now + 2 * self.tick() < a.sent_at + class.dedup_window)
+            }
+        }
+    }
+
+    /// The final answer: a refusal where that claim is allowed, else a failure. Never held back.
+    fn give_up(&mut self, now: Micros, id: RequestId, crowded: bool, out: &mut Vec<Action>) {
+        let Some(open) = self.open.get(&id) else { return };
+        let class = &self.set.classes[open.class];
+        let untouched = !open.attempts.iter().any(Attempt::may_have_run);
+        let harmless = match class.effect {
+            Effect::Retryable => true,
+            Effect::Deduplicated => class.group == DedupGroup::All,
+            Effect::Fragile => false,
+        };
+        let past_aim = now >= open.arrived + class.aim;
+        if untouched || harmless {
+            let advise = self.set.limits.retry_after && (crowded || past_aim);
+            let come_back = if advise { self.set.limits.max_retry_after } else { 0 };
+            out.push(Action::Refuse { request: id, come_back });
+        } else {
+            out.push(Action::Fail { request: id });
+        }
+        self.finish(id, out);
+    }
+
+    /// Nothing more is owed: attempts still out are cancelled and only their ends are awaited.
+    fn finish(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        if !open.done && self.set.limits.cancel && !open.streaming {
+            for (attempt, _) in open.attempts.iter().enumerate().filter(|(_, a)| a.ended.is_none()) {
+                out.push(Action::Cancel { request: id, attempt });
+            }
+        }
+        open.done = true;
+        if open.out() == 0 {
+            self.forget(id);
+        }
+    }
+
+    fn forget(&mut self, id: RequestId) {
+        if let Some(open) = self.open.remove(&id) {
+            self.due.remove(&(open.due, id));
+        }
+    }
+
+    // ---- which build and server
+
+    /// Chooses a server: the trial build by its share of warm listed machines, then two random choices.
+    fn pick(&mut self, now: Micros, id: RequestId) -> Option<ServerId> {
+        let open = self.open.get(&id)?.clone();
+        let trials = self.trial_builds();
+        let mut pools: [Vec<(ServerId, f64, bool)>; 2] = [Vec::new(), Vec::new()];
+        let mut share = [0.0; 2];
+        for sid in self.servers.keys().copied().collect::<Vec<_>>() {
+            let server = &self.servers[&sid];
+            if server.entry.status != Status::Ready || !self.group_admits(now, &open, &server.entry) {
+                continue;
+            }
+            let pool = usize::from(trials.contains(&server.entry.build));
+            share[pool] += self.warmth(now, server);
+            let tried = open.attempts.iter().any(|a| a.server == sid);
+            let weight = self.weight(now, server) * if tried { 0.01 } else { 1.0 };
+            let out = server.out_until > now;
+            if self.cold_room(now, sid, open.cost) && self.build_admits(now, sid, &open) {
+                pools[pool].push((sid, weight, out));
+            }
+        }
+        let total = share[0] + share[1];
+        let guarded = self.news.is_some_and(|n| n.stage < self.set.rollout.guarded_stages);
+        let safe = self.guarded_arrivals.sum(now, SECOND) / self.arrivals.sum(now, SECOND).max(1.0);
+        // Where only safe classes may go, they make up the machines' whole share.
+        let eligible = if guarded { safe.max(0.1) } else { 1.0 };
+        let first = open.attempts.is_empty();
+        let to_trial = first && total > 0.0 && self.rng.unit() < share[1] / total / eligible;
+        let order = if to_trial { [1, 0] } else { [0, 1] };
+        order.into_iter().find_map(|pool| self.choose(&mut pools[pool]))
+    }
+
+    /// Two random choices by own attempts out. Servers left out stay so only while half of the pool is in.
+    fn choose(&mut self, pool: &mut Vec<(ServerId, f64, bool)>) -> Option<ServerId> {
+        if pool.iter().filter(|s| !s.2).count() * 2 >= pool.len() {
+            pool.retain(|s| !s.2);
+        }
+        let total: f64 = pool.iter().map(|s| s.1).sum();
+        let mut draw = || {
+            let mut left = self.rng.unit() * total;
+            let found = pool.iter().find(|s| {
+                left -= s.1;
+                left <= 0.0
+            });
+            found.or(pool.last()).map(|s| (s.0, s.1))
+        };
+        let (one, two) = (draw()?, draw()?);
+        let load = |(id, weight): (ServerId, f64)| {
+            self.servers.get(&id).map_or(f64::MAX, |s| f64::from(s.in_flight + 1) / weight.max(1e-9))
+        };
+        Some(if load(one) <= load(two) { one.0 } else { two.0 })
+    }
+
+    /// Once a deduplicated request may have run, only its first server's group may see it again, in time.
+    fn group_admits(&self, now: Micros, open: &Open, entry: &ServerEntry) -> bool {
+        let class = &self.set.classes[open.class];
+        let Some(ran) = open.attempts.iter().find(|a| a.may_have_run()) else { return true };
+        match class.effect {
+            Effect::Retryable => true,
+            Effect::Fragile => false,
+            Effect::Deduplicated => {
+                let same = match class.group {
+                    DedupGroup::All => true,
+                    DedupGroup::Zone => ran.zone == entry.zone,
+                    DedupGroup::Cell => ran.cell == entry.cell,
+                };
+                same && now + 2 * self.tick() < ran.sent_at + class.dedup_window
+            }
+        }
+    }
+
+    /// How much of its capacity a server has by now, going by its start alone.
+    fn warmth(&self, now: Micros, server: &Server) -> f64 {
+        let (age, span) = (now.saturating_sub(server.entry.started_at), self.set.contract.cold_span);
+        if server.entry.started_at == 0 || age >= span {
+            return 1.0;
+        }
+        let from = self.set.contract.cold_from;
+        from + (1.0 - from) * age as f64 / span as f64
+    }
+
+    /// A server's share of its pool: size and warmth, less what own outcomes say against it.
+    fn weight(&self, now: Micros, server: &Server) -> f64 {
+        let size = if self.set.sizes_known { server.entry.size.max(0.01) } else { 1.0 };
+        let health = (1.0 - server.failing).powi(3) / server.slowness.max(1.0).powi(2);
+        let typical = self.typical.iter().map(|t| t.median).fold(0.0, f64::max);
+        let waiting = now.saturating_sub(server.waiting_since) as f64;
+        // Attempts out and no answer for long: paused, cut off or dead, whatever the cause.
+        let stalled = server.in_flight > 0 && waiting > STALL_FACTOR * typical;
+        (size * self.warmth(now, server) * health * if stalled { 0.05 } else { 1.0 }).max(1e-3)
+    }
+
+    /// A cold server's budget over any fall span, small enough to hold when every balancer does the same:
+    /// own sends against what own warm servers are seen to carry.
+    fn cold_room(&mut self, now: Micros, id: ServerId, cost: f64) -> bool {
+        let Some(server) = self.servers.get(&id) else { return false };
+        let warmth = self.warmth(now, server);
+        if warmth >= 1.0 {
+            return true;
+        }
+        let size = if self.set.sizes_known { server.entry.size } else { 1.0 };
+        let contract = &self.set.contract;
+        let span = contract.fall_span as f64 / SECOND as f64;
+        let budget = COLD_SAFETY * contract.fall_multiple * warmth * self.carried * size * span;
+        let fall_span = contract.fall_span;
+        let Some(server) = self.servers.get_mut(&id) else { return false };
+        let sent = server.sent.sum(now, fall_span);
+        sent == 0.0 || sent + cost <= budget
+    }
+
+    // ---- exposure of a build on trial
+
+    /// Builds on trial for this balancer: the newest by the news unless released, and any later one listed.
+    fn trial_builds(&self) -> Vec<Build> {
+        let listed = self.servers.values().filter(|s| s.entry.status == Status::Ready).map(|s| s.entry.build);
+        let mut builds: Vec<Build> = match self.news {
+            Some(n) => listed.filter(|&b| b > n.build).collect(),
+            // No news yet: only the lowest listed build is surely not on trial.
+            None => {
+                let all: Vec<Build> = listed.collect();
+                let lowest = all.iter().copied().min();
+                all.into_iter().filter(|&b| Some(b) > lowest).collect()
+            }
+        };
+        builds.extend(self.news.filter(|n| n.phase != Phase::Released).map(|n| n.build));
+        builds.sort_unstable();
+        builds.dedup();
+        builds
+    }
+
+    fn cap(&self, now: Micros, build: Build) -> f64 {
+        let first = self.set.rollout.stage_cap.first().copied().unwrap_or(0.0);
+        match self.news {
+            Some(n) if n.build == build => {
+                // A lower cap binds after the grace; until then the old one lets earlier machines come up.
+                let (before, since) = self.cap_before;
+                let grace = self.set.contract.drain_grace.saturating_sub(4 * self.tick());
+                if now < since + grace { n.cap.max(before) } else { n.cap }
+            }
+            _ => first,
+        }
+    }
+
+    fn exposure_of(&mut self, build: Build, class: usize) -> Option<&mut Exposure> {
+        let per_class = self.set.rollout.per_class;
+        let lanes = if per_class { self.set.classes.len() } else { 1 };
+        let all = self.exposure.entry(build).or_insert_with(|| vec![Exposure::default(); lanes]);
+        all.get_mut(if per_class { class } else { 0 })
+    }
+
+    /// Whether the rules let this request go to this server's build now.
+    fn build_admits(&mut self, now: Micros, id: ServerId, open: &Open) -> bool {
+        let build = self.servers[&id].entry.build;
+        if let (true, Some(news), Some(key)) = (self.set.rollout.one_way, self.news, open.key) {
+            let bound = matches!(news.phase, Phase::Trial | Phase::Released) && self.keys.contains(&key);
+            let full = self.keys.len() >= KEYS_KEPT && !bound && build == news.build;
+            if (bound && build < news.build) || full {
+                return false;
+            }
+        }
+        if !self.trial_builds().contains(&build) {
+            return true;
+        }
+        let stage = self.news.filter(|n| n.build == build).map_or(0, |n| n.stage);
+        let safe = self.set.classes[open.class].effect == Effect::Retryable;
+        let cap = self.cap(now, build);
+        let (span, free) = (self.set.rollout.counted_over + 2 * self.tick(), self.set.rollout.uncounted);
+        let guarded = stage < self.set.rollout.guarded_stages && !safe;
+        let room = self.exposure_of(build, open.class).map_or(f64::MAX, |e| e.after_one_more(now, span));
+        cap > 0.0 && !guarded && room <= free + 1e-9
+    }
+
+    fn on_news(&mut self, now: Micros, news: StageNews) {
+        let before = self.news.replace(news);
+        let known =
+            before.is_some_and(|b| (b.build, b.stage, b.phase) == (news.build, news.stage, news.phase));
+        if let Some(b) = before.filter(|b| b.build == news.build && b.cap > news.cap) {
+            self.cap_before = (b.cap, now);
+        }
+        if known {
+            return;
+        }
+        // Never vote on evidence of another stage or build: window, verdict and vote all start anew.
+        if before.is_none_or(|b| b.build != news.build) {
+            self.keys.clear();
+            self.cap_before = (0.0, 0);
+            self.exposure.retain(|&build, _| build >= news.build);
+        }
+        if matches!(news.phase, Phase::RollingBack | Phase::Withdrawn) {
+            self.keys.clear();
+        }
+        self.start_window(now);
+        (self.breaches, self.verdict, self.standing, self.pending) = (0, Verdict::Withdraw, None, None);
+    }
+
+    // ---- learning from outcomes
+
+    fn learn_server(&mut self, now: Micros, id: ServerId, class: usize, outcome: Outcome, elapsed: Micros) {
+        let typical = self.typical[class].median.max(1.0);
+        let Some(server) = self.servers.get_mut(&id) else { return };
+        server.in_flight = server.in_flight.saturating_sub(1);
+        let answered = matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Rejected);
+        if answered {
+            (server.waiting_since, server.streak) = (now, 0);
+        }
+        let pace = (elapsed as f64 / typical).min(10.0);
+        match outcome {
+            Outcome::Ok => {
+                server.failing *= 1.0 - SMOOTHING;
+                server.slowness += (pace - server.slowness) * SMOOTHING / 2.0;
+                server.out_for = 0;
+                let recent = &mut self.typical[class].recent;
+                recent.push_back(elapsed as f64);
+                if recent.len() > 100 {
+                    recent.pop_front();
+                }
+            }
+            Outcome::Cancelled if pace > server.slowness => {
+                server.slowness += (pace - server.slowness) * SMOOTHING / 2.0;
+            }
+            Outcome::Cancelled | Outcome::Moot => {}
+            _ => server.failing += (1.0 - server.failing) * SMOOTHING,
+        }
+        if matches!(outcome, Outcome::Timeout | Outcome::ConnectFailed | Outcome::Reset) {
+            server.streak += 1;
+        }
+        // Dead or unreachable before the list says so: left out, then tried again with one request.
+        if server.streak >= STREAK_OUT || (outcome == Outcome::ConnectFailed && server.streak >= 2) {
+            server.out_for = (server.out_for * 2).clamp(OUT_FIRST, OUT_LONGEST);
+            server.out_until = now + server.out_for;
+            server.streak = STREAK_OUT - 1;
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn learn_build(
+        &mut self,
+        now: Micros,
+        attempt: &Attempt,
+        class: usize,
+        cost: f64,
+        outcome: Outcome,
+        elapsed: Micros,
+        late: bool,
+    ) {
+        let error = matches!(outcome, Outcome::Error | Outcome::Reset);
+        let timeout = outcome == Outcome::Timeout && late && !attempt.cold;
+        // Refusals, failed connects and attempts never sent are no answers of the build.
+        if !outcome.may_have_run() {
+            return;
+        }
+        // Cut short: at least this slow, which says something only past the typical time.
+        let cut = matches!(outcome, Outcome::Cancelled | Outcome::Timeout);
+        if cut && (elapsed as f64) < self.typical[class].median && !timeout {
+            return;
+        }
+        let pace = (!attempt.cold && !error).then_some(elapsed as f64 / cost);
+        let (server, build) = (attempt.server, attempt.build);
+        let failed = error || timeout;
+        self.samples.push_back(Sample { at: now, class, server, build, error, failed, flagged: false, pace });
+        if self.news.is_some_and(|n| n.build == build) {
+            self.window_count += 1;
+        }
+    }
+
+    fn on_flag(&mut self, now: Micros, server: ServerId, class: usize, since: Micros) {
+        let sent = now.saturating_sub(since);
+        let hit = self
+            .samples
+            .iter_mut()
+            .find(|s| s.server == server && s.class == class && s.at >= sent && !s.failed && !s.flagged);
+        if let Some(sample) = hit {
+            (sample.failed, sample.flagged) = (true, true);
+            // Reports come late: the window that is open now is the one that learns of it.
+            sample.at = sample.at.max(self.window_start);
+        }
+    }
+
+    // ---- judging
+
+    fn start_window(&mut self, now: Micros) {
+        (self.window_start, self.window_count) = (now, 0);
+    }
+
+    /// The build that can be voted on, where there is one.
+    fn subject(&self) -> Option<StageNews> {
+        self.news.filter(|n| matches!(n.phase, Phase::Trial | Phase::Released))
+    }
+
+    /// Closes the window when it is full or old enough, and turns its finding into a verdict.
+    fn judge(&mut self, now: Micros, out: &mut Vec<Action>) {
+        let Some(news) = self.subject() else { return };
+        let old = now.saturating_sub(self.window_start) >= WINDOW_SPAN;
+        if self.window_count < WINDOW_ATTEMPTS && !old {
+            return;
+        }
+        let finding = self.find(now, news);
+        let timer = self.set.rollout.gate == GateMode::Timer;
+        let verdict = match &finding {
+            // Thin traffic: the window stays open and carries its evidence on until it suffices.
+            Finding::Thin => return,
+            Finding::Clean => {
+                self.breaches = 0;
+                if timer || news.phase == Phase::Released { Verdict::Withdraw } else { Verdict::On }
+            }
+            Finding::Breach(_) => {
+                self.breaches += 1;
+                if self.breaches >= BREACHES_TO_BACK {
+                    Verdict::Back
+                } else if timer && news.phase == Phase::Trial {
+                    Verdict::Hold
+                } else {
+                    Verdict::Withdraw
+                }
+            }
+        };
+        if verdict != self.verdict || matches!(finding, Finding::Breach(_)) {
+            self.note(format!("build {} stage {}: {verdict:?} {finding:?}", news.build, news.stage), out);
+        }
+        self.verdict = verdict;
+        self.start_window(now);
+    }
+
+    /// Compares the new build with the earlier one over the open window.
+    fn find(&mut self, now: Micros, news: StageNews) -> Finding {
+        let start = self.window_start;
+        let new: Vec<Sample> =
+            self.samples.iter().filter(|s| s.build == news.build && s.at >= start).copied().collect();
+        let from = start.saturating_sub(EARLIER_SLACK);
+        let earlier: Vec<Sample> =
+            self.samples.iter().filter(|s| s.build < news.build && s.at >= from).copied().collect();
+        let peers = self.peer_counts(now, news);
+        let total = new.len() as f64 + peers.iter().map(|p| p[0]).sum::<f64>();
+        if total < WINDOW_LEAST {
+            return Finding::Thin;
+        }
+        let earlier = without_worst(&earlier);
+        let breach = self.breach(&new, &earlier, &peers);
+        if let Some(reason) = breach {
+            // One machine's fault among several new ones lifts everything: the breach must survive
+            // without the worst of them.
+            let rest = without_worst(&new);
+            if rest.len() < new.len() && self.breach(&rest, &earlier, &peers).is_none() {
+                return Finding::Thin;
+            }
+            return Finding::Breach(reason);
+        }
+        // A class admitted only in this stage needs evidence of its own before 'on'.
+        let count = |c: usize| new.iter().filter(|s| s.class == c).count() as f64;
+        let seen = |c: usize| count(c) + peers.get(c).map_or(0.0, |p| p[0]);
+        let admitted =
+            |c: &Class| news.stage >= self.set.rollout.guarded_stages || c.effect == Effect::Retryable;
+        let waiting = now.saturating_sub(start) < 3 * WINDOW_SPAN;
+        let classes = self.set.classes.iter().enumerate();
+        if waiting && classes.filter(|(_, c)| admitted(c)).any(|(c, _)| seen(c) < CLASS_LEAST / 2.0) {
+            return Finding::Thin;
+        }
+        for c in 0..self.set.classes.len() {
+            let of: Vec<&Sample> = earlier.iter().filter(|s| s.class == c).collect();
+            if of.len() as f64 >= CLASS_LEAST {
+                let failed = of.iter().filter(|s| s.failed).count() as f64;
+                self.reference.insert(c, (failed, of.len() as f64));
+            }
+        }
+        Finding::Clean
+    }
+
+    /// The reason why the new arm breaches, stratified by class; `None` where it does not.
+    fn breach(&self, new: &[Sample], earlier: &[Sample], peers: &[[f64; 4]]) -> Option<String> {
+        let (mut n, mut errors, mut failed, mut base_errors, mut base_n) = (0.0, 0.0, 0.0, 0.0, 0.0);
+        for class in 0..self.set.classes.len() {
+            let count = |arm: &[Sample], f: fn(&Sample) -> bool| {
+                arm.iter().filter(|s| s.class == class && f(s)).count() as f64
+            };
+            let peer = peers.get(class).copied().unwrap_or_default();
+            let (cn, cf) = (count(new, |_| true) + peer[0], count(new, |s| s.failed) + peer[1]);
+            let ce = count(new, |s| s.error) + peer[1];
+            let (mut on, mut of) =
+                (count(earlier, |_| true) + peer[2], count(earlier, |s| s.failed) + peer[3]);
+            if on < CLASS_LEAST {
+                // No earlier arm to speak of: what was remembered of it, else a share of nothing.
+                (of, on) = self.reference.get(&class).copied().unwrap_or((0.0, 0.0));
+            }
+            let share = if on > 0.0 { of / on } else { 0.0 };
+            if cn >= CLASS_LEAST && wilson_lower(cf, cn, Z95) > share + FAILURE_MARGIN {
+                return Some(format!("class {class} fails {cf}/{cn} against {of}/{on}"));
+            }
+            (n, errors, failed) = (n + cn, errors + ce, failed + cf);
+            (base_errors, base_n) = (base_errors + share * cn, base_n + on);
+        }
+        let base = base_errors / f64::max(n, 1.0);
+        if wilson_lower(errors, n, Z95) > base + FAILURE_MARGIN {
+            return Some(format!("errors {errors}/{n} against {base:.3}"));
+        }
+        if base_n > 0.0 && difference_lower((failed, n), (base * base_n, base_n), Z95) > FAILURE_MARGIN {
+            return Some(format!("failures {failed}/{n} against {base:.3} of {base_n}"));
+        }
+        let flags = new.iter().filter(|s| s.flagged).count() as f64;
+        let earlier_flags = earlier.iter().filter(|s| s.flagged).count() as f64;
+        let flag_base = earlier_flags / (earlier.len() as f64).max(1.0);
+        // Only a share of wrong answers is reported, so the margin is scaled down by it.
+        let flag_margin = FAILURE_MARGIN * self.set.rollout.flag_share;
+        if flags >= 2.0 && wilson_lower(flags, new.len() as f64, Z95) > flag_base + flag_margin {
+            return Some(format!("wrong answers {flags}/{} against {flag_base:.3}", new.len()));
+        }
+        self.latency_breach(new, earlier)
+    }
+
+    /// Median and tail must both exceed the earlier build's, class by class on the same footing.
+    fn latency_breach(&self, new: &[Sample], earlier: &[Sample]) -> Option<String> {
+        let (mut ours, mut theirs) = (Vec::new(), Vec::new());
+        for class in 0..self.set.classes.len() {
+            let paces = |arm: &[Sample]| -> Vec<f64> {
+                arm.iter().filter(|s| s.class == class).filter_map(|s| s.pace).collect()
+            };
+            let mut base = paces(earlier);
+            if (base.len() as f64) < CLASS_LEAST {
+                continue;
+            }
+            let Some(median) = quantile(&mut base, 0.5).filter(|&m| m > 0.0) else { continue };
+            theirs.extend(base.iter().map(|p| p / median));
+            ours.extend(paces(new).iter().map(|p| p / median));
+        }
+        if (ours.len() as f64) < WINDOW_LEAST || (theirs.len() as f64) < WINDOW_LEAST {
+            return None;
+        }
+        let mut ratio = |q| Some(quantile(&mut ours, q)? / quantile(&mut theirs, q)?);
+        let (median, tail) = (ratio(0.5)?, ratio(0.95)?);
+        (median > LATENCY_RATIO && tail > LATENCY_RATIO)
+            .then(|| format!("slower: median x{median:.2}, p95 x{tail:.2} over {}", new.len()))
+    }
+
+    // ---- voting
+
+    /// Casts, renews or withdraws this balancer's vote.
+    fn vote(&mut self, now: Micros, out: &mut Vec<Action>) {
+        let Some(news) = self.subject() else { return };
+        if self.pending.is_some_and(|p| now.saturating_sub(p.at) > 2 * self.set.rollout.call_timeout) {
+            self.pending = None; // the reply itself was lost
+        }
+        let ttl = self.set.rollout.vote_ttl;
+        let held = self.standing.filter(|s| now.saturating_sub(s.at) < ttl).map(|s| s.verdict);
+        let aged = self.standing.is_some_and(|s| now.saturating_sub(s.at) as f64 > ttl as f64 * RENEW_SHARE);
+        let wanted = self.verdict;
+        let same = held.unwrap_or(Verdict::Withdraw) == wanted;
+        if self.pending.is_some() || now < self.vote_at || (same && (wanted == Verdict::Withdraw || !aged)) {
+            return;
+        }
+        self.pending = Some(Cast { build: news.build, stage: news.stage, verdict: wanted, at: now });
+        out.push(Action::Vote { build: news.build, stage: news.stage, verdict: wanted });
+    }
+
+    fn on_vote_reply(&mut self, now: Micros, outcome: Outcome, news: Option<StageNews>) {
+        let cast = self.pending.take();
+        match outcome {
+            Outcome::Ok => self.standing = cast.map(|c| Cast { at: now, ..c }),
+            // It may have counted: taken as standing so that it is withdrawn or renewed, after a wait.
+            Outcome::Timeout => self.standing = cast.map(|c| Cast { at: 0, ..c }),
+            _ => {}
+        }
+        if outcome != Outcome::Ok {
+            // The allowance is shared by all balancers: back off with jitter of this one's own.
+            self.vote_at = now + (VOTE_RETRY as f64 * (1.0 + self.rng.unit())) as Micros;
+        }
+        if let Some(news) = news {
+            self.on_news(now, news);
+        }
+    }
+
+    // ---- peers
+
+    /// Tells the open window's counts for each class: attempts and failures of both builds.
+    fn tell_peers(&mut self, now: Micros, out: &mut Vec<Action>) {
+        let Some(news) = self.subject() else { return };
+        if !self.set.limits.peer_messages || self.set.fleet_size < 2 || now < self.next_tell {
+            return;
+        }
+        self.next_tell = now + PEER_EVERY;
+        let mut payload = vec![1];
+        payload.extend(news.build.to_le_bytes());
+        payload.push(news.stage);
+        for class in 0..self.set.classes.len().min(31) {
+            let from = now.saturating_sub(WINDOW_SPAN).max(self.window_start.min(now));
+            for (new, bad) in [(true, false), (true, true), (false, false), (false, true)] {
+                let of =
+                    |s: &&Sample| s.class == class && (s.build == news.build) == new && s.build <= news.build;
+                let n = self.samples.iter().filter(of).filter(|s| s.at >= from && (!bad || s.failed)).count();
+                payload.extend((n.min(usize::from(u16::MAX)) as u16).to_le_bytes());
+            }
+        }
+        if payload[4..].iter().any(|&b| b != 0) {
+            out.push(Action::TellPeers { payload });
+        }
+    }
+
+    fn on_peer(&mut self, now: Micros, from: usize, payload: &[u8]) {
+        if payload.len() < 4 || payload[0] != 1 || from == self.set.position || from >= self.set.fleet_size {
+            return;
+        }
+        let word = |b: &[u8]| f64::from(u16::from_le_bytes([b[0], b[1]]));
+        let counts =
+            payload[4..].chunks_exact(8).map(|c| [word(c), word(&c[2..]), word(&c[4..]), word(&c[6..])]);
+        let build = u16::from_le_bytes([payload[1], payload[2]]);
+        let summary = PeerSummary { at: now, build, stage: payload[3], counts: counts.collect() };
+        self.peers.insert(from, summary);
+    }
+
+    /// Fresh summaries of the same build and stage, added up by class. A supplement: none need come.
+    fn peer_counts(&self, now: Micros, news: StageNews) -> Vec<[f64; 4]> {
+        let mut sums = vec![[0.0; 4]; self.set.classes.len()];
+        for peer in self.peers.values() {
+            if now.saturating_sub(peer.at) < PEER_FRESH
+                && (peer.build, peer.stage) == (news.build, news.stage)
+            {
+                for (sum, counts) in sums.iter_mut().zip(&peer.counts) {
+                    for (s, c) in sum.iter_mut().zip(counts) {
+                        *s += c;
+                    }
+                }
+            }
+        }
+        sums
+    }
+
+    // ---- upkeep
+
+    fn on_tick(&mut self, now: Micros, out: &mut Vec<Action>) {
+        out.push(Action::SetTimer { after: self.tick(), token: 0 });
+        while let Some(&(at, id)) = self.due.first() {
+            if at > now {
+                break;
+            }
+            self.due.pop_first();
+            self.on_due(now, id, out);
+        }
+        self.follow_list(now, out);
+        if now >= self.next_step {
+            self.next_step = now + STEP;
+            self.step(now);
+            self.judge(now, out);
+            self.tell_peers(now, out);
+        }
+        self.vote(now, out);
+    }
+
+    fn step(&mut self, now: Micros) {
+        let mut crowding = 0.0f64;
+        for (typical, class) in self.typical.iter_mut().zip(&self.set.classes) {
+            let mut recent: Vec<f64> = typical.recent.iter().copied().collect();
+            if recent.len() >= 20 {
+                typical.median = quantile(&mut recent, 0.5).unwrap_or(typical.median);
+                typical.tail = quantile(&mut recent, 0.95).unwrap_or(typical.tail);
+                crowding = crowding.max(typical.median / class.aim as f64);
+            }
+        }
+        // Half of a class near its aim: refusing some keeps the rest in time.
+        self.shed =
+            if crowding > SHED_LATE { (self.shed + 0.05).min(0.7) } else { (self.shed - 0.03).max(0.0) };
+        let ready = self.servers.values().filter(|s| s.entry.status == Status::Ready);
+        let sized = |s: &Server| if self.set.sizes_known { s.entry.size.max(0.01) } else { 1.0 };
+        let warm: f64 = ready.clone().filter(|s| self.warmth(now, s) >= 1.0).map(sized).sum();
+        let all: f64 = ready.map(sized).sum();
+        let rate = self.served.sum(now, 2 * SECOND) / 2.0;
+        if warm * 2.0 >= all && warm > 0.0 {
+            self.carried = (rate / warm).max(self.carried * 0.995);
+        }
+        while self.samples.front().is_some_and(|s| s.at + EVIDENCE_SPAN < now) {
+            self.samples.pop_front();
+        }
+    }
+
+    fn note(&mut self, text: String, out: &mut Vec<Action>) {
+        if self.notes < NOTES_MOST {
+            self.notes += 1;
+            out.push(Action::Note(text));
+        }
+    }
+}
+
+/// The samples less those of the machine that looks worst, where at least three machines are left to speak.
+fn without_worst(samples: &[Sample]) -> Vec<Sample> {
+    let mut by_server: BTreeMap<ServerId, (f64, f64, f64)> = BTreeMap::new();
+    for s in samples {
+        let e = by_server.entry(s.server).or_default();
+        *e = (e.0 + 1.0, e.1 + f64::from(u8::from(s.failed)), e.2 + s.pace.unwrap_or(0.0));
+    }
+    if by_server.len() < 2 {
+        return samples.to_vec();
+    }
+    let mean = samples.iter().filter_map(|s| s.pace).sum::<f64>() / (samples.len() as f64).max(1.0);
+    let badness = |(n, failed, pace): (f64, f64, f64)| 10.0 * failed / n + pace / n / mean.max(1e-9);
+    let worst = by_server.iter().max_by(|a, b| badness(*a.1).total_cmp(&badness(*b.1))).map(|(id, _)| *id);
+    samples.iter().filter(|s| Some(s.server) != worst).copied().collect()
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,447 @@
+//! What the decision module is told and what it may ask for, as plain types.
+//!
+//! Times are microseconds on one monotonic clock whose origin means nothing.
+
+/// A point in time or a span, in microseconds.
+pub type Micros = u64;
+/// A request's identity, unique within one balancer's life.
+pub type RequestId = u64;
+/// A server's identity; carries no meaning beyond equality and order.
+pub type ServerId = u64;
+/// A build number; a later build has a higher one.
+pub type Build = u16;
+
+/// What a repeat of a request does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Safe to repeat at any time.
+    Retryable,
+    /// Carries a key; servers of one group drop a repeat for a while.
+    Deduplicated,
+    /// Must never run twice.
+    Fragile,
+}
+
+/// Which servers share their memory of keys already seen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DedupGroup {
+    /// Every server.
+    All,
+    /// Servers of one zone.
+    Zone,
+    /// Servers of one cell.
+    Cell,
+}
+
+/// One class of requests.
+#[derive(Clone, Debug)]
+pub struct Class {
+    /// Answers within this span earn their full worth.
+    pub aim: Micros,
+    /// The client's total wait over all its tries.
+    pub deadline: Micros,
+    /// What a repeat does.
+    pub effect: Effect,
+    /// For deduplicated classes: who remembers a key.
+    pub group: DedupGroup,
+    /// For deduplicated classes: how long, from the send of the first attempt that may have run.
+    pub dedup_window: Micros,
+    /// Worth of a request.
+    pub worth: f64,
+    /// Share of the worth that a late answer still earns.
+    pub late_worth: f64,
+    /// Answers come as a stream.
+    pub stream: bool,
+}
+
+/// How stages move on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GateMode {
+    /// One vote is enough.
+    Any,
+    /// A share of all balancers must stand for it.
+    Share,
+    /// By the clock, unless held.
+    Timer,
+}
+
+/// How builds are rolled out, voted on and bounded.
+#[derive(Clone, Debug)]
+pub struct Rollout {
+    /// How stages move on.
+    pub gate: GateMode,
+    /// Earlier machines drain as their successors come up (else they stay until the release).
+    pub in_place: bool,
+    /// Exposure cap of each stage.
+    pub stage_cap: Vec<f64>,
+    /// Stages below this number admit only classes that are safe to repeat.
+    pub guarded_stages: u8,
+    /// Any span of this length counts for the exposure rule.
+    pub counted_over: Micros,
+    /// Attempts that the exposure rule allows beyond the cap's share.
+    pub uncounted: f64,
+    /// The exposure rule counts each class by itself.
+    pub per_class: bool,
+    /// A key answered by the new build goes to no earlier one.
+    pub one_way: bool,
+    /// How long a vote stands.
+    pub vote_ttl: Micros,
+    /// How long a vote's reply may take.
+    pub call_timeout: Micros,
+    /// The share of wrong answers that clients report; 0: no reports.
+    pub flag_share: f64,
+    /// Votes a second that the platform takes from all balancers together.
+    pub vote_allowance: f64,
+}
+
+/// What the site permits.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Attempts for one request.
+    pub max_attempts: usize,
+    /// Two attempts of one request may be out together.
+    pub second_copies: bool,
+    /// Attempts may be cancelled.
+    pub cancel: bool,
+    /// Servers may be probed.
+    pub probes: bool,
+    /// Messages to peers may be sent.
+    pub peer_messages: bool,
+    /// Refusals may carry advice when to come back.
+    pub retry_after: bool,
+    /// The longest advice that clients honour.
+    pub max_retry_after: Micros,
+}
+
+/// Figures of the rules.
+#[derive(Clone, Debug)]
+pub struct Contract {
+    /// A final answer this long after the deadline is still in time.
+    pub answer_grace: Micros,
+    /// Without a subscription the list must have been asked for within this span.
+    pub ask_within: Micros,
+    /// A server starts with this share of its capacity or more.
+    pub cold_from: f64,
+    /// And is warm after this span at the latest.
+    pub cold_span: Micros,
+    /// Sends to a draining server must stop within this span; lower caps bind after it.
+    pub drain_grace: Micros,
+    /// A cold server falls over when sent more than this multiple of its present capacity ...
+    pub fall_multiple: f64,
+    /// ... for this span.
+    pub fall_span: Micros,
+}
+
+/// A customer and its share of the service.
+#[derive(Clone, Debug)]
+pub struct Tenant {
+    /// Requests a second, over all balancers, within its share.
+    pub quota_per_s: f64,
+}
+
+/// All that a balancer is told when it starts.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Classes of requests, by index.
+    pub classes: Vec<Class>,
+    /// Tenants, by index; may be empty.
+    pub tenants: Vec<Tenant>,
+    /// Rollout settings.
+    pub rollout: Rollout,
+    /// What the site permits.
+    pub limits: Limits,
+    /// Figures of the rules.
+    pub contract: Contract,
+    /// The server list must be asked for.
+    pub list_on_request: bool,
+    /// Balancers in this tier.
+    pub fleet_size: usize,
+    /// This balancer's number among them.
+    pub position: usize,
+    /// This balancer's zone.
+    pub zone: u16,
+    /// Shortest span between two rounds of events.
+    pub tick: Micros,
+    /// Worth of a request past its tenant's share, as a fraction.
+    pub over_share_worth: f64,
+    /// Servers' sizes can be set against each other.
+    pub sizes_known: bool,
+}
+
+/// A server's state as listed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Status {
+    /// Takes work.
+    Ready,
+    /// Finishing its work; nothing new.
+    Draining,
+    /// Removed.
+    Gone,
+}
+
+/// One line of the server list.
+#[derive(Clone, Copy, Debug)]
+pub struct ServerEntry {
+    /// The server.
+    pub id: ServerId,
+    /// Its zone.
+    pub zone: u16,
+    /// The build it runs.
+    pub build: Build,
+    /// Its cell.
+    pub cell: u16,
+    /// Its state.
+    pub status: Status,
+    /// Its size against the others.
+    pub size: f64,
+    /// Its latest start; 0: long past.
+    pub started_at: Micros,
+}
+
+/// What a list event carries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListKind {
+    /// Only changed lines.
+    Delta,
+    /// The whole list.
+    Full,
+    /// The whole list as last held before a restart; may be stale.
+    Cached,
+    /// A call failed or the subscription dropped; nothing carried.
+    Failed,
+}
+
+/// How an attempt, a probe or a vote ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Served, or accepted.
+    Ok,
+    /// Answered with an error; may have run.
+    Error,
+    /// Turned away unseen; never ran.
+    Rejected,
+    /// No reply in time; may have run.
+    Timeout,
+    /// No connection; never ran.
+    ConnectFailed,
+    /// Connection dropped; may have run.
+    Reset,
+    /// Cancelled; may have run.
+    Cancelled,
+    /// Never sent, or no longer meaningful.
+    Moot,
+}
+
+impl Outcome {
+    /// Whether the attempt may have taken effect.
+    pub fn may_have_run(self) -> bool {
+        !matches!(self, Outcome::Rejected | Outcome::ConnectFailed | Outcome::Moot)
+    }
+}
+
+/// Where a build stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// On trial.
+    Trial,
+    /// Going back.
+    RollingBack,
+    /// Released.
+    Released,
+    /// Taken off.
+    Withdrawn,
+}
+
+/// The platform's word on the newest build.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct StageNews {
+    /// The newest build.
+    pub build: Build,
+    /// Its stage, from 0.
+    pub stage: u8,
+    /// Where it stands.
+    pub phase: Phase,
+    /// The exposure cap, 0 to 1.
+    pub cap: f64,
+}
+
+/// A verdict on a build.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Move on.
+    On,
+    /// Stop the clock.
+    Hold,
+    /// Send back.
+    Back,
+    /// No vote.
+    Withdraw,
+}
+
+/// Something that happened.
+#[derive(Clone, Copy, Debug)]
+pub enum Event<'a> {
+    /// News of the server list.
+    ServerList {
+        /// What it carries.
+        kind: ListKind,
+        /// The lines.
+        entries: &'a [ServerEntry],
+    },
+    /// A client's request has arrived.
+    Request {
+        /// Its identity.
+        id: RequestId,
+        /// When the client gives this try up.
+        deadline: Micros,
+        /// Its class.
+        class: usize,
+        /// Work expected, where known.
+        hint: Option<Micros>,
+        /// The thing it concerns, where known.
+        key: Option<u64>,
+        /// Its tenant.
+        tenant: usize,
+        /// The client marked it as a repeat.
+        is_retry: bool,
+    },
+    /// A timer came due.
+    Timer {
+        /// As set.
+        token: u64,
+    },
+    /// An attempt ended.
+    AttemptEnded {
+        /// The request.
+        request: RequestId,
+        /// The attempt's number.
+        attempt: usize,
+        /// The server.
+        server: ServerId,
+        /// How it ended.
+        outcome: Outcome,
+        /// Time since the send.
+        elapsed: Micros,
+        /// The request is finished.
+        settled: bool,
+    },
+    /// A streamed answer has started.
+    StreamStarted {
+        /// The request.
+        request: RequestId,
+        /// The attempt's number.
+        attempt: usize,
+    },
+    /// A client found an answer wrong.
+    AnswerFlagged {
+        /// Who gave it.
+        server: ServerId,
+        /// The request's class.
+        class: usize,
+        /// Time since that attempt was sent.
+        since: Micros,
+    },
+    /// The client left; nothing is owed.
+    ClientGone {
+        /// The request.
+        request: RequestId,
+    },
+    /// News of the newest build, unasked.
+    Stage(StageNews),
+    /// A vote's reply.
+    VoteReply {
+        /// Whether it counts.
+        outcome: Outcome,
+        /// News that came with it, valid only for an accepted vote.
+        news: Option<StageNews>,
+    },
+    /// A message from a peer.
+    PeerMessage {
+        /// Its number.
+        from: usize,
+        /// The bytes.
+        payload: &'a [u8],
+    },
+    /// A probe's result.
+    Probed {
+        /// The server.
+        server: ServerId,
+        /// How it ended.
+        outcome: Outcome,
+    },
+    /// The platform's count for one build and class.
+    PlatformCount {
+        /// The build.
+        build: Build,
+        /// The class.
+        class: usize,
+        /// Attempts in the sample.
+        attempts: u32,
+        /// Those that did not end well.
+        failed: u32,
+        /// Mean time of the rest.
+        mean: Micros,
+        /// Time since the period ended.
+        age: Micros,
+    },
+}
+
+/// Something to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Start an attempt.
+    Send {
+        /// The request.
+        request: RequestId,
+        /// The server.
+        server: ServerId,
+        /// When to drop the attempt.
+        cut_at: Micros,
+    },
+    /// Stop waiting for an attempt.
+    Cancel {
+        /// The request.
+        request: RequestId,
+        /// The attempt's number.
+        attempt: usize,
+    },
+    /// Final answer: refused; repeating is harmless.
+    Refuse {
+        /// The request.
+        request: RequestId,
+        /// How long to stay away; 0: no advice.
+        come_back: Micros,
+    },
+    /// Final answer: failed; promises nothing.
+    Fail {
+        /// The request.
+        request: RequestId,
+    },
+    /// Wake up later.
+    SetTimer {
+        /// From now.
+        after: Micros,
+        /// Returned as given.
+        token: u64,
+    },
+    /// Subscribe to the server list.
+    FollowList,
+    /// Pull the whole server list once.
+    FetchList,
+    /// Vote on a build.
+    Vote {
+        /// The build.
+        build: Build,
+        /// The stage.
+        stage: u8,
+        /// The verdict.
+        verdict: Verdict,
+    },
+    /// Send a message to every peer.
+    TellPeers {
+        /// The bytes.
+        payload: Vec<u8>,
+    },
+    /// A line for the log.
+    Note(String),
+}
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,202 @@
+//! Containers without decisions: the random source, sliding counters, servers and open requests.
+
+use crate::interface::{Build, Micros, Outcome, ServerEntry, ServerId};
+use std::collections::VecDeque;
+
+/// A small deterministic random source (SplitMix64).
+#[derive(Clone, Debug)]
+pub struct Rng(pub u64);
+
+impl Rng {
+    /// The next value in `[0, 1)`.
+    pub fn unit(&mut self) -> f64 {
+        self.0 = self.0.wrapping_add(0x9E37_79B9_7F4A_7C15);
+        let mut z = self.0;
+        z = (z ^ (z >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+        ((z ^ (z >> 31)) >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    /// An index below `n`; `n` must not be 0.
+    pub fn below(&mut self, n: usize) -> usize {
+        ((self.unit() * n as f64) as usize).min(n.saturating_sub(1))
+    }
+}
+
+/// A sum over a sliding span.
+#[derive(Clone, Debug, Default)]
+pub struct SpanSum {
+    items: VecDeque<(Micros, f64)>,
+    total: f64,
+}
+
+impl SpanSum {
+    /// Adds an amount.
+    pub fn add(&mut self, now: Micros, amount: f64) {
+        self.items.push_back((now, amount));
+        self.total += amount;
+    }
+
+    /// The sum of what came within the last `span`.
+    pub fn sum(&mut self, now: Micros, span: Micros) -> f64 {
+        while let Some(&(at, amount)) = self.items.front() {
+            if at + span >= now {
+                break;
+            }
+            self.items.pop_front();
+            self.total = if self.items.is_empty() { 0.0 } else { self.total - amount };
+        }
+        self.total
+    }
+}
+
+/// Attempts less earned allowance, with its lowest level before any attempt of the last span.
+///
+/// The count over every span, aligned or not, that ends now is `level - lowest level within it`.
+#[derive(Clone, Debug, Default)]
+pub struct Exposure {
+    level: f64,
+    lows: VecDeque<(Micros, f64)>,
+}
+
+impl Exposure {
+    /// A request was taken: it earns `cap` of an attempt.
+    pub fn earn(&mut self, cap: f64) {
+        self.level -= cap;
+    }
+
+    /// An attempt was made.
+    pub fn spend(&mut self, now: Micros) {
+        while self.lows.back().is_some_and(|&(_, low)| low >= self.level) {
+            self.lows.pop_back();
+        }
+        self.lows.push_back((now, self.level));
+        self.level += 1.0;
+    }
+
+    /// What the worst span of length `span` that ends now would hold after one more attempt.
+    pub fn after_one_more(&mut self, now: Micros, span: Micros) -> f64 {
+        while self.lows.front().is_some_and(|&(at, _)| at + span < now) {
+            self.lows.pop_front();
+        }
+        let low = self.lows.front().map_or(self.level, |&(_, low)| low.min(self.level));
+        self.level + 1.0 - low
+    }
+}
+
+/// A server as this balancer sees it: the list's line and the balancer's own observations.
+#[derive(Clone, Debug)]
+pub struct Server {
+    /// The list's line.
+    pub entry: ServerEntry,
+    /// Own attempts out.
+    pub in_flight: u32,
+    /// Cost of own sends, over a short span.
+    pub sent: SpanSum,
+    /// Smoothed share of failed attempts.
+    pub failing: f64,
+    /// Smoothed answer time against what is typical.
+    pub slowness: f64,
+    /// Attempts in a row without an answer.
+    pub streak: u32,
+    /// Left out until then.
+    pub out_until: Micros,
+    /// How long it was last left out for.
+    pub out_for: Micros,
+    /// Since when attempts have been out without an answer.
+    pub waiting_since: Micros,
+}
+
+impl Server {
+    /// A server just listed.
+    pub fn new(entry: ServerEntry) -> Self {
+        Server {
+            entry,
+            in_flight: 0,
+            sent: SpanSum::default(),
+            failing: 0.0,
+            slowness: 1.0,
+            streak: 0,
+            out_until: 0,
+            out_for: 0,
+            waiting_since: 0,
+        }
+    }
+}
+
+/// One attempt of a request.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    /// Where it went.
+    pub server: ServerId,
+    /// That server's zone.
+    pub zone: u16,
+    /// That server's cell.
+    pub cell: u16,
+    /// The build that it ran by the list.
+    pub build: Build,
+    /// That server may still have been cold.
+    pub cold: bool,
+    /// When it was sent.
+    pub sent_at: Micros,
+    /// How it ended.
+    pub ended: Option<Outcome>,
+}
+
+impl Attempt {
+    /// Whether it has or may still have an effect.
+    pub fn may_have_run(&self) -> bool {
+        self.ended.is_none_or(Outcome::may_have_run)
+    }
+}
+
+/// A request held by this balancer, or answered with attempts still out.
+#[derive(Clone, Debug)]
+pub struct Open {
+    /// Its class.
+    pub class: usize,
+    /// When the client gives up.
+    pub deadline: Micros,
+    /// When it arrived.
+    pub arrived: Micros,
+    /// Its cost in microseconds, as hinted or as typical of its class.
+    pub cost: f64,
+    /// The key it concerns.
+    pub key: Option<u64>,
+    /// Attempts in order.
+    pub attempts: Vec<Attempt>,
+    /// Nothing more is owed.
+    pub done: bool,
+    /// Its answer is streaming.
+    pub streaming: bool,
+    /// When to look at it again.
+    pub due: Micros,
+}
+
+impl Open {
+    /// Attempts still out.
+    pub fn out(&self) -> usize {
+        self.attempts.iter().filter(|a| a.ended.is_none()).count()
+    }
+}
+
+/// An attempt's end as evidence about the build that answered.
+#[derive(Clone, Copy, Debug)]
+pub struct Sample {
+    /// When it ended.
+    pub at: Micros,
+    /// The class.
+    pub class: usize,
+    /// Who answered.
+    pub server: ServerId,
+    /// The build.
+    pub build: Build,
+    /// It ended with an error or a broken connection.
+    pub error: bool,
+    /// It failed in any way, time-outs and flagged answers included.
+    pub failed: bool,
+    /// Its answer was flagged as wrong.
+    pub flagged: bool,
+    /// Time taken for each unit of hinted work; a lower bound where it was cut; `None` where it says nothing.
+    pub pace: Option<f64>,
+}
