--- a/crates/wirehost/src/codec.rs
+++ b/crates/wirehost/src/codec.rs
@@ -1,7 +1,8 @@
 //! The granite wire: little-endian packed frames, read and written field by field.
 
 use violetseam::interface::{
-    Action, Event, ListKind, Outcome, Phase, ServerEntry, ServerId, StageNews, Status, Verdict,
+    Action, AttemptEnd, Event, ListKind, Outcome, Phase, Request, ServerEntry, ServerId, StageNews, Status,
+    Verdict,
 };
 
 /// Reads fields off a byte slice; every read is checked.
@@ -180,7 +181,7 @@
             let (key, opts, tenant) = (r.u64()?, r.u8()?, r.u32()? as usize);
             let hint = (opts & 1 != 0 && hint > 0).then_some(u64::from(hint));
             let key = (key != 0).then_some(key);
-            Event::Request { id, deadline, class, hint, key, tenant, is_retry: opts & 2 != 0 }
+            Event::Request(Request { id, deadline, class, hint, key, tenant, is_retry: opts & 2 != 0 })
         }
         22 => Event::Timer { token: r.u64()? },
         24 => {
@@ -192,7 +193,7 @@
             let (request, attempt, server) = (r.u64()?, usize::from(r.u8()?), r.server()?);
             let (outcome, elapsed, settled) = (r.outcome()?, u64::from(r.u32()?), r.u8()? != 0);
             r.load_report()?;
-            Event::AttemptEnded { request, attempt, server, outcome, elapsed, settled }
+            Event::AttemptEnded(AttemptEnd { request, attempt, server, outcome, elapsed, settled })
         }
         19 => {
             let (request, attempt) = (r.u64()?, usize::from(r.u8()?));
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -46,31 +46,6 @@
 const KEYS_KEPT: usize = 200_000; // one-way keys remembered; past that only known keys go to the new build
 const NOTES_MOST: u32 = 100; // log lines a life
 
-/// What this balancer knows of a class's answer times.
-#[derive(Clone, Default)]
-struct Typical {
-    recent: VecDeque<f64>,
-    median: f64,
-    tail: f64,
-}
-
-/// A peer's last summary: build, stage, and for each class attempts and failures of both builds.
-struct PeerSummary {
-    at: Micros,
-    build: Build,
-    stage: u8,
-    counts: Vec<[f64; 4]>,
-}
-
-/// A vote as the platform holds it or may hold it.
-#[derive(Clone, Copy, PartialEq)]
-struct Cast {
-    build: Build,
-    stage: u8,
-    verdict: Verdict,
-    at: Micros,
-}
-
 /// What a closed window says.
 #[derive(Clone, Debug, PartialEq)]
 enum Finding {
@@ -80,6 +55,7 @@
 }
 
 /// One load balancer's decisions: a deterministic state machine.
+#[derive(Default)]
 pub struct Balancer {
     set: Settings,
     rng: Rng,
@@ -120,52 +96,16 @@
 impl Balancer {
     /// A fresh balancer that knows nothing but its settings.
     pub fn new(set: Settings, seed: u64) -> Self {
-        let typical = set
-            .classes
-            .iter()
-            .map(|c| Typical {
-                recent: VecDeque::new(),
-                median: c.aim as f64 / 4.0,
-                tail: c.aim as f64 / 2.0,
-            })
-            .collect();
-        let tenant_arrivals = vec![SpanSum::default(); set.tenants.len()];
-        Balancer {
-            set,
-            rng: Rng(seed),
-            started: false,
-            servers: BTreeMap::new(),
-            open: BTreeMap::new(),
-            due: BTreeSet::new(),
-            typical,
-            retry_credit: RETRY_DEPTH / 2.0,
-            arrivals: SpanSum::default(),
-            guarded_arrivals: SpanSum::default(),
-            tenant_arrivals,
-            served: SpanSum::default(),
-            carried: 0.0,
-            shed: 0.0,
-            next_step: 0,
-            list_heard: 0,
-            list_retry: None,
-            list_failures: 0,
-            news: None,
-            cap_before: (0.0, 0),
-            exposure: BTreeMap::new(),
-            keys: BTreeSet::new(),
-            samples: VecDeque::new(),
-            window_start: 0,
-            window_count: 0,
-            breaches: 0,
-            verdict: Verdict::Withdraw,
-            reference: BTreeMap::new(),
-            standing: None,
-            pending: None,
-            vote_at: 0,
-            peers: BTreeMap::new(),
-            next_tell: 0,
-            notes: 0,
-        }
+        let guess = |c: &Class| (c.aim as f64 / 4.0, c.aim as f64 / 2.0);
+        let typical = set.classes.iter().map(guess).map(|(median, tail)| Typical {
+            median,
+            tail,
+            ..Typical::default()
+        });
+        let (typical, tenants) = (typical.collect(), set.tenants.len());
+        let retry_credit = RETRY_DEPTH / 2.0;
+        let tenant_arrivals = vec![SpanSum::default(); tenants];
+        Balancer { set, rng: Rng(seed), typical, retry_credit, tenant_arrivals, ..Balancer::default() }
     }
 
     /// Takes one event and appends what to do about it.
@@ -180,13 +120,9 @@
         }
         match event {
             Event::ServerList { kind, entries } => self.on_list(now, kind, entries),
-            Event::Request { id, deadline, class, hint, key, tenant, .. } => {
-                self.on_request(now, id, deadline, class, hint, key, tenant, out);
-            }
+            Event::Request(request) => self.on_request(now, request, out),
             Event::Timer { .. } => self.on_tick(now, out),
-            Event::AttemptEnded { request, attempt, server, outcome, elapsed, settled } => {
-                self.on_attempt_ended(now, request, attempt, server, outcome, elapsed, settled, out);
-            }
+            Event::AttemptEnded(end) => self.on_attempt_ended(now, end, out),
             Event::StreamStarted { request, attempt: _ } => {
                 if let Some(open) = self.open.get_mut(&request) {
                     open.streaming = true;
@@ -251,18 +187,8 @@
 
     // ---- a request's life
 
-    #[allow(clippy::too_many_arguments)]
-    fn on_request(
-        &mut self,
-        now: Micros,
-        id: RequestId,
-        deadline: Micros,
-        class: usize,
-        hint: Option<Micros>,
-        key: Option<u64>,
-        tenant: usize,
-        out: &mut Vec<Action>,
-    ) {
+    fn on_request(&mut self, now: Micros, request: Request, out: &mut Vec<Action>) {
+        let Request { id, class, tenant, .. } = request;
         self.arrivals.add(now, 1.0);
         if self.class(class).is_some_and(|c| c.effect == Effect::Retryable) {
             self.guarded_arrivals.add(now, 1.0);
@@ -281,19 +207,8 @@
             out.push(Action::Refuse { request: id, come_back: 0 });
             return;
         }
-        let cost = hint.map_or(self.typical[class].median, |h| h as f64).max(1.0);
-        let open = Open {
-            class,
-            deadline,
-            arrived: now,
-            cost,
-            key,
-            attempts: Vec::new(),
-            done: false,
-            streaming: false,
-            due: 0,
-        };
-        self.open.insert(id, open);
+        let cost = request.hint.map_or(self.typical[class].median, |h| h as f64).max(1.0);
+        self.open.insert(id, Open::new(request, now, cost));
         if self.over_share(now, tenant) || self.rng.unit() < self.shed {
             self.give_up(now, id, true, out);
         } else {
@@ -312,7 +227,7 @@
     /// Sends a request to a server, or holds it for a while when none may take it.
     fn place(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
         let Some(open) = self.open.get(&id) else { return };
-        let (class, tick, arrived, deadline) = (open.class, self.tick(), open.arrived, open.deadline);
+        let (Request { class, deadline, .. }, arrived, tick) = (open.request, open.arrived, self.tick());
         if let Some(server) = self.pick(now, id) {
             self.send(now, id, server, out);
             return;
@@ -335,16 +250,8 @@
         }
         server.in_flight += 1;
         server.sent.add(now, open.cost);
-        open.attempts.push(Attempt {
-            server: to,
-            zone: entry.zone,
-            cell: entry.cell,
-            build: entry.build,
-            cold: warmth < 1.0,
-            sent_at: now,
-            ended: None,
-        });
-        let (class, deadline) = (open.class, open.deadline);
+        open.attempts.push(Attempt { to: entry, cold: warmth < 1.0, sent_at: now, ended: None });
+        let (class, deadline) = (open.request.class, open.request.deadline);
         if self.trial_builds().contains(&entry.build) {
             if let Some(exposure) = self.exposure_of(entry.build, class) {
                 exposure.spend(now);
@@ -370,7 +277,7 @@
         if open.done || open.streaming {
             return;
         }
-        if now + 3 * self.tick() >= open.deadline {
+        if now + 3 * self.tick() >= open.request.deadline {
             self.give_up(now, id, false, out);
         } else if open.out() == 0 {
             self.place(now, id, out);
@@ -382,7 +289,7 @@
     /// A slow attempt gets a second copy where allowed, else it is cut so that a retry can follow.
     fn hurry(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
         let open = &self.open[&id];
-        let (deadline, class) = (open.deadline, &self.set.classes[open.class]);
+        let (deadline, class) = (open.request.deadline, &self.set.classes[open.request.class]);
         let next = deadline.saturating_sub(2 * self.tick());
         let in_aim = now < open.arrived + class.aim;
         let worth_it = open.out() == 1 && in_aim && self.retry_credit >= 1.0 && self.shed == 0.0;
@@ -400,33 +307,23 @@
         self.look_again(id, next);
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn on_attempt_ended(
-        &mut self,
-        now: Micros,
-        id: RequestId,
-        number: usize,
-        server: ServerId,
-        outcome: Outcome,
-        elapsed: Micros,
-        settled: bool,
-        out: &mut Vec<Action>,
-    ) {
+    fn on_attempt_ended(&mut self, now: Micros, end: AttemptEnd, out: &mut Vec<Action>) {
+        let AttemptEnd { request: id, attempt: number, outcome, settled, .. } = end;
         let Some(open) = self.open.get_mut(&id) else { return };
         let Some(attempt) = open.attempts.get_mut(number) else { return };
         if attempt.ended.replace(outcome).is_some() {
             return;
         }
-        let (attempt, class, cost, key) = (attempt.clone(), open.class, open.cost, open.key);
+        let (attempt, class, cost, key) = (attempt.clone(), open.request.class, open.cost, open.request.key);
         let late = now >= open.arrived + self.set.classes[class].aim;
-        self.learn_server(now, server, class, outcome, elapsed);
-        self.learn_build(now, &attempt, class, cost, outcome, elapsed, late);
+        self.learn_server(now, class, end);
+        self.learn_build(now, &attempt, (class, cost, late), end);
         if outcome == Outcome::Ok {
             if !attempt.cold {
                 self.served.add(now, cost);
             }
             if let (true, Some(key), Some(news)) = (self.set.rollout.one_way, key, self.news) {
-                if attempt.build == news.build && matches!(news.phase, Phase::Trial | Phase::Released) {
+                if attempt.to.build == news.build && matches!(news.phase, Phase::Trial | Phase::Released) {
                     self.keys.insert(key);
                 }
             }
@@ -446,7 +343,7 @@
     /// All attempts have ended without an answer: another one, or the final answer at once.
     fn after_failure(&mut self, now: Micros, id: RequestId, outcome: Outcome, out: &mut Vec<Action>) {
         let open = &self.open[&id];
-        let time_left = now + 4 * self.tick() < open.deadline;
+        let time_left = now + 4 * self.tick() < open.request.deadline;
         let attempts_left = open.attempts.len() < self.set.limits.max_attempts && outcome != Outcome::Moot;
         // The budget keeps retries from feeding an overload; proven non-runs cost as much as any.
         if time_left && attempts_left && self.may_repeat(now, id) && self.retry_credit >= 1.0 {
@@ -459,8 +356,8 @@
 
     fn may_repeat(&self, now: Micros, id: RequestId) -> bool {
         let open = &self.open[&id];
-        let class = &self.set.classes[open.class];
-        let ran = open.attempts.iter().find(|a| a.may_have_run());
+        let class = &self.set.classes[open.request.class];
+        let ran = open.first_that_may_have_run();
         match class.effect {
             Effect::Retryable => true,
             Effect::Fragile => ran.is_none(),
@@ -473,8 +370,8 @@
     /// The final answer: a refusal where that claim is allowed, else a failure. Never held back.
     fn give_up(&mut self, now: Micros, id: RequestId, crowded: bool, out: &mut Vec<Action>) {
         let Some(open) = self.open.get(&id) else { return };
-        let class = &self.set.classes[open.class];
-        let untouched = !open.attempts.iter().any(Attempt::may_have_run);
+        let class = &self.set.classes[open.request.class];
+        let untouched = open.first_that_may_have_run().is_none();
         let harmless = match class.effect {
             Effect::Retryable => true,
             Effect::Deduplicated => class.group == DedupGroup::All,
@@ -526,7 +423,7 @@
             }
             let pool = usize::from(trials.contains(&server.entry.build));
             share[pool] += self.warmth(now, server);
-            let tried = open.attempts.iter().any(|a| a.server == sid);
+            let tried = open.attempts.iter().any(|a| a.to.id == sid);
             let weight = self.weight(now, server) * if tried { 0.01 } else { 1.0 };
             let out = server.out_until > now;
             if self.cold_room(now, sid, open.cost) && self.build_admits(now, sid, &open) {
@@ -567,16 +464,16 @@
 
     /// Once a deduplicated request may have run, only its first server's group may see it again, in time.
     fn group_admits(&self, now: Micros, open: &Open, entry: &ServerEntry) -> bool {
-        let class = &self.set.classes[open.class];
-        let Some(ran) = open.attempts.iter().find(|a| a.may_have_run()) else { return true };
+        let class = &self.set.classes[open.request.class];
+        let Some(ran) = open.first_that_may_have_run() else { return true };
         match class.effect {
             Effect::Retryable => true,
             Effect::Fragile => false,
             Effect::Deduplicated => {
                 let same = match class.group {
                     DedupGroup::All => true,
-                    DedupGroup::Zone => ran.zone == entry.zone,
-                    DedupGroup::Cell => ran.cell == entry.cell,
+                    DedupGroup::Zone => ran.to.zone == entry.zone,
+                    DedupGroup::Cell => ran.to.cell == entry.cell,
                 };
                 same && now + 2 * self.tick() < ran.sent_at + class.dedup_window
             }
@@ -665,7 +562,7 @@
     /// Whether the rules let this request go to this server's build now.
     fn build_admits(&mut self, now: Micros, id: ServerId, open: &Open) -> bool {
         let build = self.servers[&id].entry.build;
-        if let (true, Some(news), Some(key)) = (self.set.rollout.one_way, self.news, open.key) {
+        if let (true, Some(news), Some(key)) = (self.set.rollout.one_way, self.news, open.request.key) {
             let bound = matches!(news.phase, Phase::Trial | Phase::Released) && self.keys.contains(&key);
             let full = self.keys.len() >= KEYS_KEPT && !bound && build == news.build;
             if (bound && build < news.build) || full {
@@ -676,11 +573,12 @@
             return true;
         }
         let stage = self.news.filter(|n| n.build == build).map_or(0, |n| n.stage);
-        let safe = self.set.classes[open.class].effect == Effect::Retryable;
+        let safe = self.set.classes[open.request.class].effect == Effect::Retryable;
         let cap = self.cap(now, build);
         let (span, free) = (self.set.rollout.counted_over + 2 * self.tick(), self.set.rollout.uncounted);
         let guarded = stage < self.set.rollout.guarded_stages && !safe;
-        let room = self.exposure_of(build, open.class).map_or(f64::MAX, |e| e.after_one_more(now, span));
+        let room =
+            self.exposure_of(build, open.request.class).map_or(f64::MAX, |e| e.after_one_more(now, span));
         cap > 0.0 && !guarded && room <= free + 1e-9
     }
 
@@ -709,7 +607,8 @@
 
     // ---- learning from outcomes
 
-    fn learn_server(&mut self, now: Micros, id: ServerId, class: usize, outcome: Outcome, elapsed: Micros) {
+    fn learn_server(&mut self, now: Micros, class: usize, end: AttemptEnd) {
+        let AttemptEnd { server: id, outcome, elapsed, .. } = end;
         let typical = self.typical[class].median.max(1.0);
         let Some(server) = self.servers.get_mut(&id) else { return };
         server.in_flight = server.in_flight.saturating_sub(1);
@@ -746,17 +645,8 @@
         }
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn learn_build(
-        &mut self,
-        now: Micros,
-        attempt: &Attempt,
-        class: usize,
-        cost: f64,
-        outcome: Outcome,
-        elapsed: Micros,
-        late: bool,
-    ) {
+    fn learn_build(&mut self, now: Micros, attempt: &Attempt, open: (usize, f64, bool), end: AttemptEnd) {
+        let ((class, cost, late), AttemptEnd { outcome, elapsed, .. }) = (open, end);
         let error = matches!(outcome, Outcome::Error | Outcome::Reset);
         let timeout = outcome == Outcome::Timeout && late && !attempt.cold;
         // Refusals, failed connects and attempts never sent are no answers of the build.
@@ -769,7 +659,7 @@
             return;
         }
         let pace = (!attempt.cold && !error).then_some(elapsed as f64 / cost);
-        let (server, build) = (attempt.server, attempt.build);
+        let (server, build) = (attempt.to.id, attempt.to.build);
         let failed = error || timeout;
         self.samples.push_back(Sample { at: now, class, server, build, error, failed, flagged: false, pace });
         if self.news.is_some_and(|n| n.build == build) {
@@ -960,7 +850,7 @@
         if self.pending.is_some() || now < self.vote_at || (same && (wanted == Verdict::Withdraw || !aged)) {
             return;
         }
-        self.pending = Some(Cast { build: news.build, stage: news.stage, verdict: wanted, at: now });
+        self.pending = Some(Cast { verdict: wanted, at: now });
         out.push(Action::Vote { build: news.build, stage: news.stage, verdict: wanted });
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -12,20 +12,22 @@
 pub type Build = u16;
 
 /// What a repeat of a request does.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Effect {
     /// Safe to repeat at any time.
     Retryable,
     /// Carries a key; servers of one group drop a repeat for a while.
     Deduplicated,
     /// Must never run twice.
+    #[default]
     Fragile,
 }
 
 /// Which servers share their memory of keys already seen.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum DedupGroup {
     /// Every server.
+    #[default]
     All,
     /// Servers of one zone.
     Zone,
@@ -34,7 +36,7 @@
 }
 
 /// One class of requests.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Class {
     /// Answers within this span earn their full worth.
     pub aim: Micros,
@@ -55,9 +57,10 @@
 }
 
 /// How stages move on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum GateMode {
     /// One vote is enough.
+    #[default]
     Any,
     /// A share of all balancers must stand for it.
     Share,
@@ -66,7 +69,7 @@
 }
 
 /// How builds are rolled out, voted on and bounded.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Rollout {
     /// How stages move on.
     pub gate: GateMode,
@@ -95,7 +98,7 @@
 }
 
 /// What the site permits.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Limits {
     /// Attempts for one request.
     pub max_attempts: usize,
@@ -114,7 +117,7 @@
 }
 
 /// Figures of the rules.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Contract {
     /// A final answer this long after the deadline is still in time.
     pub answer_grace: Micros,
@@ -133,14 +136,14 @@
 }
 
 /// A customer and its share of the service.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Tenant {
     /// Requests a second, over all balancers, within its share.
     pub quota_per_s: f64,
 }
 
 /// All that a balancer is told when it starts.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Settings {
     /// Classes of requests, by index.
     pub classes: Vec<Class>,
@@ -266,7 +269,7 @@
 }
 
 /// A verdict on a build.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Verdict {
     /// Move on.
     On,
@@ -275,9 +278,46 @@
     /// Send back.
     Back,
     /// No vote.
+    #[default]
     Withdraw,
 }
 
+/// A client's request as it arrives.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Request {
+    /// Its identity.
+    pub id: RequestId,
+    /// When the client gives this try up.
+    pub deadline: Micros,
+    /// Its class.
+    pub class: usize,
+    /// Work expected, where known.
+    pub hint: Option<Micros>,
+    /// The thing it concerns, where known.
+    pub key: Option<u64>,
+    /// Its tenant.
+    pub tenant: usize,
+    /// The client marked it as a repeat.
+    pub is_retry: bool,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug)]
+pub struct AttemptEnd {
+    /// The request.
+    pub request: RequestId,
+    /// The attempt's number.
+    pub attempt: usize,
+    /// The server.
+    pub server: ServerId,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// Time since the send.
+    pub elapsed: Micros,
+    /// The request is finished.
+    pub settled: bool,
+}
+
 /// Something that happened.
 #[derive(Clone, Copy, Debug)]
 pub enum Event<'a> {
@@ -289,42 +329,14 @@
         entries: &'a [ServerEntry],
     },
     /// A client's request has arrived.
-    Request {
-        /// Its identity.
-        id: RequestId,
-        /// When the client gives this try up.
-        deadline: Micros,
-        /// Its class.
-        class: usize,
-        /// Work expected, where known.
-        hint: Option<Micros>,
-        /// The thing it concerns, where known.
-        key: Option<u64>,
-        /// Its tenant.
-        tenant: usize,
-        /// The client marked it as a repeat.
-        is_retry: bool,
-    },
+    Request(Request),
     /// A timer came due.
     Timer {
         /// As set.
         token: u64,
     },
     /// An attempt ended.
-    AttemptEnded {
-        /// The request.
-        request: RequestId,
-        /// The attempt's number.
-        attempt: usize,
-        /// The server.
-        server: ServerId,
-        /// How it ended.
-        outcome: Outcome,
-        /// Time since the send.
-        elapsed: Micros,
-        /// The request is finished.
-        settled: bool,
-    },
+    AttemptEnded(AttemptEnd),
     /// A streamed answer has started.
     StreamStarted {
         /// The request.
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,10 +1,10 @@
 //! Containers without decisions: the random source, sliding counters, servers and open requests.
 
-use crate::interface::{Build, Micros, Outcome, ServerEntry, ServerId};
+use crate::interface::{Build, Micros, Outcome, Request, ServerEntry, ServerId, Verdict};
 use std::collections::VecDeque;
 
 /// A small deterministic random source (SplitMix64).
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Rng(pub u64);
 
 impl Rng {
@@ -127,14 +127,8 @@
 /// One attempt of a request.
 #[derive(Clone, Debug)]
 pub struct Attempt {
-    /// Where it went.
-    pub server: ServerId,
-    /// That server's zone.
-    pub zone: u16,
-    /// That server's cell.
-    pub cell: u16,
-    /// The build that it ran by the list.
-    pub build: Build,
+    /// The line of the server that it went to, as listed then.
+    pub to: ServerEntry,
     /// That server may still have been cold.
     pub cold: bool,
     /// When it was sent.
@@ -151,18 +145,14 @@
 }
 
 /// A request held by this balancer, or answered with attempts still out.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Open {
-    /// Its class.
-    pub class: usize,
-    /// When the client gives up.
-    pub deadline: Micros,
+    /// As it arrived.
+    pub request: Request,
     /// When it arrived.
     pub arrived: Micros,
     /// Its cost in microseconds, as hinted or as typical of its class.
     pub cost: f64,
-    /// The key it concerns.
-    pub key: Option<u64>,
     /// Attempts in order.
     pub attempts: Vec<Attempt>,
     /// Nothing more is owed.
@@ -174,6 +164,16 @@
 }
 
 impl Open {
+    /// A request just taken.
+    pub fn new(request: Request, arrived: Micros, cost: f64) -> Self {
+        Open { request, arrived, cost, ..Open::default() }
+    }
+
+    /// The first attempt that has or may still have an effect.
+    pub fn first_that_may_have_run(&self) -> Option<&Attempt> {
+        self.attempts.iter().find(|a| a.may_have_run())
+    }
+
     /// Attempts still out.
     pub fn out(&self) -> usize {
         self.attempts.iter().filter(|a| a.ended.is_none()).count()
@@ -200,3 +200,36 @@
     /// Time taken for each unit of hinted work; a lower bound where it was cut; `None` where it says nothing.
     pub pace: Option<f64>,
 }
+
+/// What this balancer knows of a class's answer times.
+#[derive(Clone, Debug, Default)]
+pub struct Typical {
+    /// The latest answer times.
+    pub recent: VecDeque<f64>,
+    /// Their median.
+    pub median: f64,
+    /// Their 95th percentile.
+    pub tail: f64,
+}
+
+/// A peer's last summary: for each class attempts and failures of the new build, then of the earlier one.
+#[derive(Clone, Debug)]
+pub struct PeerSummary {
+    /// When it came.
+    pub at: Micros,
+    /// The build it is about.
+    pub build: Build,
+    /// The stage it is about.
+    pub stage: u8,
+    /// The counts.
+    pub counts: Vec<[f64; 4]>,
+}
+
+/// A vote as the platform holds it or may hold it.
+#[derive(Clone, Copy, Debug)]
+pub struct Cast {
+    /// What it says.
+    pub verdict: Verdict,
+    /// Since when.
+    pub at: Micros,
+}
