Pace the trial share, bind rare keys first, refuse by expected answer time

The share is now paced by what is owed, and only keys rarer than most open a binding. Refusals go by the chosen server's expected answer time in place of a median that went stale while requests were refused.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -42,7 +42,9 @@
 const HURRY_FACTOR: f64 = 1.3; // times the class's 95th percentile: then a second chance is worth its cost
 const HOLD_SHARE: f64 = 0.5; // of a class's aim: how long a request waits for a server before it is refused
 const COLD_SAFETY: f64 = 0.6; // share of a cold server's span budget that this balancer allows itself
-const SHED_LATE: f64 = 0.6; // median answer time over the aim that starts refusals
+const ADMIT_SHARE: f64 = 0.8; // of a class's aim: a longer expected answer time is refused at once
+const OVER_SHARE: f64 = 0.4; // the same for a tenant past its quota
+const REDRAWS: usize = 3; // further pairs drawn while the better server is busier than the pool's mean
 const KEYS_KEPT: usize = 200_000; // one-way keys remembered; past that only known keys go to the new build
 const NOTES_MOST: u32 = 100; // log lines a life
 
@@ -65,12 +67,10 @@
     due: BTreeSet<(Micros, RequestId)>,
     typical: Vec<Typical>,
     retry_credit: f64,
-    arrivals: SpanSum,
-    guarded_arrivals: SpanSum,
     tenant_arrivals: Vec<SpanSum>,
     served: SpanSum,
     carried: f64,
-    shed: f64,
+    owed: f64,
     next_step: Micros,
     list_heard: Micros,
     list_retry: Option<Micros>,
@@ -79,6 +79,7 @@
     cap_before: (f64, Micros),
     exposure: BTreeMap<Build, Vec<Exposure>>,
     keys: BTreeSet<u64>,
+    key_counts: KeyCounts,
     samples: VecDeque<Sample>,
     window_start: Micros,
     window_count: usize,
@@ -141,10 +142,6 @@
         self.set.tick.max(5 * MS)
     }
 
-    fn class(&self, class: usize) -> Option<&Class> {
-        self.set.classes.get(class)
-    }
-
     // ---- the server list
 
     fn on_list(&mut self, now: Micros, kind: ListKind, entries: &[ServerEntry]) {
@@ -189,13 +186,12 @@
 
     fn on_request(&mut self, now: Micros, request: Request, out: &mut Vec<Action>) {
         let Request { id, class, tenant, .. } = request;
-        self.arrivals.add(now, 1.0);
-        if self.class(class).is_some_and(|c| c.effect == Effect::Retryable) {
-            self.guarded_arrivals.add(now, 1.0);
-        }
         if let Some(tenant) = self.tenant_arrivals.get_mut(tenant) {
             tenant.add(now, 1.0);
         }
+        if let (true, Some(key)) = (self.set.rollout.one_way, request.key) {
+            self.key_counts.count(key, KEYS_KEPT);
+        }
         self.retry_credit = (self.retry_credit + RETRY_SHARE).min(RETRY_DEPTH);
         for build in self.trial_builds() {
             let cap = self.cap(now, build);
@@ -209,32 +205,34 @@
         }
         let cost = request.hint.map_or(self.typical[class].median, |h| h as f64).max(1.0);
         self.open.insert(id, Open::new(request, now, cost));
-        if self.over_share(now, tenant) || self.rng.unit() < self.shed {
-            self.give_up(now, id, true, out);
-        } else {
-            self.place(now, id, out);
-        }
+        let admit = if self.over_quota(now, tenant) { OVER_SHARE } else { ADMIT_SHARE };
+        self.place(now, id, admit, out);
     }
 
-    /// Under pressure, requests past a tenant's share go first: they are worth little whatever is done.
-    fn over_share(&mut self, now: Micros, tenant: usize) -> bool {
+    /// Requests past a tenant's share go first under pressure: they are worth little whatever is done.
+    fn over_quota(&mut self, now: Micros, tenant: usize) -> bool {
         let Some(settings) = self.set.tenants.get(tenant) else { return false };
         let quota = settings.quota_per_s / self.set.fleet_size as f64;
         let rate = self.tenant_arrivals[tenant].sum(now, SECOND);
-        self.shed > 0.0 && rate > quota && self.rng.unit() < 1.0 - quota / rate
+        rate > quota && self.rng.unit() < 1.0 - quota / rate
     }
 
-    /// Sends a request to a server, or holds it for a while when none may take it.
-    fn place(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
+    /// Sends a request to a server; holds it for a while when none may take it; refuses it at once when
+    /// the answer would come too late anyway, so that a crowd does not make everybody late.
+    fn place(&mut self, now: Micros, id: RequestId, admit: f64, out: &mut Vec<Action>) {
         let Some(open) = self.open.get(&id) else { return };
         let (Request { class, deadline, .. }, arrived, tick) = (open.request, open.arrived, self.tick());
+        let aim = self.set.classes[class].aim as f64;
         if let Some(server) = self.pick(now, id) {
-            self.send(now, id, server, out);
-            return;
-        }
-        let waited = now.saturating_sub(arrived);
-        let patience = self.set.classes[class].aim as f64 * HOLD_SHARE;
-        if waited as f64 >= patience || now + 3 * tick >= deadline {
+            let chosen = &self.servers[&server];
+            let crowded =
+                chosen.in_flight > 1 && chosen.per_slot * f64::from(chosen.in_flight + 1) > aim * admit;
+            if crowded && self.open[&id].attempts.is_empty() {
+                self.give_up(now, id, true, out);
+            } else {
+                self.send(now, id, server, out);
+            }
+        } else if now.saturating_sub(arrived) as f64 >= aim * HOLD_SHARE || now + 3 * tick >= deadline {
             self.give_up(now, id, true, out);
         } else {
             self.look_again(id, now + tick);
@@ -250,9 +248,11 @@
         }
         server.in_flight += 1;
         server.sent.add(now, open.cost);
-        open.attempts.push(Attempt { to: entry, cold: warmth < 1.0, sent_at: now, ended: None });
+        let beside = server.in_flight;
+        open.attempts.push(Attempt { to: entry, cold: warmth < 1.0, sent_at: now, beside, ended: None });
         let (class, deadline) = (open.request.class, open.request.deadline);
         if self.trial_builds().contains(&entry.build) {
+            self.owed = (self.owed - 1.0).max(-2.0);
             if let Some(exposure) = self.exposure_of(entry.build, class) {
                 exposure.spend(now);
             }
@@ -280,7 +280,7 @@
         if now + 3 * self.tick() >= open.request.deadline {
             self.give_up(now, id, false, out);
         } else if open.out() == 0 {
-            self.place(now, id, out);
+            self.place(now, id, ADMIT_SHARE, out);
         } else {
             self.hurry(now, id, out);
         }
@@ -292,7 +292,7 @@
         let (deadline, class) = (open.request.deadline, &self.set.classes[open.request.class]);
         let next = deadline.saturating_sub(2 * self.tick());
         let in_aim = now < open.arrived + class.aim;
-        let worth_it = open.out() == 1 && in_aim && self.retry_credit >= 1.0 && self.shed == 0.0;
+        let worth_it = open.out() == 1 && in_aim && self.retry_credit >= 1.0;
         let may_repeat =
             class.effect != Effect::Fragile && open.attempts.len() < self.set.limits.max_attempts;
         if worth_it && may_repeat && self.set.limits.second_copies {
@@ -316,7 +316,7 @@
         }
         let (attempt, class, cost, key) = (attempt.clone(), open.request.class, open.cost, open.request.key);
         let late = now >= open.arrived + self.set.classes[class].aim;
-        self.learn_server(now, class, end);
+        self.learn_server(now, class, attempt.beside, end);
         self.learn_build(now, &attempt, (class, cost, late), end);
         if outcome == Outcome::Ok {
             if !attempt.cold {
@@ -348,7 +348,7 @@
         // The budget keeps retries from feeding an overload; proven non-runs cost as much as any.
         if time_left && attempts_left && self.may_repeat(now, id) && self.retry_credit >= 1.0 {
             self.retry_credit -= 1.0;
-            self.place(now, id, out);
+            self.place(now, id, ADMIT_SHARE, out);
         } else {
             self.give_up(now, id, false, out);
         }
@@ -430,36 +430,44 @@
                 pools[pool].push((sid, weight, out));
             }
         }
-        let total = share[0] + share[1];
-        let guarded = self.news.is_some_and(|n| n.stage < self.set.rollout.guarded_stages);
-        let safe = self.guarded_arrivals.sum(now, SECOND) / self.arrivals.sum(now, SECOND).max(1.0);
-        // Where only safe classes may go, they make up the machines' whole share.
-        let eligible = if guarded { safe.max(0.1) } else { 1.0 };
-        let first = open.attempts.is_empty();
-        let to_trial = first && total > 0.0 && self.rng.unit() < share[1] / total / eligible;
+        let first = open.attempts.is_empty() && open.arrived == now;
+        if first && share[1] > 0.0 {
+            self.owed = (self.owed + share[1] / (share[0] + share[1])).min(2.0);
+        }
+        // A key that the new build answers is bound to it, so popular keys would pile onto few machines,
+        // and classes not yet admitted would find their keys bound: only keys rarer than most go first.
+        let popular = open.request.key.is_some_and(|k| share[0] > 0.0 && self.key_counts.popularity(k) > 1.0);
+        let to_trial = open.attempts.is_empty() && self.owed >= 1.0 && !popular;
         let order = if to_trial { [1, 0] } else { [0, 1] };
         order.into_iter().find_map(|pool| self.choose(&mut pools[pool]))
     }
 
-    /// Two random choices by own attempts out. Servers left out stay so only while half of the pool is in.
+    /// Two random choices by own attempts out, drawn again while the better one is busier than the mean.
+    /// Servers left out stay so only while half of the pool is in.
     fn choose(&mut self, pool: &mut Vec<(ServerId, f64, bool)>) -> Option<ServerId> {
         if pool.iter().filter(|s| !s.2).count() * 2 >= pool.len() {
             pool.retain(|s| !s.2);
         }
         let total: f64 = pool.iter().map(|s| s.1).sum();
-        let mut draw = || {
+        let held = |id: ServerId| self.servers.get(&id).map_or(0.0, |s| f64::from(s.in_flight));
+        let mean = (pool.iter().map(|s| held(s.0)).sum::<f64>() + 1.0) / total.max(1e-9);
+        let mut best: Option<(ServerId, f64)> = None;
+        for draw in 0..2 + 2 * REDRAWS {
+            if draw >= 2 && draw % 2 == 0 && best.is_some_and(|b| b.1 <= mean) {
+                break;
+            }
             let mut left = self.rng.unit() * total;
             let found = pool.iter().find(|s| {
                 left -= s.1;
                 left <= 0.0
             });
-            found.or(pool.last()).map(|s| (s.0, s.1))
-        };
-        let (one, two) = (draw()?, draw()?);
-        let load = |(id, weight): (ServerId, f64)| {
-            self.servers.get(&id).map_or(f64::MAX, |s| f64::from(s.in_flight + 1) / weight.max(1e-9))
-        };
-        Some(if load(one) <= load(two) { one.0 } else { two.0 })
+            let (id, weight, _) = *found.or(pool.last())?;
+            let load = (held(id) + 1.0) / weight;
+            if best.is_none_or(|b| load < b.1) {
+                best = Some((id, load));
+            }
+        }
+        best.map(|b| b.0)
     }
 
     /// Once a deduplicated request may have run, only its first server's group may see it again, in time.
@@ -607,7 +615,7 @@
 
     // ---- learning from outcomes
 
-    fn learn_server(&mut self, now: Micros, class: usize, end: AttemptEnd) {
+    fn learn_server(&mut self, now: Micros, class: usize, beside: u32, end: AttemptEnd) {
         let AttemptEnd { server: id, outcome, elapsed, .. } = end;
         let typical = self.typical[class].median.max(1.0);
         let Some(server) = self.servers.get_mut(&id) else { return };
@@ -621,6 +629,8 @@
             Outcome::Ok => {
                 server.failing *= 1.0 - SMOOTHING;
                 server.slowness += (pace - server.slowness) * SMOOTHING / 2.0;
+                let per_slot = elapsed as f64 / f64::from(beside.max(1));
+                server.per_slot += (per_slot - server.per_slot) * SMOOTHING;
                 server.out_for = 0;
                 let recent = &mut self.typical[class].recent;
                 recent.push_back(elapsed as f64);
@@ -759,79 +769,63 @@
         if waiting && classes.filter(|(_, c)| admitted(c)).any(|(c, _)| seen(c) < CLASS_LEAST / 2.0) {
             return Finding::Thin;
         }
-        for c in 0..self.set.classes.len() {
-            let of: Vec<&Sample> = earlier.iter().filter(|s| s.class == c).collect();
-            if of.len() as f64 >= CLASS_LEAST {
-                let failed = of.iter().filter(|s| s.failed).count() as f64;
-                self.reference.insert(c, (failed, of.len() as f64));
+        for (class, tally) in Tally::by_class(&earlier, self.set.classes.len()).iter().enumerate() {
+            if tally.n >= CLASS_LEAST {
+                self.reference.insert(class, (tally.failed, tally.n));
             }
         }
         Finding::Clean
     }
 
-    /// The reason why the new arm breaches, stratified by class; `None` where it does not.
+    /// The reason why the new arm breaches, class by class on the same footing; `None` where it does not.
     fn breach(&self, new: &[Sample], earlier: &[Sample], peers: &[[f64; 4]]) -> Option<String> {
-        let (mut n, mut errors, mut failed, mut base_errors, mut base_n) = (0.0, 0.0, 0.0, 0.0, 0.0);
-        for class in 0..self.set.classes.len() {
-            let count = |arm: &[Sample], f: fn(&Sample) -> bool| {
-                arm.iter().filter(|s| s.class == class && f(s)).count() as f64
-            };
+        let classes = self.set.classes.len();
+        let (new, earlier) = (Tally::by_class(new, classes), Tally::by_class(earlier, classes));
+        let mut sum = Tally::default();
+        let (mut base, mut base_n, mut base_flags, mut ratios) = (0.0, 0.0, 0.0, [Vec::new(), Vec::new()]);
+        for (class, (ours, theirs)) in new.iter().zip(&earlier).enumerate() {
             let peer = peers.get(class).copied().unwrap_or_default();
-            let (cn, cf) = (count(new, |_| true) + peer[0], count(new, |s| s.failed) + peer[1]);
-            let ce = count(new, |s| s.error) + peer[1];
-            let (mut on, mut of) =
-                (count(earlier, |_| true) + peer[2], count(earlier, |s| s.failed) + peer[3]);
+            let (n, failed) = (ours.n + peer[0], ours.failed + peer[1]);
+            let (mut of, mut on) = (theirs.failed + peer[3], theirs.n + peer[2]);
             if on < CLASS_LEAST {
-                // No earlier arm to speak of: what was remembered of it, else a share of nothing.
+                // No earlier arm to speak of: what was remembered of it, else nothing.
                 (of, on) = self.reference.get(&class).copied().unwrap_or((0.0, 0.0));
             }
             let share = if on > 0.0 { of / on } else { 0.0 };
-            if cn >= CLASS_LEAST && wilson_lower(cf, cn, Z95) > share + FAILURE_MARGIN {
-                return Some(format!("class {class} fails {cf}/{cn} against {of}/{on}"));
+            if n >= CLASS_LEAST && wilson_lower(failed, n, Z95) > share + FAILURE_MARGIN {
+                return Some(format!("class {class} fails {failed}/{n} against {of}/{on}"));
+            }
+            sum.n += n;
+            sum.errors += ours.errors + peer[1];
+            sum.failed += failed;
+            sum.flagged += ours.flagged;
+            (base, base_n, base_flags) = (base + share * n, base_n + on, base_flags + theirs.flagged);
+            let mut paces = theirs.paces.clone();
+            if let Some(median) = quantile(&mut paces, 0.5).filter(|&m| m > 0.0 && theirs.n >= CLASS_LEAST) {
+                ratios[0].extend(ours.paces.iter().map(|p| p / median));
+                ratios[1].extend(paces.iter().map(|p| p / median));
             }
-            (n, errors, failed) = (n + cn, errors + ce, failed + cf);
-            (base_errors, base_n) = (base_errors + share * cn, base_n + on);
         }
-        let base = base_errors / f64::max(n, 1.0);
-        if wilson_lower(errors, n, Z95) > base + FAILURE_MARGIN {
-            return Some(format!("errors {errors}/{n} against {base:.3}"));
+        base /= sum.n.max(1.0);
+        if wilson_lower(sum.errors, sum.n, Z95) > base + FAILURE_MARGIN {
+            return Some(format!("errors {}/{} against {base:.3}", sum.errors, sum.n));
         }
-        if base_n > 0.0 && difference_lower((failed, n), (base * base_n, base_n), Z95) > FAILURE_MARGIN {
-            return Some(format!("failures {failed}/{n} against {base:.3} of {base_n}"));
+        if difference_lower((sum.failed, sum.n), (base * base_n, base_n), Z95) > FAILURE_MARGIN {
+            return Some(format!("failures {}/{} against {base:.3} of {base_n}", sum.failed, sum.n));
         }
-        let flags = new.iter().filter(|s| s.flagged).count() as f64;
-        let earlier_flags = earlier.iter().filter(|s| s.flagged).count() as f64;
-        let flag_base = earlier_flags / (earlier.len() as f64).max(1.0);
         // Only a share of wrong answers is reported, so the margin is scaled down by it.
-        let flag_margin = FAILURE_MARGIN * self.set.rollout.flag_share;
-        if flags >= 2.0 && wilson_lower(flags, new.len() as f64, Z95) > flag_base + flag_margin {
-            return Some(format!("wrong answers {flags}/{} against {flag_base:.3}", new.len()));
-        }
-        self.latency_breach(new, earlier)
-    }
-
-    /// Median and tail must both exceed the earlier build's, class by class on the same footing.
-    fn latency_breach(&self, new: &[Sample], earlier: &[Sample]) -> Option<String> {
-        let (mut ours, mut theirs) = (Vec::new(), Vec::new());
-        for class in 0..self.set.classes.len() {
-            let paces = |arm: &[Sample]| -> Vec<f64> {
-                arm.iter().filter(|s| s.class == class).filter_map(|s| s.pace).collect()
-            };
-            let mut base = paces(earlier);
-            if (base.len() as f64) < CLASS_LEAST {
-                continue;
-            }
-            let Some(median) = quantile(&mut base, 0.5).filter(|&m| m > 0.0) else { continue };
-            theirs.extend(base.iter().map(|p| p / median));
-            ours.extend(paces(new).iter().map(|p| p / median));
+        let flag_limit = base_flags / base_n.max(1.0) + FAILURE_MARGIN * self.set.rollout.flag_share;
+        if sum.flagged >= 2.0 && wilson_lower(sum.flagged, sum.n, Z95) > flag_limit {
+            return Some(format!("wrong answers {}/{} against {flag_limit:.3}", sum.flagged, sum.n));
         }
+        let [mut ours, mut theirs] = ratios;
         if (ours.len() as f64) < WINDOW_LEAST || (theirs.len() as f64) < WINDOW_LEAST {
             return None;
         }
         let mut ratio = |q| Some(quantile(&mut ours, q)? / quantile(&mut theirs, q)?);
         let (median, tail) = (ratio(0.5)?, ratio(0.95)?);
         (median > LATENCY_RATIO && tail > LATENCY_RATIO)
-            .then(|| format!("slower: median x{median:.2}, p95 x{tail:.2} over {}", new.len()))
+            .then(|| format!("slower: median x{median:.2}, p95 x{tail:.2} over {}", sum.n))
     }
 
     // ---- voting
@@ -880,33 +874,21 @@
             return;
         }
         self.next_tell = now + PEER_EVERY;
-        let mut payload = vec![1];
-        payload.extend(news.build.to_le_bytes());
-        payload.push(news.stage);
-        for class in 0..self.set.classes.len().min(31) {
-            let from = now.saturating_sub(WINDOW_SPAN).max(self.window_start.min(now));
-            for (new, bad) in [(true, false), (true, true), (false, false), (false, true)] {
-                let of =
-                    |s: &&Sample| s.class == class && (s.build == news.build) == new && s.build <= news.build;
-                let n = self.samples.iter().filter(of).filter(|s| s.at >= from && (!bad || s.failed)).count();
-                payload.extend((n.min(usize::from(u16::MAX)) as u16).to_le_bytes());
-            }
-        }
-        if payload[4..].iter().any(|&b| b != 0) {
-            out.push(Action::TellPeers { payload });
-        }
+        let from = now.saturating_sub(WINDOW_SPAN).max(self.window_start);
+        let arm = |new: bool| {
+            let of = |s: &&Sample| s.at >= from && s.build <= news.build && (s.build == news.build) == new;
+            let samples: Vec<Sample> = self.samples.iter().filter(of).copied().collect();
+            Tally::by_class(&samples, self.set.classes.len())
+        };
+        let counts: Vec<[f64; 4]> =
+            arm(true).iter().zip(&arm(false)).map(|(a, b)| [a.n, a.failed, b.n, b.failed]).collect();
+        out.push(Action::TellPeers { payload: PeerSummary::encode(news.build, news.stage, &counts) });
     }
 
     fn on_peer(&mut self, now: Micros, from: usize, payload: &[u8]) {
-        if payload.len() < 4 || payload[0] != 1 || from == self.set.position || from >= self.set.fleet_size {
-            return;
+        if let Some(summary) = PeerSummary::decode(now, payload).filter(|_| from < self.set.fleet_size) {
+            self.peers.insert(from, summary);
         }
-        let word = |b: &[u8]| f64::from(u16::from_le_bytes([b[0], b[1]]));
-        let counts =
-            payload[4..].chunks_exact(8).map(|c| [word(c), word(&c[2..]), word(&c[4..]), word(&c[6..])]);
-        let build = u16::from_le_bytes([payload[1], payload[2]]);
-        let summary = PeerSummary { at: now, build, stage: payload[3], counts: counts.collect() };
-        self.peers.insert(from, summary);
     }
 
     /// Fresh summaries of the same build and stage, added up by class. A supplement: none need come.
@@ -948,18 +930,13 @@
     }
 
     fn step(&mut self, now: Micros) {
-        let mut crowding = 0.0f64;
-        for (typical, class) in self.typical.iter_mut().zip(&self.set.classes) {
+        for typical in &mut self.typical {
             let mut recent: Vec<f64> = typical.recent.iter().copied().collect();
             if recent.len() >= 20 {
                 typical.median = quantile(&mut recent, 0.5).unwrap_or(typical.median);
                 typical.tail = quantile(&mut recent, 0.95).unwrap_or(typical.tail);
-                crowding = crowding.max(typical.median / class.aim as f64);
             }
         }
-        // Half of a class near its aim: refusing some keeps the rest in time.
-        self.shed =
-            if crowding > SHED_LATE { (self.shed + 0.05).min(0.7) } else { (self.shed - 0.03).max(0.0) };
         let ready = self.servers.values().filter(|s| s.entry.status == Status::Ready);
         let sized = |s: &Server| if self.set.sizes_known { s.entry.size.max(0.01) } else { 1.0 };
         let warm: f64 = ready.clone().filter(|s| self.warmth(now, s) >= 1.0).map(sized).sum();
--- a/src/state.rs
+++ b/src/state.rs
@@ -97,6 +97,8 @@
     pub failing: f64,
     /// Smoothed answer time against what is typical.
     pub slowness: f64,
+    /// Smoothed answer time for each own attempt out.
+    pub per_slot: f64,
     /// Attempts in a row without an answer.
     pub streak: u32,
     /// Left out until then.
@@ -116,6 +118,7 @@
             sent: SpanSum::default(),
             failing: 0.0,
             slowness: 1.0,
+            per_slot: 0.0,
             streak: 0,
             out_until: 0,
             out_for: 0,
@@ -133,6 +136,8 @@
     pub cold: bool,
     /// When it was sent.
     pub sent_at: Micros,
+    /// Own attempts out at that server by then, this one included.
+    pub beside: u32,
     /// How it ended.
     pub ended: Option<Outcome>,
 }
@@ -233,3 +238,81 @@
     /// Since when.
     pub at: Micros,
 }
+
+impl PeerSummary {
+    /// The bytes of a summary: a version, build, stage, and four counts for each class.
+    pub fn encode(build: Build, stage: u8, counts: &[[f64; 4]]) -> Vec<u8> {
+        let mut bytes = vec![1];
+        bytes.extend(build.to_le_bytes());
+        bytes.push(stage);
+        for count in counts.iter().take(31).flatten() {
+            bytes.extend((count.clamp(0.0, 65_535.0) as u16).to_le_bytes());
+        }
+        bytes
+    }
+
+    /// Reads a summary; `None` where the bytes are no such thing.
+    pub fn decode(at: Micros, bytes: &[u8]) -> Option<Self> {
+        let [1, low, high, stage, rest @ ..] = bytes else { return None };
+        let word = |pair: &[u8]| f64::from(u16::from_le_bytes([pair[0], pair[1]]));
+        let row = |c: &[u8]| [word(c), word(&c[2..]), word(&c[4..]), word(&c[6..])];
+        let counts = rest.chunks_exact(8).map(row).collect();
+        Some(PeerSummary { at, build: u16::from_le_bytes([*low, *high]), stage: *stage, counts })
+    }
+}
+
+/// What one arm's samples of one class come to.
+#[derive(Clone, Debug, Default)]
+pub struct Tally {
+    /// Attempts.
+    pub n: f64,
+    /// Those that ended with an error.
+    pub errors: f64,
+    /// Those that failed in any way.
+    pub failed: f64,
+    /// Those whose answer was flagged.
+    pub flagged: f64,
+    /// Times taken, where they say something.
+    pub paces: Vec<f64>,
+}
+
+impl Tally {
+    /// Adds samples up, by class.
+    pub fn by_class(samples: &[Sample], classes: usize) -> Vec<Tally> {
+        let mut all = vec![Tally::default(); classes];
+        for s in samples {
+            if let Some(tally) = all.get_mut(s.class) {
+                tally.n += 1.0;
+                tally.errors += f64::from(u8::from(s.error));
+                tally.failed += f64::from(u8::from(s.failed));
+                tally.flagged += f64::from(u8::from(s.flagged));
+                tally.paces.extend(s.pace);
+            }
+        }
+        all
+    }
+}
+
+/// How often keys came, within bounded memory.
+#[derive(Clone, Debug, Default)]
+pub struct KeyCounts {
+    counts: std::collections::BTreeMap<u64, f64>,
+    total: f64,
+}
+
+impl KeyCounts {
+    /// Counts a key; forgets all once `most` keys are held.
+    pub fn count(&mut self, key: u64, most: usize) {
+        if self.counts.len() >= most {
+            *self = KeyCounts::default();
+        }
+        *self.counts.entry(key).or_default() += 1.0;
+        self.total += 1.0;
+    }
+
+    /// How often a key came against the mean of all keys; 0 where none has been counted.
+    pub fn popularity(&self, key: u64) -> f64 {
+        let count = self.counts.get(&key).copied().unwrap_or(0.0);
+        count * self.counts.len() as f64 / self.total.max(1.0)
+    }
+}
