--- a/src/balance.rs
+++ b/src/balance.rs
@@ -9,7 +9,7 @@
 use crate::interface::*;
 use crate::state::*;
 use crate::stats::{difference_lower, quantile, wilson_lower};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::BTreeMap;
 
 const MS: Micros = 1_000;
 const SECOND: Micros = 1_000_000;
@@ -21,6 +21,7 @@
 const Z95: f64 = 1.96; // normal quantile of 95% confidence
 const FAILURE_MARGIN: f64 = 0.02; // allowed above the earlier build's failure share
 const LATENCY_RATIO: f64 = 1.3; // median and 95th percentile must both exceed it
+const WINDOW_SHORTEST: Micros = SECOND; // a full window stays open so long, or one pause spoils two
 const BREACHES_TO_BACK: u32 = 2; // consecutive breached windows
 // The judge: extensions (docs/design.md, "Changed").
 const CLASS_LEAST: f64 = 8.0; // attempts that a class of its own needs before it counts or is cleared
@@ -32,6 +33,7 @@
 const VOTE_RETRY: Micros = 400 * MS; // least wait after a vote that did not count, doubled by jitter
 // Routing and health.
 const STEP: Micros = 100 * MS; // slow upkeep
+const RECENT: usize = 100; // answer times kept for each class
 const SMOOTHING: f64 = 0.15; // weight of the newest outcome in a server's record
 const STREAK_OUT: u32 = 3; // attempts in a row without an answer before a server is left out
 const OUT_FIRST: Micros = SECOND; // left out for so long at first, doubled at each repeat ...
@@ -60,60 +62,26 @@
 #[derive(Default)]
 pub struct Balancer {
     set: Settings,
-    rng: Rng,
-    started: bool,
-    servers: BTreeMap<ServerId, Server>,
-    open: BTreeMap<RequestId, Open>,
-    due: BTreeSet<(Micros, RequestId)>,
-    typical: Vec<Typical>,
-    retry_credit: f64,
-    tenant_arrivals: Vec<SpanSum>,
-    served: SpanSum,
-    carried: f64,
-    owed: f64,
-    next_step: Micros,
-    list_heard: Micros,
-    list_retry: Option<Micros>,
-    list_failures: u32,
-    news: Option<StageNews>,
-    cap_before: (f64, Micros),
-    exposure: BTreeMap<Build, Vec<Exposure>>,
-    keys: BTreeSet<u64>,
-    key_counts: KeyCounts,
-    samples: VecDeque<Sample>,
-    window_start: Micros,
-    window_count: usize,
-    breaches: u32,
-    verdict: Verdict,
-    reference: BTreeMap<usize, (f64, f64)>,
-    standing: Option<Cast>,
-    pending: Option<Cast>,
-    vote_at: Micros,
-    peers: BTreeMap<usize, PeerSummary>,
-    next_tell: Micros,
-    notes: u32,
+    m: Memory,
 }
 
 impl Balancer {
     /// A fresh balancer that knows nothing but its settings.
     pub fn new(set: Settings, seed: u64) -> Self {
         let guess = |c: &Class| (c.aim as f64 / 4.0, c.aim as f64 / 2.0);
-        let typical = set.classes.iter().map(guess).map(|(median, tail)| Typical {
-            median,
-            tail,
-            ..Typical::default()
-        });
+        let typical = set.classes.iter().map(guess).map(|(median, tail)| Typical::new(median, tail));
         let (typical, tenants) = (typical.collect(), set.tenants.len());
         let retry_credit = RETRY_DEPTH / 2.0;
         let tenant_arrivals = vec![SpanSum::default(); tenants];
-        Balancer { set, rng: Rng(seed), typical, retry_credit, tenant_arrivals, ..Balancer::default() }
+        let m = Memory { rng: Rng(seed), typical, retry_credit, tenant_arrivals, ..Memory::default() };
+        Balancer { set, m }
     }
 
     /// Takes one event and appends what to do about it.
     pub fn on_event(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
-        if !self.started {
-            self.started = true;
-            self.list_heard = now;
+        if !self.m.started {
+            self.m.started = true;
+            self.m.list_heard = now;
             out.push(Action::SetTimer { after: self.tick(), token: 0 });
             if self.set.list_on_request {
                 out.push(Action::FollowList);
@@ -125,7 +93,7 @@
             Event::Timer { .. } => self.on_tick(now, out),
             Event::AttemptEnded(end) => self.on_attempt_ended(now, end, out),
             Event::StreamStarted { request, attempt: _ } => {
-                if let Some(open) = self.open.get_mut(&request) {
+                if let Some(open) = self.m.open.get_mut(&request) {
                     open.streaming = true;
                 }
             }
@@ -147,37 +115,32 @@
     fn on_list(&mut self, now: Micros, kind: ListKind, entries: &[ServerEntry]) {
         if kind == ListKind::Failed {
             // Jittered back-off: all balancers share the list service, and a loss hits them together.
-            self.list_failures = (self.list_failures + 1).min(5);
-            let wait = (200 * MS << self.list_failures) as f64 * (0.5 + self.rng.unit());
-            self.list_retry = Some(now + wait as Micros);
+            self.m.list_failures = (self.m.list_failures + 1).min(5);
+            let wait = (200 * MS << self.m.list_failures) as f64 * (0.5 + self.m.rng.unit());
+            self.m.list_retry = Some(now + wait as Micros);
             return;
         }
         if kind != ListKind::Cached {
-            (self.list_heard, self.list_failures, self.list_retry) = (now, 0, None);
-        }
-        if kind != ListKind::Delta {
-            for server in self.servers.values_mut() {
-                server.entry.status = Status::Gone; // absent from a full list: it has left
-            }
+            (self.m.list_heard, self.m.list_failures, self.m.list_retry) = (now, 0, None);
         }
-        for entry in entries {
-            let server = self.servers.entry(entry.id).or_insert_with(|| Server::new(*entry));
-            // A new machine or a restart under a known id starts with a clean record.
-            if server.entry.build != entry.build || server.entry.started_at != entry.started_at {
-                let in_flight = server.in_flight;
-                let sent = std::mem::take(&mut server.sent);
-                *server = Server { in_flight, sent, ..Server::new(*entry) };
+        let subject = self.m.news.filter(|n| n.phase == Phase::Trial).map(|n| n.build);
+        let before = self.m.ready_with(subject);
+        self.m.apply_list(kind, entries);
+        if self.m.ready_with(subject) > before {
+            // A stage is judged with its own machines: what was seen before they came says too little of
+            // faults that show only under load or with time.
+            self.start_window(now);
+            if self.m.verdict == Verdict::On {
+                self.m.verdict = Verdict::Withdraw;
             }
-            server.entry = *entry;
         }
-        self.servers.retain(|_, s| s.entry.status != Status::Gone || s.in_flight > 0);
     }
 
     fn follow_list(&mut self, now: Micros, out: &mut Vec<Action>) {
-        let silent = now.saturating_sub(self.list_heard) > self.set.contract.ask_within / 10 * 7;
-        if self.set.list_on_request && (self.list_retry.is_some_and(|at| at <= now) || silent) {
+        let silent = now.saturating_sub(self.m.list_heard) > self.set.contract.ask_within / 10 * 7;
+        if self.set.list_on_request && (self.m.list_retry.is_some_and(|at| at <= now) || silent) {
             // A drop of the subscription can go unheard, so silence is answered by asking again.
-            (self.list_retry, self.list_heard) = (None, now);
+            (self.m.list_retry, self.m.list_heard) = (None, now);
             out.push(Action::FollowList);
         }
     }
@@ -186,25 +149,23 @@
 
     fn on_request(&mut self, now: Micros, request: Request, out: &mut Vec<Action>) {
         let Request { id, class, tenant, .. } = request;
-        if let Some(tenant) = self.tenant_arrivals.get_mut(tenant) {
+        if let Some(tenant) = self.m.tenant_arrivals.get_mut(tenant) {
             tenant.add(now, 1.0);
         }
         if let (true, Some(key)) = (self.set.rollout.one_way, request.key) {
-            self.key_counts.count(key, KEYS_KEPT);
+            self.m.key_counts.count(key, KEYS_KEPT);
         }
-        self.retry_credit = (self.retry_credit + RETRY_SHARE).min(RETRY_DEPTH);
+        self.m.retry_credit = (self.m.retry_credit + RETRY_SHARE).min(RETRY_DEPTH);
         for build in self.trial_builds() {
-            let cap = self.cap(now, build);
-            if let Some(exposure) = self.exposure_of(build, class) {
-                exposure.earn(cap);
-            }
+            let (cap, lane) = (self.cap(now, build), self.lane(class));
+            self.m.exposure_of(build, lane).earn(cap);
         }
         if class >= self.set.classes.len() {
             out.push(Action::Refuse { request: id, come_back: 0 });
             return;
         }
-        let cost = request.hint.map_or(self.typical[class].median, |h| h as f64).max(1.0);
-        self.open.insert(id, Open::new(request, now, cost));
+        let cost = request.hint.map_or(self.m.typical[class].median, |h| h as f64).max(1.0);
+        self.m.open.insert(id, Open::new(request, now, cost));
         let admit = if self.over_quota(now, tenant) { OVER_SHARE } else { ADMIT_SHARE };
         self.place(now, id, admit, out);
     }
@@ -213,21 +174,21 @@
     fn over_quota(&mut self, now: Micros, tenant: usize) -> bool {
         let Some(settings) = self.set.tenants.get(tenant) else { return false };
         let quota = settings.quota_per_s / self.set.fleet_size as f64;
-        let rate = self.tenant_arrivals[tenant].sum(now, SECOND);
-        rate > quota && self.rng.unit() < 1.0 - quota / rate
+        let rate = self.m.tenant_arrivals[tenant].sum(now, SECOND);
+        rate > quota && self.m.rng.unit() < 1.0 - quota / rate
     }
 
     /// Sends a request to a server; holds it for a while when none may take it; refuses it at once when
     /// the answer would come too late anyway, so that a crowd does not make everybody late.
     fn place(&mut self, now: Micros, id: RequestId, admit: f64, out: &mut Vec<Action>) {
-        let Some(open) = self.open.get(&id) else { return };
+        let Some(open) = self.m.open.get(&id) else { return };
         let (Request { class, deadline, .. }, arrived, tick) = (open.request, open.arrived, self.tick());
         let aim = self.set.classes[class].aim as f64;
         if let Some(server) = self.pick(now, id) {
-            let chosen = &self.servers[&server];
+            let chosen = &self.m.servers[&server];
             let crowded =
                 chosen.in_flight > 1 && chosen.per_slot * f64::from(chosen.in_flight + 1) > aim * admit;
-            if crowded && self.open[&id].attempts.is_empty() {
+            if crowded && self.m.open[&id].attempts.is_empty() {
                 self.give_up(now, id, true, out);
             } else {
                 self.send(now, id, server, out);
@@ -235,13 +196,15 @@
         } else if now.saturating_sub(arrived) as f64 >= aim * HOLD_SHARE || now + 3 * tick >= deadline {
             self.give_up(now, id, true, out);
         } else {
-            self.look_again(id, now + tick);
+            self.m.look_again(id, now + tick);
         }
     }
 
     fn send(&mut self, now: Micros, id: RequestId, to: ServerId, out: &mut Vec<Action>) {
-        let warmth = self.servers.get(&to).map_or(1.0, |s| self.warmth(now, s));
-        let (Some(open), Some(server)) = (self.open.get_mut(&id), self.servers.get_mut(&to)) else { return };
+        let warmth = self.m.servers.get(&to).map_or(1.0, |s| self.warmth(now, s));
+        let (Some(open), Some(server)) = (self.m.open.get_mut(&id), self.m.servers.get_mut(&to)) else {
+            return;
+        };
         let entry = server.entry;
         if server.in_flight == 0 {
             server.waiting_since = now;
@@ -252,28 +215,19 @@
         open.attempts.push(Attempt { to: entry, cold: warmth < 1.0, sent_at: now, beside, ended: None });
         let (class, deadline) = (open.request.class, open.request.deadline);
         if self.trial_builds().contains(&entry.build) {
-            self.owed = (self.owed - 1.0).max(-2.0);
-            if let Some(exposure) = self.exposure_of(entry.build, class) {
-                exposure.spend(now);
-            }
+            self.m.owed = (self.m.owed - 1.0).max(-2.0);
+            let lane = self.lane(class);
+            self.m.exposure_of(entry.build, lane).spend(now);
         }
         let guard = deadline.saturating_sub(2 * self.tick()).max(now + 1);
         out.push(Action::Send { request: id, server: to, cut_at: guard });
-        let hurry = now + (self.typical[class].tail * HURRY_FACTOR) as Micros;
-        self.look_again(id, hurry.min(guard));
-    }
-
-    fn look_again(&mut self, id: RequestId, at: Micros) {
-        if let Some(open) = self.open.get_mut(&id) {
-            self.due.remove(&(open.due, id));
-            open.due = at;
-            self.due.insert((at, id));
-        }
+        let hurry = now + (self.m.typical[class].tail * HURRY_FACTOR) as Micros;
+        self.m.look_again(id, hurry.min(guard));
     }
 
     /// A request's time has come: it waits for a server, its attempt is slow, or its deadline is near.
     fn on_due(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
-        let Some(open) = self.open.get(&id) else { return };
+        let Some(open) = self.m.open.get(&id) else { return };
         if open.done || open.streaming {
             return;
         }
@@ -288,28 +242,28 @@
 
     /// A slow attempt gets a second copy where allowed, else it is cut so that a retry can follow.
     fn hurry(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
-        let open = &self.open[&id];
+        let open = &self.m.open[&id];
         let (deadline, class) = (open.request.deadline, &self.set.classes[open.request.class]);
         let next = deadline.saturating_sub(2 * self.tick());
         let in_aim = now < open.arrived + class.aim;
-        let worth_it = open.out() == 1 && in_aim && self.retry_credit >= 1.0;
+        let worth_it = open.out() == 1 && in_aim && self.m.retry_credit >= 1.0;
         let may_repeat =
             class.effect != Effect::Fragile && open.attempts.len() < self.set.limits.max_attempts;
         if worth_it && may_repeat && self.set.limits.second_copies {
             if let Some(server) = self.pick(now, id) {
-                self.retry_credit -= 1.0;
+                self.m.retry_credit -= 1.0;
                 self.send(now, id, server, out);
             }
         } else if worth_it && may_repeat && self.set.limits.cancel && class.effect == Effect::Retryable {
             let attempt = open.attempts.len() - 1;
             out.push(Action::Cancel { request: id, attempt });
         }
-        self.look_again(id, next);
+        self.m.look_again(id, next);
     }
 
     fn on_attempt_ended(&mut self, now: Micros, end: AttemptEnd, out: &mut Vec<Action>) {
         let AttemptEnd { request: id, attempt: number, outcome, settled, .. } = end;
-        let Some(open) = self.open.get_mut(&id) else { return };
+        let Some(open) = self.m.open.get_mut(&id) else { return };
         let Some(attempt) = open.attempts.get_mut(number) else { return };
         if attempt.ended.replace(outcome).is_some() {
             return;
@@ -320,20 +274,20 @@
         self.learn_build(now, &attempt, (class, cost, late), end);
         if outcome == Outcome::Ok {
             if !attempt.cold {
-                self.served.add(now, cost);
+                self.m.served.add(now, cost);
             }
-            if let (true, Some(key), Some(news)) = (self.set.rollout.one_way, key, self.news) {
+            if let (true, Some(key), Some(news)) = (self.set.rollout.one_way, key, self.m.news) {
                 if attempt.to.build == news.build && matches!(news.phase, Phase::Trial | Phase::Released) {
-                    self.keys.insert(key);
+                    self.m.keys.insert(key);
                 }
             }
         }
-        let Some(open) = self.open.get(&id) else { return };
+        let Some(open) = self.m.open.get(&id) else { return };
         if settled {
             self.finish(id, out);
         } else if open.done {
             if open.out() == 0 {
-                self.forget(id);
+                self.m.forget(id);
             }
         } else if open.out() == 0 && !open.streaming {
             self.after_failure(now, id, outcome, out);
@@ -342,34 +296,21 @@
 
     /// All attempts have ended without an answer: another one, or the final answer at once.
     fn after_failure(&mut self, now: Micros, id: RequestId, outcome: Outcome, out: &mut Vec<Action>) {
-        let open = &self.open[&id];
+        let open = &self.m.open[&id];
         let time_left = now + 4 * self.tick() < open.request.deadline;
         let attempts_left = open.attempts.len() < self.set.limits.max_attempts && outcome != Outcome::Moot;
         // The budget keeps retries from feeding an overload; proven non-runs cost as much as any.
-        if time_left && attempts_left && self.may_repeat(now, id) && self.retry_credit >= 1.0 {
-            self.retry_credit -= 1.0;
+        if time_left && attempts_left && self.may_repeat(now, open, None) && self.m.retry_credit >= 1.0 {
+            self.m.retry_credit -= 1.0;
             self.place(now, id, ADMIT_SHARE, out);
         } else {
             self.give_up(now, id, false, out);
         }
     }
 
-    fn may_repeat(&self, now: Micros, id: RequestId) -> bool {
-        let open = &self.open[&id];
-        let class = &self.set.classes[open.request.class];
-        let ran = open.first_that_may_have_run();
-        match class.effect {
-            Effect::Retryable => true,
-            Effect::Fragile => ran.is_none(),
-            Effect::Deduplicated => {
-                ran.is_none_or(|a| now + 2 * self.tick() < a.sent_at + class.dedup_window)
-            }
-        }
-    }
-
     /// The final answer: a refusal where that claim is allowed, else a failure. Never held back.
     fn give_up(&mut self, now: Micros, id: RequestId, crowded: bool, out: &mut Vec<Action>) {
-        let Some(open) = self.open.get(&id) else { return };
+        let Some(open) = self.m.open.get(&id) else { return };
         let class = &self.set.classes[open.request.class];
         let untouched = open.first_that_may_have_run().is_none();
         let harmless = match class.effect {
@@ -390,7 +331,7 @@
 
     /// Nothing more is owed: attempts still out are cancelled and only their ends are awaited.
     fn finish(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        let Some(open) = self.open.get_mut(&id) else { return };
+        let Some(open) = self.m.open.get_mut(&id) else { return };
         if !open.done && self.set.limits.cancel && !open.streaming {
             for (attempt, _) in open.attempts.iter().enumerate().filter(|(_, a)| a.ended.is_none()) {
                 out.push(Action::Cancel { request: id, attempt });
@@ -398,13 +339,7 @@
         }
         open.done = true;
         if open.out() == 0 {
-            self.forget(id);
-        }
-    }
-
-    fn forget(&mut self, id: RequestId) {
-        if let Some(open) = self.open.remove(&id) {
-            self.due.remove(&(open.due, id));
+            self.m.forget(id);
         }
     }
 
@@ -412,13 +347,13 @@
 
     /// Chooses a server: the trial build by its share of warm listed machines, then two random choices.
     fn pick(&mut self, now: Micros, id: RequestId) -> Option<ServerId> {
-        let open = self.open.get(&id)?.clone();
+        let open = self.m.open.get(&id)?.clone();
         let trials = self.trial_builds();
         let mut pools: [Vec<(ServerId, f64, bool)>; 2] = [Vec::new(), Vec::new()];
         let mut share = [0.0; 2];
-        for sid in self.servers.keys().copied().collect::<Vec<_>>() {
-            let server = &self.servers[&sid];
-            if server.entry.status != Status::Ready || !self.group_admits(now, &open, &server.entry) {
+        for sid in self.m.servers.keys().copied().collect::<Vec<_>>() {
+            let server = &self.m.servers[&sid];
+            if server.entry.status != Status::Ready || !self.may_repeat(now, &open, Some(&server.entry)) {
                 continue;
             }
             let pool = usize::from(trials.contains(&server.entry.build));
@@ -431,13 +366,18 @@
             }
         }
         let first = open.attempts.is_empty() && open.arrived == now;
-        if first && share[1] > 0.0 {
-            self.owed = (self.owed + share[1] / (share[0] + share[1])).min(2.0);
+        let going_back = self.m.news.is_some_and(|n| n.phase == Phase::RollingBack);
+        if first && share[1] > 0.0 && !going_back {
+            // Machines that stand beside those they replace count as one place: they must show what they do
+            // with the load that they are to carry.
+            let places = if self.set.rollout.in_place { share[0] + share[1] } else { share[0].max(share[1]) };
+            self.m.owed = (self.m.owed + share[1] / places).min(2.0);
         }
         // A key that the new build answers is bound to it, so popular keys would pile onto few machines,
         // and classes not yet admitted would find their keys bound: only keys rarer than most go first.
-        let popular = open.request.key.is_some_and(|k| share[0] > 0.0 && self.key_counts.popularity(k) > 1.0);
-        let to_trial = open.attempts.is_empty() && self.owed >= 1.0 && !popular;
+        let popular =
+            open.request.key.is_some_and(|k| share[0] > 0.0 && self.m.key_counts.popularity(k) > 1.0);
+        let to_trial = open.attempts.is_empty() && self.m.owed >= 1.0 && !popular && !going_back;
         let order = if to_trial { [1, 0] } else { [0, 1] };
         order.into_iter().find_map(|pool| self.choose(&mut pools[pool]))
     }
@@ -449,20 +389,15 @@
             pool.retain(|s| !s.2);
         }
         let total: f64 = pool.iter().map(|s| s.1).sum();
-        let held = |id: ServerId| self.servers.get(&id).map_or(0.0, |s| f64::from(s.in_flight));
-        let mean = (pool.iter().map(|s| held(s.0)).sum::<f64>() + 1.0) / total.max(1e-9);
+        let held: f64 = pool.iter().map(|s| f64::from(self.m.servers[&s.0].in_flight)).sum();
+        let mean = (held + 1.0) / total.max(1e-9);
         let mut best: Option<(ServerId, f64)> = None;
         for draw in 0..2 + 2 * REDRAWS {
             if draw >= 2 && draw % 2 == 0 && best.is_some_and(|b| b.1 <= mean) {
                 break;
             }
-            let mut left = self.rng.unit() * total;
-            let found = pool.iter().find(|s| {
-                left -= s.1;
-                left <= 0.0
-            });
-            let (id, weight, _) = *found.or(pool.last())?;
-            let load = (held(id) + 1.0) / weight;
+            let (id, weight, _) = *pool.get(self.m.rng.weighted(total, pool.iter().map(|s| s.1)))?;
+            let load = (f64::from(self.m.servers[&id].in_flight) + 1.0) / weight;
             if best.is_none_or(|b| load < b.1) {
                 best = Some((id, load));
             }
@@ -470,21 +405,20 @@
         best.map(|b| b.0)
     }
 
-    /// Once a deduplicated request may have run, only its first server's group may see it again, in time.
-    fn group_admits(&self, now: Micros, open: &Open, entry: &ServerEntry) -> bool {
+    /// Whether another attempt can take no second effect, at the given server or at any at all: once a
+    /// deduplicated request may have run, only its first server's group may see it again, and in time.
+    fn may_repeat(&self, now: Micros, open: &Open, at: Option<&ServerEntry>) -> bool {
         let class = &self.set.classes[open.request.class];
         let Some(ran) = open.first_that_may_have_run() else { return true };
+        let same_group = at.is_none_or(|entry| match class.group {
+            DedupGroup::All => true,
+            DedupGroup::Zone => ran.to.zone == entry.zone,
+            DedupGroup::Cell => ran.to.cell == entry.cell,
+        });
         match class.effect {
             Effect::Retryable => true,
             Effect::Fragile => false,
-            Effect::Deduplicated => {
-                let same = match class.group {
-                    DedupGroup::All => true,
-                    DedupGroup::Zone => ran.to.zone == entry.zone,
-                    DedupGroup::Cell => ran.to.cell == entry.cell,
-                };
-                same && now + 2 * self.tick() < ran.sent_at + class.dedup_window
-            }
+            Effect::Deduplicated => same_group && now + 2 * self.tick() < ran.sent_at + class.dedup_window,
         }
     }
 
@@ -502,7 +436,7 @@
     fn weight(&self, now: Micros, server: &Server) -> f64 {
         let size = if self.set.sizes_known { server.entry.size.max(0.01) } else { 1.0 };
         let health = (1.0 - server.failing).powi(3) / server.slowness.max(1.0).powi(2);
-        let typical = self.typical.iter().map(|t| t.median).fold(0.0, f64::max);
+        let typical = self.m.typical.iter().map(|t| t.median).fold(0.0, f64::max);
         let waiting = now.saturating_sub(server.waiting_since) as f64;
         // Attempts out and no answer for long: paused, cut off or dead, whatever the cause.
         let stalled = server.in_flight > 0 && waiting > STALL_FACTOR * typical;
@@ -512,7 +446,7 @@
     /// A cold server's budget over any fall span, small enough to hold when every balancer does the same:
     /// own sends against what own warm servers are seen to carry.
     fn cold_room(&mut self, now: Micros, id: ServerId, cost: f64) -> bool {
-        let Some(server) = self.servers.get(&id) else { return false };
+        let Some(server) = self.m.servers.get(&id) else { return false };
         let warmth = self.warmth(now, server);
         if warmth >= 1.0 {
             return true;
@@ -520,9 +454,9 @@
         let size = if self.set.sizes_known { server.entry.size } else { 1.0 };
         let contract = &self.set.contract;
         let span = contract.fall_span as f64 / SECOND as f64;
-        let budget = COLD_SAFETY * contract.fall_multiple * warmth * self.carried * size * span;
+        let budget = COLD_SAFETY * contract.fall_multiple * warmth * self.m.carried * size * span;
         let fall_span = contract.fall_span;
-        let Some(server) = self.servers.get_mut(&id) else { return false };
+        let Some(server) = self.m.servers.get_mut(&id) else { return false };
         let sent = server.sent.sum(now, fall_span);
         sent == 0.0 || sent + cost <= budget
     }
@@ -531,17 +465,12 @@
 
     /// Builds on trial for this balancer: the newest by the news unless released, and any later one listed.
     fn trial_builds(&self) -> Vec<Build> {
-        let listed = self.servers.values().filter(|s| s.entry.status == Status::Ready).map(|s| s.entry.build);
-        let mut builds: Vec<Build> = match self.news {
-            Some(n) => listed.filter(|&b| b > n.build).collect(),
-            // No news yet: only the lowest listed build is surely not on trial.
-            None => {
-                let all: Vec<Build> = listed.collect();
-                let lowest = all.iter().copied().min();
-                all.into_iter().filter(|&b| Some(b) > lowest).collect()
-            }
-        };
-        builds.extend(self.news.filter(|n| n.phase != Phase::Released).map(|n| n.build));
+        let ready = self.m.servers.values().filter(|s| s.entry.status == Status::Ready);
+        let listed: Vec<Build> = ready.map(|s| s.entry.build).collect();
+        // No news yet: only the lowest listed build is surely not on trial.
+        let known = self.m.news.map_or(listed.iter().copied().min().unwrap_or(0), |n| n.build);
+        let mut builds: Vec<Build> = listed.into_iter().filter(|&b| b > known).collect();
+        builds.extend(self.m.news.filter(|n| n.phase != Phase::Released).map(|n| n.build));
         builds.sort_unstable();
         builds.dedup();
         builds
@@ -549,10 +478,10 @@
 
     fn cap(&self, now: Micros, build: Build) -> f64 {
         let first = self.set.rollout.stage_cap.first().copied().unwrap_or(0.0);
-        match self.news {
+        match self.m.news {
             Some(n) if n.build == build => {
                 // A lower cap binds after the grace; until then the old one lets earlier machines come up.
-                let (before, since) = self.cap_before;
+                let (before, since) = self.m.cap_before;
                 let grace = self.set.contract.drain_grace.saturating_sub(4 * self.tick());
                 if now < since + grace { n.cap.max(before) } else { n.cap }
             }
@@ -560,19 +489,17 @@
         }
     }
 
-    fn exposure_of(&mut self, build: Build, class: usize) -> Option<&mut Exposure> {
-        let per_class = self.set.rollout.per_class;
-        let lanes = if per_class { self.set.classes.len() } else { 1 };
-        let all = self.exposure.entry(build).or_insert_with(|| vec![Exposure::default(); lanes]);
-        all.get_mut(if per_class { class } else { 0 })
+    /// Which count of the exposure rule a class falls into.
+    fn lane(&self, class: usize) -> usize {
+        if self.set.rollout.per_class { class } else { 0 }
     }
 
     /// Whether the rules let this request go to this server's build now.
     fn build_admits(&mut self, now: Micros, id: ServerId, open: &Open) -> bool {
-        let build = self.servers[&id].entry.build;
-        if let (true, Some(news), Some(key)) = (self.set.rollout.one_way, self.news, open.request.key) {
-            let bound = matches!(news.phase, Phase::Trial | Phase::Released) && self.keys.contains(&key);
-            let full = self.keys.len() >= KEYS_KEPT && !bound && build == news.build;
+        let build = self.m.servers[&id].entry.build;
+        if let (true, Some(news), Some(key)) = (self.set.rollout.one_way, self.m.news, open.request.key) {
+            let bound = matches!(news.phase, Phase::Trial | Phase::Released) && self.m.keys.contains(&key);
+            let full = self.m.keys.len() >= KEYS_KEPT && !bound && build == news.build;
             if (bound && build < news.build) || full {
                 return false;
             }
@@ -580,45 +507,46 @@
         if !self.trial_builds().contains(&build) {
             return true;
         }
-        let stage = self.news.filter(|n| n.build == build).map_or(0, |n| n.stage);
+        let stage = self.m.news.filter(|n| n.build == build).map_or(0, |n| n.stage);
         let safe = self.set.classes[open.request.class].effect == Effect::Retryable;
         let cap = self.cap(now, build);
         let (span, free) = (self.set.rollout.counted_over + 2 * self.tick(), self.set.rollout.uncounted);
         let guarded = stage < self.set.rollout.guarded_stages && !safe;
-        let room =
-            self.exposure_of(build, open.request.class).map_or(f64::MAX, |e| e.after_one_more(now, span));
+        let lane = self.lane(open.request.class);
+        let room = self.m.exposure_of(build, lane).after_one_more(now, span);
         cap > 0.0 && !guarded && room <= free + 1e-9
     }
 
     fn on_news(&mut self, now: Micros, news: StageNews) {
-        let before = self.news.replace(news);
+        let before = self.m.news.replace(news);
         let known =
             before.is_some_and(|b| (b.build, b.stage, b.phase) == (news.build, news.stage, news.phase));
         if let Some(b) = before.filter(|b| b.build == news.build && b.cap > news.cap) {
-            self.cap_before = (b.cap, now);
+            self.m.cap_before = (b.cap, now);
         }
         if known {
             return;
         }
         // Never vote on evidence of another stage or build: window, verdict and vote all start anew.
         if before.is_none_or(|b| b.build != news.build) {
-            self.keys.clear();
-            self.cap_before = (0.0, 0);
-            self.exposure.retain(|&build, _| build >= news.build);
+            self.m.keys.clear();
+            self.m.cap_before = (0.0, 0);
+            self.m.exposure.retain(|&build, _| build >= news.build);
         }
         if matches!(news.phase, Phase::RollingBack | Phase::Withdrawn) {
-            self.keys.clear();
+            self.m.keys.clear();
         }
         self.start_window(now);
-        (self.breaches, self.verdict, self.standing, self.pending) = (0, Verdict::Withdraw, None, None);
+        (self.m.breaches, self.m.verdict, self.m.standing, self.m.pending) =
+            (0, Verdict::Withdraw, None, None);
     }
 
     // ---- learning from outcomes
 
     fn learn_server(&mut self, now: Micros, class: usize, beside: u32, end: AttemptEnd) {
         let AttemptEnd { server: id, outcome, elapsed, .. } = end;
-        let typical = self.typical[class].median.max(1.0);
-        let Some(server) = self.servers.get_mut(&id) else { return };
+        let typical = self.m.typical[class].median.max(1.0);
+        let Some(server) = self.m.servers.get_mut(&id) else { return };
         server.in_flight = server.in_flight.saturating_sub(1);
         let answered = matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Rejected);
         if answered {
@@ -632,11 +560,7 @@
                 let per_slot = elapsed as f64 / f64::from(beside.max(1));
                 server.per_slot += (per_slot - server.per_slot) * SMOOTHING;
                 server.out_for = 0;
-                let recent = &mut self.typical[class].recent;
-                recent.push_back(elapsed as f64);
-                if recent.len() > 100 {
-                    recent.pop_front();
-                }
+                self.m.typical[class].add(elapsed as f64, RECENT);
             }
             Outcome::Cancelled if pace > server.slowness => {
                 server.slowness += (pace - server.slowness) * SMOOTHING / 2.0;
@@ -665,47 +589,47 @@
         }
         // Cut short: at least this slow, which says something only past the typical time.
         let cut = matches!(outcome, Outcome::Cancelled | Outcome::Timeout);
-        if cut && (elapsed as f64) < self.typical[class].median && !timeout {
+        if cut && (elapsed as f64) < self.m.typical[class].median && !timeout {
             return;
         }
         let pace = (!attempt.cold && !error).then_some(elapsed as f64 / cost);
         let (server, build) = (attempt.to.id, attempt.to.build);
         let failed = error || timeout;
-        self.samples.push_back(Sample { at: now, class, server, build, error, failed, flagged: false, pace });
-        if self.news.is_some_and(|n| n.build == build) {
-            self.window_count += 1;
+        let sample = Sample { at: now, class, server, build, error, failed, flagged: false, pace };
+        self.m.samples.push_back(sample);
+        if self.m.news.is_some_and(|n| n.build == build) {
+            self.m.window_count += 1;
         }
     }
 
     fn on_flag(&mut self, now: Micros, server: ServerId, class: usize, since: Micros) {
         let sent = now.saturating_sub(since);
-        let hit = self
-            .samples
-            .iter_mut()
-            .find(|s| s.server == server && s.class == class && s.at >= sent && !s.failed && !s.flagged);
+        let of = |s: &&mut Sample| (s.server, s.class) == (server, class) && s.at >= sent && !s.failed;
+        let hit = self.m.samples.iter_mut().find(of);
         if let Some(sample) = hit {
             (sample.failed, sample.flagged) = (true, true);
             // Reports come late: the window that is open now is the one that learns of it.
-            sample.at = sample.at.max(self.window_start);
+            sample.at = sample.at.max(self.m.window_start);
         }
     }
 
     // ---- judging
 
     fn start_window(&mut self, now: Micros) {
-        (self.window_start, self.window_count) = (now, 0);
+        (self.m.window_start, self.m.window_count) = (now, 0);
     }
 
     /// The build that can be voted on, where there is one.
     fn subject(&self) -> Option<StageNews> {
-        self.news.filter(|n| matches!(n.phase, Phase::Trial | Phase::Released))
+        self.m.news.filter(|n| matches!(n.phase, Phase::Trial | Phase::Released))
     }
 
     /// Closes the window when it is full or old enough, and turns its finding into a verdict.
     fn judge(&mut self, now: Micros, out: &mut Vec<Action>) {
         let Some(news) = self.subject() else { return };
-        let old = now.saturating_sub(self.window_start) >= WINDOW_SPAN;
-        if self.window_count < WINDOW_ATTEMPTS && !old {
+        let age = now.saturating_sub(self.m.window_start);
+        let full = self.m.window_count >= WINDOW_ATTEMPTS && age >= WINDOW_SHORTEST;
+        if !full && age < WINDOW_SPAN {
             return;
         }
         let finding = self.find(now, news);
@@ -714,12 +638,12 @@
             // Thin traffic: the window stays open and carries its evidence on until it suffices.
             Finding::Thin => return,
             Finding::Clean => {
-                self.breaches = 0;
+                self.m.breaches = 0;
                 if timer || news.phase == Phase::Released { Verdict::Withdraw } else { Verdict::On }
             }
             Finding::Breach(_) => {
-                self.breaches += 1;
-                if self.breaches >= BREACHES_TO_BACK {
+                self.m.breaches += 1;
+                if self.m.breaches >= BREACHES_TO_BACK {
                     Verdict::Back
                 } else if timer && news.phase == Phase::Trial {
                     Verdict::Hold
@@ -728,104 +652,104 @@
                 }
             }
         };
-        if verdict != self.verdict || matches!(finding, Finding::Breach(_)) {
+        if verdict != self.m.verdict || matches!(finding, Finding::Breach(_)) {
             self.note(format!("build {} stage {}: {verdict:?} {finding:?}", news.build, news.stage), out);
         }
-        self.verdict = verdict;
+        self.m.verdict = verdict;
         self.start_window(now);
     }
 
     /// Compares the new build with the earlier one over the open window.
     fn find(&mut self, now: Micros, news: StageNews) -> Finding {
-        let start = self.window_start;
-        let new: Vec<Sample> =
-            self.samples.iter().filter(|s| s.build == news.build && s.at >= start).copied().collect();
+        let start = self.m.window_start;
+        let new = self.m.samples_of(|s| s.build == news.build && s.at >= start);
         let from = start.saturating_sub(EARLIER_SLACK);
-        let earlier: Vec<Sample> =
-            self.samples.iter().filter(|s| s.build < news.build && s.at >= from).copied().collect();
+        let recent = without_worst(&self.m.samples_of(|s| s.build < news.build && s.at >= from));
+        // No earlier arm left: what it did last is remembered, with a wider margin for latency, as the
+        // moments compared are not the same.
+        let remembered = (recent.len() as f64) < WINDOW_LEAST;
+        let ratio = if remembered { LATENCY_RATIO * LATENCY_RATIO } else { LATENCY_RATIO };
+        let earlier = if remembered { self.m.reference.clone() } else { recent };
         let peers = self.peer_counts(now, news);
         let total = new.len() as f64 + peers.iter().map(|p| p[0]).sum::<f64>();
         if total < WINDOW_LEAST {
             return Finding::Thin;
         }
-        let earlier = without_worst(&earlier);
-        let breach = self.breach(&new, &earlier, &peers);
-        if let Some(reason) = breach {
+        if let Err(reason) = self.compare(&new, &earlier, ratio, &peers) {
             // One machine's fault among several new ones lifts everything: the breach must survive
             // without the worst of them.
             let rest = without_worst(&new);
-            if rest.len() < new.len() && self.breach(&rest, &earlier, &peers).is_none() {
-                return Finding::Thin;
-            }
-            return Finding::Breach(reason);
-        }
-        // A class admitted only in this stage needs evidence of its own before 'on'.
-        let count = |c: usize| new.iter().filter(|s| s.class == c).count() as f64;
-        let seen = |c: usize| count(c) + peers.get(c).map_or(0.0, |p| p[0]);
-        let admitted =
-            |c: &Class| news.stage >= self.set.rollout.guarded_stages || c.effect == Effect::Retryable;
+            let alone = rest.len() < new.len() && self.compare(&rest, &earlier, ratio, &peers).is_ok();
+            return if alone { Finding::Thin } else { Finding::Breach(reason) };
+        }
+        // A class admitted only in this stage needs evidence of its own before 'on'; and what could not be
+        // compared does not clear an earlier breach.
+        let guarded = news.stage < self.set.rollout.guarded_stages;
+        let short = self.set.classes.iter().enumerate().any(|(c, class)| {
+            let own = new.iter().filter(|s| s.class == c).count() as f64;
+            let admitted = !guarded || class.effect == Effect::Retryable;
+            admitted && own + peers.get(c).map_or(0.0, |p| p[0]) < CLASS_LEAST / 2.0
+        });
         let waiting = now.saturating_sub(start) < 3 * WINDOW_SPAN;
-        let classes = self.set.classes.iter().enumerate();
-        if waiting && classes.filter(|(_, c)| admitted(c)).any(|(c, _)| seen(c) < CLASS_LEAST / 2.0) {
+        let judged = self.compare(&new, &earlier, ratio, &peers) == Ok(true);
+        if (short && waiting) || (self.m.breaches > 0 && !judged && waiting) {
             return Finding::Thin;
         }
-        for (class, tally) in Tally::by_class(&earlier, self.set.classes.len()).iter().enumerate() {
-            if tally.n >= CLASS_LEAST {
-                self.reference.insert(class, (tally.failed, tally.n));
-            }
+        if !remembered {
+            self.m.reference = earlier;
         }
         Finding::Clean
     }
 
-    /// The reason why the new arm breaches, class by class on the same footing; `None` where it does not.
-    fn breach(&self, new: &[Sample], earlier: &[Sample], peers: &[[f64; 4]]) -> Option<String> {
+    /// Compares the arms class by class on the same footing: the reason of a breach, else whether there
+    /// was enough to compare latency.
+    fn compare(
+        &self,
+        new: &[Sample],
+        earlier: &[Sample],
+        limit: f64,
+        peers: &[[f64; 4]],
+    ) -> Result<bool, String> {
         let classes = self.set.classes.len();
-        let (new, earlier) = (Tally::by_class(new, classes), Tally::by_class(earlier, classes));
-        let mut sum = Tally::default();
-        let (mut base, mut base_n, mut base_flags, mut ratios) = (0.0, 0.0, 0.0, [Vec::new(), Vec::new()]);
-        for (class, (ours, theirs)) in new.iter().zip(&earlier).enumerate() {
-            let peer = peers.get(class).copied().unwrap_or_default();
-            let (n, failed) = (ours.n + peer[0], ours.failed + peer[1]);
-            let (mut of, mut on) = (theirs.failed + peer[3], theirs.n + peer[2]);
-            if on < CLASS_LEAST {
-                // No earlier arm to speak of: what was remembered of it, else nothing.
-                (of, on) = self.reference.get(&class).copied().unwrap_or((0.0, 0.0));
-            }
-            let share = if on > 0.0 { of / on } else { 0.0 };
-            if n >= CLASS_LEAST && wilson_lower(failed, n, Z95) > share + FAILURE_MARGIN {
-                return Some(format!("class {class} fails {failed}/{n} against {of}/{on}"));
-            }
-            sum.n += n;
-            sum.errors += ours.errors + peer[1];
-            sum.failed += failed;
-            sum.flagged += ours.flagged;
-            (base, base_n, base_flags) = (base + share * n, base_n + on, base_flags + theirs.flagged);
-            let mut paces = theirs.paces.clone();
-            if let Some(median) = quantile(&mut paces, 0.5).filter(|&m| m > 0.0 && theirs.n >= CLASS_LEAST) {
-                ratios[0].extend(ours.paces.iter().map(|p| p / median));
-                ratios[1].extend(paces.iter().map(|p| p / median));
-            }
-        }
-        base /= sum.n.max(1.0);
-        if wilson_lower(sum.errors, sum.n, Z95) > base + FAILURE_MARGIN {
-            return Some(format!("errors {}/{} against {base:.3}", sum.errors, sum.n));
-        }
-        if difference_lower((sum.failed, sum.n), (base * base_n, base_n), Z95) > FAILURE_MARGIN {
-            return Some(format!("failures {}/{} against {base:.3} of {base_n}", sum.failed, sum.n));
+        let (mut new, mut earlier) = (Tally::by_class(new, classes), Tally::by_class(earlier, classes));
+        // What the earlier build would have done with the new one's mix of classes is its base.
+        let (mut sum, mut base, mut earlier_n) = (Tally::default(), Tally::default(), 0.0);
+        for (class, (ours, theirs)) in new.iter_mut().zip(&mut earlier).enumerate() {
+            if let Some([n, failed, earlier_n, earlier_failed]) = peers.get(class) {
+                ours.add(*n, *failed);
+                theirs.add(*earlier_n, *earlier_failed);
+            }
+            let share = theirs.failed / theirs.n.max(1.0);
+            if ours.n >= CLASS_LEAST && wilson_lower(ours.failed, ours.n, Z95) > share + FAILURE_MARGIN {
+                return Err(format!("class {class} fails {}/{} against {share:.3}", ours.failed, ours.n));
+            }
+            let median = quantile(&mut theirs.paces, 0.5).filter(|&m| m > 0.0 && theirs.n >= CLASS_LEAST);
+            sum.merge(ours, 1.0, median);
+            base.merge(theirs, ours.n / theirs.n.max(1.0), median);
+            earlier_n += theirs.n;
+        }
+        let (n, share) = (sum.n, base.failed / sum.n.max(1.0));
+        if wilson_lower(sum.errors, n, Z95) > share + FAILURE_MARGIN {
+            return Err(format!("errors {}/{n} against {share:.3}", sum.errors));
+        }
+        if difference_lower((sum.failed, n), (share * earlier_n, earlier_n), Z95) > FAILURE_MARGIN {
+            return Err(format!("failures {}/{n} against {share:.3} of {earlier_n}", sum.failed));
         }
         // Only a share of wrong answers is reported, so the margin is scaled down by it.
-        let flag_limit = base_flags / base_n.max(1.0) + FAILURE_MARGIN * self.set.rollout.flag_share;
-        if sum.flagged >= 2.0 && wilson_lower(sum.flagged, sum.n, Z95) > flag_limit {
-            return Some(format!("wrong answers {}/{} against {flag_limit:.3}", sum.flagged, sum.n));
+        let flags = base.flagged / n.max(1.0) + FAILURE_MARGIN * self.set.rollout.flag_share;
+        if sum.flagged >= 2.0 && wilson_lower(sum.flagged, n, Z95) > flags {
+            return Err(format!("wrong answers {}/{n} against {flags:.3}", sum.flagged));
+        }
+        if (sum.paces.len().min(base.paces.len()) as f64) < WINDOW_LEAST {
+            return Ok(false);
         }
-        let [mut ours, mut theirs] = ratios;
-        if (ours.len() as f64) < WINDOW_LEAST || (theirs.len() as f64) < WINDOW_LEAST {
-            return None;
+        let mut ratio =
+            |q| quantile(&mut sum.paces, q).zip(quantile(&mut base.paces, q)).map_or(1.0, |(a, b)| a / b);
+        let (median, tail) = (ratio(0.5), ratio(0.95));
+        if median > limit && tail > limit {
+            return Err(format!("slower: median x{median:.2}, p95 x{tail:.2} over {n}"));
         }
-        let mut ratio = |q| Some(quantile(&mut ours, q)? / quantile(&mut theirs, q)?);
-        let (median, tail) = (ratio(0.5)?, ratio(0.95)?);
-        (median > LATENCY_RATIO && tail > LATENCY_RATIO)
-            .then(|| format!("slower: median x{median:.2}, p95 x{tail:.2} over {}", sum.n))
+        Ok(true)
     }
 
     // ---- voting
@@ -833,32 +757,36 @@
     /// Casts, renews or withdraws this balancer's vote.
     fn vote(&mut self, now: Micros, out: &mut Vec<Action>) {
         let Some(news) = self.subject() else { return };
-        if self.pending.is_some_and(|p| now.saturating_sub(p.at) > 2 * self.set.rollout.call_timeout) {
-            self.pending = None; // the reply itself was lost
+        if self.m.pending.is_some_and(|p| now.saturating_sub(p.at) > 2 * self.set.rollout.call_timeout) {
+            self.m.pending = None; // the reply itself was lost
         }
         let ttl = self.set.rollout.vote_ttl;
-        let held = self.standing.filter(|s| now.saturating_sub(s.at) < ttl).map(|s| s.verdict);
-        let aged = self.standing.is_some_and(|s| now.saturating_sub(s.at) as f64 > ttl as f64 * RENEW_SHARE);
-        let wanted = self.verdict;
+        let held = self.m.standing.filter(|s| now.saturating_sub(s.at) < ttl).map(|s| s.verdict);
+        let aged =
+            self.m.standing.is_some_and(|s| now.saturating_sub(s.at) as f64 > ttl as f64 * RENEW_SHARE);
+        let wanted = self.m.verdict;
         let same = held.unwrap_or(Verdict::Withdraw) == wanted;
-        if self.pending.is_some() || now < self.vote_at || (same && (wanted == Verdict::Withdraw || !aged)) {
+        if self.m.pending.is_some()
+            || now < self.m.vote_at
+            || (same && (wanted == Verdict::Withdraw || !aged))
+        {
             return;
         }
-        self.pending = Some(Cast { verdict: wanted, at: now });
+        self.m.pending = Some(Cast { verdict: wanted, at: now });
         out.push(Action::Vote { build: news.build, stage: news.stage, verdict: wanted });
     }
 
     fn on_vote_reply(&mut self, now: Micros, outcome: Outcome, news: Option<StageNews>) {
-        let cast = self.pending.take();
+        let cast = self.m.pending.take();
         match outcome {
-            Outcome::Ok => self.standing = cast.map(|c| Cast { at: now, ..c }),
+            Outcome::Ok => self.m.standing = cast.map(|c| Cast { at: now, ..c }),
             // It may have counted: taken as standing so that it is withdrawn or renewed, after a wait.
-            Outcome::Timeout => self.standing = cast.map(|c| Cast { at: 0, ..c }),
+            Outcome::Timeout => self.m.standing = cast.map(|c| Cast { at: 0, ..c }),
             _ => {}
         }
         if outcome != Outcome::Ok {
             // The allowance is shared by all balancers: back off with jitter of this one's own.
-            self.vote_at = now + (VOTE_RETRY as f64 * (1.0 + self.rng.unit())) as Micros;
+            self.m.vote_at = now + (VOTE_RETRY as f64 * (1.0 + self.m.rng.unit())) as Micros;
         }
         if let Some(news) = news {
             self.on_news(now, news);
@@ -870,15 +798,14 @@
     /// Tells the open window's counts for each class: attempts and failures of both builds.
     fn tell_peers(&mut self, now: Micros, out: &mut Vec<Action>) {
         let Some(news) = self.subject() else { return };
-        if !self.set.limits.peer_messages || self.set.fleet_size < 2 || now < self.next_tell {
+        if !self.set.limits.peer_messages || self.set.fleet_size < 2 || now < self.m.next_tell {
             return;
         }
-        self.next_tell = now + PEER_EVERY;
-        let from = now.saturating_sub(WINDOW_SPAN).max(self.window_start);
+        self.m.next_tell = now + PEER_EVERY;
+        let from = now.saturating_sub(WINDOW_SPAN).max(self.m.window_start);
         let arm = |new: bool| {
-            let of = |s: &&Sample| s.at >= from && s.build <= news.build && (s.build == news.build) == new;
-            let samples: Vec<Sample> = self.samples.iter().filter(of).copied().collect();
-            Tally::by_class(&samples, self.set.classes.len())
+            let of = |s: &Sample| s.at >= from && s.build <= news.build && (s.build == news.build) == new;
+            Tally::by_class(&self.m.samples_of(of), self.set.classes.len())
         };
         let counts: Vec<[f64; 4]> =
             arm(true).iter().zip(&arm(false)).map(|(a, b)| [a.n, a.failed, b.n, b.failed]).collect();
@@ -887,41 +814,28 @@
 
     fn on_peer(&mut self, now: Micros, from: usize, payload: &[u8]) {
         if let Some(summary) = PeerSummary::decode(now, payload).filter(|_| from < self.set.fleet_size) {
-            self.peers.insert(from, summary);
+            self.m.peers.insert(from, summary);
         }
     }
 
     /// Fresh summaries of the same build and stage, added up by class. A supplement: none need come.
     fn peer_counts(&self, now: Micros, news: StageNews) -> Vec<[f64; 4]> {
-        let mut sums = vec![[0.0; 4]; self.set.classes.len()];
-        for peer in self.peers.values() {
-            if now.saturating_sub(peer.at) < PEER_FRESH
-                && (peer.build, peer.stage) == (news.build, news.stage)
-            {
-                for (sum, counts) in sums.iter_mut().zip(&peer.counts) {
-                    for (s, c) in sum.iter_mut().zip(counts) {
-                        *s += c;
-                    }
-                }
-            }
-        }
-        sums
+        let fresh = |p: &&PeerSummary| {
+            now.saturating_sub(p.at) < PEER_FRESH && (p.build, p.stage) == (news.build, news.stage)
+        };
+        PeerSummary::add_up(self.m.peers.values().filter(fresh), self.set.classes.len())
     }
 
     // ---- upkeep
 
     fn on_tick(&mut self, now: Micros, out: &mut Vec<Action>) {
         out.push(Action::SetTimer { after: self.tick(), token: 0 });
-        while let Some(&(at, id)) = self.due.first() {
-            if at > now {
-                break;
-            }
-            self.due.pop_first();
+        while let Some(id) = self.m.next_due(now) {
             self.on_due(now, id, out);
         }
         self.follow_list(now, out);
-        if now >= self.next_step {
-            self.next_step = now + STEP;
+        if now >= self.m.next_step {
+            self.m.next_step = now + STEP;
             self.step(now);
             self.judge(now, out);
             self.tell_peers(now, out);
@@ -930,29 +844,23 @@
     }
 
     fn step(&mut self, now: Micros) {
-        for typical in &mut self.typical {
-            let mut recent: Vec<f64> = typical.recent.iter().copied().collect();
-            if recent.len() >= 20 {
-                typical.median = quantile(&mut recent, 0.5).unwrap_or(typical.median);
-                typical.tail = quantile(&mut recent, 0.95).unwrap_or(typical.tail);
-            }
-        }
-        let ready = self.servers.values().filter(|s| s.entry.status == Status::Ready);
+        self.m.typical.iter_mut().for_each(Typical::refresh);
+        let ready = self.m.servers.values().filter(|s| s.entry.status == Status::Ready);
         let sized = |s: &Server| if self.set.sizes_known { s.entry.size.max(0.01) } else { 1.0 };
         let warm: f64 = ready.clone().filter(|s| self.warmth(now, s) >= 1.0).map(sized).sum();
         let all: f64 = ready.map(sized).sum();
-        let rate = self.served.sum(now, 2 * SECOND) / 2.0;
+        let rate = self.m.served.sum(now, 2 * SECOND) / 2.0;
         if warm * 2.0 >= all && warm > 0.0 {
-            self.carried = (rate / warm).max(self.carried * 0.995);
+            self.m.carried = (rate / warm).max(self.m.carried * 0.995);
         }
-        while self.samples.front().is_some_and(|s| s.at + EVIDENCE_SPAN < now) {
-            self.samples.pop_front();
+        while self.m.samples.front().is_some_and(|s| s.at + EVIDENCE_SPAN < now) {
+            self.m.samples.pop_front();
         }
     }
 
     fn note(&mut self, text: String, out: &mut Vec<Action>) {
-        if self.notes < NOTES_MOST {
-            self.notes += 1;
+        if self.m.notes < NOTES_MOST {
+            self.m.notes += 1;
             out.push(Action::Note(text));
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,10 @@
 //! Containers without decisions: the random source, sliding counters, servers and open requests.
 
-use crate::interface::{Build, Micros, Outcome, Request, ServerEntry, ServerId, Verdict};
-use std::collections::VecDeque;
+use crate::interface::{
+    Build, ListKind, Micros, Outcome, Request, RequestId, ServerEntry, ServerId, StageNews, Status, Verdict,
+};
+use crate::stats::quantile;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// A small deterministic random source (SplitMix64).
 #[derive(Clone, Debug, Default)]
@@ -17,9 +20,18 @@
         ((z ^ (z >> 31)) >> 11) as f64 / (1u64 << 53) as f64
     }
 
-    /// An index below `n`; `n` must not be 0.
-    pub fn below(&mut self, n: usize) -> usize {
-        ((self.unit() * n as f64) as usize).min(n.saturating_sub(1))
+    /// An index drawn by weight; `total` is the weights' sum. 0 where there are none.
+    pub fn weighted(&mut self, total: f64, weights: impl Iterator<Item = f64>) -> usize {
+        let mut left = self.unit() * total;
+        let mut index = 0;
+        for (i, weight) in weights.enumerate() {
+            index = i;
+            left -= weight;
+            if left <= 0.0 {
+                break;
+            }
+        }
+        index
     }
 }
 
@@ -277,6 +289,24 @@
 }
 
 impl Tally {
+    /// Adds counts heard of.
+    pub fn add(&mut self, n: f64, failed: f64) {
+        self.n += n;
+        self.errors += failed;
+        self.failed += failed;
+    }
+
+    /// Adds another tally, its counts scaled and its times set against `unit` (left out without one).
+    pub fn merge(&mut self, other: &Tally, scale: f64, unit: Option<f64>) {
+        self.n += other.n * scale;
+        self.errors += other.errors * scale;
+        self.failed += other.failed * scale;
+        self.flagged += other.flagged * scale;
+        if let Some(unit) = unit {
+            self.paces.extend(other.paces.iter().map(|p| p / unit));
+        }
+    }
+
     /// Adds samples up, by class.
     pub fn by_class(samples: &[Sample], classes: usize) -> Vec<Tally> {
         let mut all = vec![Tally::default(); classes];
@@ -296,7 +326,7 @@
 /// How often keys came, within bounded memory.
 #[derive(Clone, Debug, Default)]
 pub struct KeyCounts {
-    counts: std::collections::BTreeMap<u64, f64>,
+    counts: BTreeMap<u64, f64>,
     total: f64,
 }
 
@@ -316,3 +346,171 @@
         count * self.counts.len() as f64 / self.total.max(1.0)
     }
 }
+
+/// All that a balancer remembers; what to do with it is decided elsewhere.
+#[derive(Clone, Debug, Default)]
+pub struct Memory {
+    /// The random source.
+    pub rng: Rng,
+    /// The first event has come.
+    pub started: bool,
+    /// Servers listed so far.
+    pub servers: BTreeMap<ServerId, Server>,
+    /// Requests held, or with attempts still out.
+    pub open: BTreeMap<RequestId, Open>,
+    /// When to look at which request.
+    pub due: BTreeSet<(Micros, RequestId)>,
+    /// Answer times by class.
+    pub typical: Vec<Typical>,
+    /// Further attempts saved up.
+    pub retry_credit: f64,
+    /// Requests by tenant.
+    pub tenant_arrivals: Vec<SpanSum>,
+    /// Cost of answers by warm servers.
+    pub served: SpanSum,
+    /// Cost a second that a warm server of size 1 is seen to carry.
+    pub carried: f64,
+    /// First tries owed to the build on trial.
+    pub owed: f64,
+    /// When slow upkeep is due.
+    pub next_step: Micros,
+    /// When the list was last heard of.
+    pub list_heard: Micros,
+    /// When to ask for the list again.
+    pub list_retry: Option<Micros>,
+    /// Failed list calls in a row.
+    pub list_failures: u32,
+    /// The platform's last word.
+    pub news: Option<StageNews>,
+    /// The cap before a lower one came, and when that was.
+    pub cap_before: (f64, Micros),
+    /// Attempts at builds on trial, by build and counted class.
+    pub exposure: BTreeMap<Build, Vec<Exposure>>,
+    /// Keys that the new build has answered.
+    pub keys: BTreeSet<u64>,
+    /// How often keys come.
+    pub key_counts: KeyCounts,
+    /// Evidence, oldest first.
+    pub samples: VecDeque<Sample>,
+    /// When the open window began.
+    pub window_start: Micros,
+    /// Attempts at the new build in it.
+    pub window_count: usize,
+    /// Breached windows in a row.
+    pub breaches: u32,
+    /// The verdict that stands.
+    pub verdict: Verdict,
+    /// The earlier build's samples when they last sufficed.
+    pub reference: Vec<Sample>,
+    /// The vote that the platform holds.
+    pub standing: Option<Cast>,
+    /// A vote without a reply yet.
+    pub pending: Option<Cast>,
+    /// Earliest time of the next vote.
+    pub vote_at: Micros,
+    /// Peers' last summaries.
+    pub peers: BTreeMap<usize, PeerSummary>,
+    /// When the next summary is due.
+    pub next_tell: Micros,
+    /// Log lines written.
+    pub notes: u32,
+}
+
+impl Typical {
+    /// A first guess, before any answer.
+    pub fn new(median: f64, tail: f64) -> Self {
+        Typical { recent: VecDeque::new(), median, tail }
+    }
+
+    /// Adds an answer time; the latest `most` are kept.
+    pub fn add(&mut self, elapsed: f64, most: usize) {
+        self.recent.push_back(elapsed);
+        if self.recent.len() > most {
+            self.recent.pop_front();
+        }
+    }
+
+    /// Brings median and tail up to date, once there are answers enough for a 95th percentile.
+    pub fn refresh(&mut self) {
+        let mut recent: Vec<f64> = self.recent.iter().copied().collect();
+        if recent.len() >= 20 {
+            self.median = quantile(&mut recent, 0.5).unwrap_or(self.median);
+            self.tail = quantile(&mut recent, 0.95).unwrap_or(self.tail);
+        }
+    }
+}
+
+impl Memory {
+    /// How many listed servers run the build and take work.
+    pub fn ready_with(&self, build: Option<Build>) -> usize {
+        let of = |s: &&Server| Some(s.entry.build) == build && s.entry.status == Status::Ready;
+        self.servers.values().filter(of).count()
+    }
+
+    /// Copies of the samples that `keep` admits.
+    pub fn samples_of(&self, keep: impl Fn(&Sample) -> bool) -> Vec<Sample> {
+        self.samples.iter().filter(|s| keep(s)).copied().collect()
+    }
+
+    /// The count of attempts at a build, one for each lane.
+    pub fn exposure_of(&mut self, build: Build, lane: usize) -> &mut Exposure {
+        let lanes = self.exposure.entry(build).or_default();
+        if lanes.len() <= lane {
+            lanes.resize(lane + 1, Exposure::default());
+        }
+        &mut lanes[lane]
+    }
+
+    /// Sets when a request is looked at again.
+    pub fn look_again(&mut self, id: RequestId, at: Micros) {
+        if let Some(open) = self.open.get_mut(&id) {
+            self.due.remove(&(open.due, id));
+            open.due = at;
+            self.due.insert((at, id));
+        }
+    }
+
+    /// Takes the next request whose time has come.
+    pub fn next_due(&mut self, now: Micros) -> Option<RequestId> {
+        let &(_, id) = self.due.first().filter(|&&(at, _)| at <= now)?;
+        self.due.pop_first();
+        Some(id)
+    }
+
+    /// Drops a request of which nothing more will be heard.
+    pub fn forget(&mut self, id: RequestId) {
+        if let Some(open) = self.open.remove(&id) {
+            self.due.remove(&(open.due, id));
+        }
+    }
+
+    /// Brings the server table up to date; a restart or another build under a known id clears its record.
+    pub fn apply_list(&mut self, kind: ListKind, entries: &[ServerEntry]) {
+        if kind != ListKind::Delta {
+            // A server absent from a full list has left.
+            self.servers.values_mut().for_each(|s| s.entry.status = Status::Gone);
+        }
+        for entry in entries {
+            let server = self.servers.entry(entry.id).or_insert_with(|| Server::new(*entry));
+            if (server.entry.build, server.entry.started_at) != (entry.build, entry.started_at) {
+                let (in_flight, sent) = (server.in_flight, std::mem::take(&mut server.sent));
+                *server = Server { in_flight, sent, ..Server::new(*entry) };
+            }
+            server.entry = *entry;
+        }
+        self.servers.retain(|_, s| s.entry.status != Status::Gone || s.in_flight > 0);
+    }
+}
+
+impl PeerSummary {
+    /// Adds summaries up, by class.
+    pub fn add_up<'a>(summaries: impl Iterator<Item = &'a PeerSummary>, classes: usize) -> Vec<[f64; 4]> {
+        let mut sums = vec![[0.0; 4]; classes];
+        for summary in summaries {
+            for (sum, counts) in sums.iter_mut().zip(&summary.counts) {
+                sum.iter_mut().zip(counts).for_each(|(s, c)| *s += c);
+            }
+        }
+        sums
+    }
+}
