--- a/src/balance.rs
+++ b/src/balance.rs
@@ -9,7 +9,6 @@
 use crate::interface::*;
 use crate::state::*;
 use crate::stats::{difference_lower, quantile, wilson_lower};
-use std::collections::BTreeMap;
 
 const MS: Micros = 1_000;
 const SECOND: Micros = 1_000_000;
@@ -50,6 +49,9 @@
 const KEYS_KEPT: usize = 200_000; // one-way keys remembered; past that only known keys go to the new build
 const NOTES_MOST: u32 = 100; // log lines a life
 
+/// Attempts and failures of the new build, then of the earlier one, for each class.
+type Counts = [[f64; 4]];
+
 /// What a closed window says.
 #[derive(Clone, Debug, PartialEq)]
 enum Finding {
@@ -68,11 +70,10 @@
 impl Balancer {
     /// A fresh balancer that knows nothing but its settings.
     pub fn new(set: Settings, seed: u64) -> Self {
-        let guess = |c: &Class| (c.aim as f64 / 4.0, c.aim as f64 / 2.0);
-        let typical = set.classes.iter().map(guess).map(|(median, tail)| Typical::new(median, tail));
-        let (typical, tenants) = (typical.collect(), set.tenants.len());
+        let typical =
+            set.classes.iter().map(|c| Typical::new(c.aim as f64 / 4.0, c.aim as f64 / 2.0)).collect();
+        let tenant_arrivals = vec![SpanSum::default(); set.tenants.len()];
         let retry_credit = RETRY_DEPTH / 2.0;
-        let tenant_arrivals = vec![SpanSum::default(); tenants];
         let m = Memory { rng: Rng(seed), typical, retry_credit, tenant_arrivals, ..Memory::default() };
         Balancer { set, m }
     }
@@ -80,23 +81,16 @@
     /// Takes one event and appends what to do about it.
     pub fn on_event(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         if !self.m.started {
-            self.m.started = true;
-            self.m.list_heard = now;
+            (self.m.started, self.m.list_heard) = (true, now);
             out.push(Action::SetTimer { after: self.tick(), token: 0 });
-            if self.set.list_on_request {
-                out.push(Action::FollowList);
-            }
+            out.extend(self.set.list_on_request.then_some(Action::FollowList));
         }
         match event {
             Event::ServerList { kind, entries } => self.on_list(now, kind, entries),
             Event::Request(request) => self.on_request(now, request, out),
             Event::Timer { .. } => self.on_tick(now, out),
             Event::AttemptEnded(end) => self.on_attempt_ended(now, end, out),
-            Event::StreamStarted { request, attempt: _ } => {
-                if let Some(open) = self.m.open.get_mut(&request) {
-                    open.streaming = true;
-                }
-            }
+            Event::StreamStarted { request, .. } => self.m.stream_started(request),
             Event::AnswerFlagged { server, class, since } => self.on_flag(now, server, class, since),
             Event::ClientGone { request } => self.finish(request, out),
             Event::Stage(news) => self.on_news(now, news),
@@ -116,7 +110,7 @@
         if kind == ListKind::Failed {
             // Jittered back-off: all balancers share the list service, and a loss hits them together.
             self.m.list_failures = (self.m.list_failures + 1).min(5);
-            let wait = (200 * MS << self.m.list_failures) as f64 * (0.5 + self.m.rng.unit());
+            let wait = ((200 * MS) << self.m.list_failures) as f64 * (0.5 + self.m.rng.unit());
             self.m.list_retry = Some(now + wait as Micros);
             return;
         }
@@ -124,9 +118,7 @@
             (self.m.list_heard, self.m.list_failures, self.m.list_retry) = (now, 0, None);
         }
         let subject = self.m.news.filter(|n| n.phase == Phase::Trial).map(|n| n.build);
-        let before = self.m.ready_with(subject);
-        self.m.apply_list(kind, entries);
-        if self.m.ready_with(subject) > before {
+        if self.m.apply_list(kind, entries, subject) {
             // A stage is judged with its own machines: what was seen before they came says too little of
             // faults that show only under load or with time.
             self.start_window(now);
@@ -149,16 +141,13 @@
 
     fn on_request(&mut self, now: Micros, request: Request, out: &mut Vec<Action>) {
         let Request { id, class, tenant, .. } = request;
-        if let Some(tenant) = self.m.tenant_arrivals.get_mut(tenant) {
-            tenant.add(now, 1.0);
-        }
         if let (true, Some(key)) = (self.set.rollout.one_way, request.key) {
             self.m.key_counts.count(key, KEYS_KEPT);
         }
         self.m.retry_credit = (self.m.retry_credit + RETRY_SHARE).min(RETRY_DEPTH);
         for build in self.trial_builds() {
-            let (cap, lane) = (self.cap(now, build), self.lane(class));
-            self.m.exposure_of(build, lane).earn(cap);
+            let cap = self.cap(now, build);
+            self.m.exposure_of(build, class, self.set.rollout.per_class).earn(cap);
         }
         if class >= self.set.classes.len() {
             out.push(Action::Refuse { request: id, come_back: 0 });
@@ -172,10 +161,10 @@
 
     /// Requests past a tenant's share go first under pressure: they are worth little whatever is done.
     fn over_quota(&mut self, now: Micros, tenant: usize) -> bool {
-        let Some(settings) = self.set.tenants.get(tenant) else { return false };
-        let quota = settings.quota_per_s / self.set.fleet_size as f64;
-        let rate = self.m.tenant_arrivals[tenant].sum(now, SECOND);
-        rate > quota && self.m.rng.unit() < 1.0 - quota / rate
+        let Some(arrivals) = self.m.tenant_arrivals.get_mut(tenant) else { return false };
+        arrivals.add(now, 1.0);
+        let quota = self.set.tenants[tenant].quota_per_s / self.set.fleet_size as f64;
+        self.m.rng.unit() < 1.0 - quota / arrivals.sum(now, SECOND).max(1.0)
     }
 
     /// Sends a request to a server; holds it for a while when none may take it; refuses it at once when
@@ -186,9 +175,8 @@
         let aim = self.set.classes[class].aim as f64;
         if let Some(server) = self.pick(now, id) {
             let chosen = &self.m.servers[&server];
-            let crowded =
-                chosen.in_flight > 1 && chosen.per_slot * f64::from(chosen.in_flight + 1) > aim * admit;
-            if crowded && self.m.open[&id].attempts.is_empty() {
+            let expected = chosen.per_slot * f64::from(chosen.in_flight + 1);
+            if chosen.in_flight > 1 && expected > aim * admit && self.m.open[&id].attempts.is_empty() {
                 self.give_up(now, id, true, out);
             } else {
                 self.send(now, id, server, out);
@@ -201,23 +189,12 @@
     }
 
     fn send(&mut self, now: Micros, id: RequestId, to: ServerId, out: &mut Vec<Action>) {
-        let warmth = self.m.servers.get(&to).map_or(1.0, |s| self.warmth(now, s));
-        let (Some(open), Some(server)) = (self.m.open.get_mut(&id), self.m.servers.get_mut(&to)) else {
-            return;
-        };
-        let entry = server.entry;
-        if server.in_flight == 0 {
-            server.waiting_since = now;
-        }
-        server.in_flight += 1;
-        server.sent.add(now, open.cost);
-        let beside = server.in_flight;
-        open.attempts.push(Attempt { to: entry, cold: warmth < 1.0, sent_at: now, beside, ended: None });
-        let (class, deadline) = (open.request.class, open.request.deadline);
+        let Some(server) = self.m.servers.get(&to) else { return };
+        let (entry, cold) = (server.entry, self.warmth(now, server) < 1.0);
+        let Some((class, deadline)) = self.m.start_attempt(now, id, entry, cold) else { return };
         if self.trial_builds().contains(&entry.build) {
             self.m.owed = (self.m.owed - 1.0).max(-2.0);
-            let lane = self.lane(class);
-            self.m.exposure_of(entry.build, lane).spend(now);
+            self.m.exposure_of(entry.build, class, self.set.rollout.per_class).spend(now);
         }
         let guard = deadline.saturating_sub(2 * self.tick()).max(now + 1);
         out.push(Action::Send { request: id, server: to, cut_at: guard });
@@ -229,9 +206,8 @@
     fn on_due(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
         let Some(open) = self.m.open.get(&id) else { return };
         if open.done || open.streaming {
-            return;
-        }
-        if now + 3 * self.tick() >= open.request.deadline {
+            // nothing is owed
+        } else if now + 3 * self.tick() >= open.request.deadline {
             self.give_up(now, id, false, out);
         } else if open.out() == 0 {
             self.place(now, id, ADMIT_SHARE, out);
@@ -243,20 +219,18 @@
     /// A slow attempt gets a second copy where allowed, else it is cut so that a retry can follow.
     fn hurry(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
         let open = &self.m.open[&id];
-        let (deadline, class) = (open.request.deadline, &self.set.classes[open.request.class]);
-        let next = deadline.saturating_sub(2 * self.tick());
-        let in_aim = now < open.arrived + class.aim;
-        let worth_it = open.out() == 1 && in_aim && self.m.retry_credit >= 1.0;
-        let may_repeat =
-            class.effect != Effect::Fragile && open.attempts.len() < self.set.limits.max_attempts;
-        if worth_it && may_repeat && self.set.limits.second_copies {
-            if let Some(server) = self.pick(now, id) {
-                self.m.retry_credit -= 1.0;
-                self.send(now, id, server, out);
+        let (class, attempt) = (&self.set.classes[open.request.class], open.attempts.len() - 1);
+        let next = open.request.deadline.saturating_sub(2 * self.tick());
+        let worth_it = open.out() == 1 && now < open.arrived + class.aim && self.m.retry_credit >= 1.0;
+        if worth_it && class.effect != Effect::Fragile && attempt + 1 < self.set.limits.max_attempts {
+            if self.set.limits.second_copies {
+                if let Some(server) = self.pick(now, id) {
+                    self.m.retry_credit -= 1.0;
+                    self.send(now, id, server, out);
+                }
+            } else if self.set.limits.cancel && class.effect == Effect::Retryable {
+                out.push(Action::Cancel { request: id, attempt });
             }
-        } else if worth_it && may_repeat && self.set.limits.cancel && class.effect == Effect::Retryable {
-            let attempt = open.attempts.len() - 1;
-            out.push(Action::Cancel { request: id, attempt });
         }
         self.m.look_again(id, next);
     }
@@ -272,23 +246,16 @@
         let late = now >= open.arrived + self.set.classes[class].aim;
         self.learn_server(now, class, attempt.beside, end);
         self.learn_build(now, &attempt, (class, cost, late), end);
-        if outcome == Outcome::Ok {
-            if !attempt.cold {
-                self.m.served.add(now, cost);
-            }
-            if let (true, Some(key), Some(news)) = (self.set.rollout.one_way, key, self.m.news) {
-                if attempt.to.build == news.build && matches!(news.phase, Phase::Trial | Phase::Released) {
-                    self.m.keys.insert(key);
-                }
-            }
+        if outcome == Outcome::Ok && !attempt.cold {
+            self.m.served.add(now, cost);
+        }
+        let subject = self.subject().filter(|n| n.build == attempt.to.build && self.set.rollout.one_way);
+        if let (Outcome::Ok, Some(key), Some(_)) = (outcome, key, subject) {
+            self.m.keys.insert(key);
         }
         let Some(open) = self.m.open.get(&id) else { return };
-        if settled {
+        if settled || open.done {
             self.finish(id, out);
-        } else if open.done {
-            if open.out() == 0 {
-                self.m.forget(id);
-            }
         } else if open.out() == 0 && !open.streaming {
             self.after_failure(now, id, outcome, out);
         }
@@ -314,9 +281,8 @@
         let class = &self.set.classes[open.request.class];
         let untouched = open.first_that_may_have_run().is_none();
         let harmless = match class.effect {
-            Effect::Retryable => true,
             Effect::Deduplicated => class.group == DedupGroup::All,
-            Effect::Fragile => false,
+            effect => effect == Effect::Retryable,
         };
         let past_aim = now >= open.arrived + class.aim;
         if untouched || harmless {
@@ -365,9 +331,8 @@
                 pools[pool].push((sid, weight, out));
             }
         }
-        let first = open.attempts.is_empty() && open.arrived == now;
         let going_back = self.m.news.is_some_and(|n| n.phase == Phase::RollingBack);
-        if first && share[1] > 0.0 && !going_back {
+        if open.attempts.is_empty() && open.arrived == now && share[1] > 0.0 {
             // Machines that stand beside those they replace count as one place: they must show what they do
             // with the load that they are to carry.
             let places = if self.set.rollout.in_place { share[0] + share[1] } else { share[0].max(share[1]) };
@@ -375,8 +340,7 @@
         }
         // A key that the new build answers is bound to it, so popular keys would pile onto few machines,
         // and classes not yet admitted would find their keys bound: only keys rarer than most go first.
-        let popular =
-            open.request.key.is_some_and(|k| share[0] > 0.0 && self.m.key_counts.popularity(k) > 1.0);
+        let popular = open.request.key.is_some_and(|k| self.m.key_counts.popularity(k) > 1.0);
         let to_trial = open.attempts.is_empty() && self.m.owed >= 1.0 && !popular && !going_back;
         let order = if to_trial { [1, 0] } else { [0, 1] };
         order.into_iter().find_map(|pool| self.choose(&mut pools[pool]))
@@ -434,13 +398,12 @@
 
     /// A server's share of its pool: size and warmth, less what own outcomes say against it.
     fn weight(&self, now: Micros, server: &Server) -> f64 {
-        let size = if self.set.sizes_known { server.entry.size.max(0.01) } else { 1.0 };
         let health = (1.0 - server.failing).powi(3) / server.slowness.max(1.0).powi(2);
         let typical = self.m.typical.iter().map(|t| t.median).fold(0.0, f64::max);
         let waiting = now.saturating_sub(server.waiting_since) as f64;
         // Attempts out and no answer for long: paused, cut off or dead, whatever the cause.
         let stalled = server.in_flight > 0 && waiting > STALL_FACTOR * typical;
-        (size * self.warmth(now, server) * health * if stalled { 0.05 } else { 1.0 }).max(1e-3)
+        (self.size(server) * self.warmth(now, server) * health * if stalled { 0.05 } else { 1.0 }).max(1e-3)
     }
 
     /// A cold server's budget over any fall span, small enough to hold when every balancer does the same:
@@ -451,16 +414,17 @@
         if warmth >= 1.0 {
             return true;
         }
-        let size = if self.set.sizes_known { server.entry.size } else { 1.0 };
-        let contract = &self.set.contract;
-        let span = contract.fall_span as f64 / SECOND as f64;
-        let budget = COLD_SAFETY * contract.fall_multiple * warmth * self.m.carried * size * span;
-        let fall_span = contract.fall_span;
-        let Some(server) = self.m.servers.get_mut(&id) else { return false };
-        let sent = server.sent.sum(now, fall_span);
+        let (contract, size) = (&self.set.contract, self.size(server));
+        let (span, multiple) = (contract.fall_span, contract.fall_multiple);
+        let budget = COLD_SAFETY * multiple * warmth * self.m.carried * size * span as f64 / SECOND as f64;
+        let sent = self.m.servers.get_mut(&id).map_or(0.0, |s| s.sent.sum(now, span));
         sent == 0.0 || sent + cost <= budget
     }
 
+    fn size(&self, server: &Server) -> f64 {
+        if self.set.sizes_known { server.entry.size.max(0.01) } else { 1.0 }
+    }
+
     // ---- exposure of a build on trial
 
     /// Builds on trial for this balancer: the newest by the news unless released, and any later one listed.
@@ -477,21 +441,13 @@
     }
 
     fn cap(&self, now: Micros, build: Build) -> f64 {
-        let first = self.set.rollout.stage_cap.first().copied().unwrap_or(0.0);
-        match self.m.news {
-            Some(n) if n.build == build => {
-                // A lower cap binds after the grace; until then the old one lets earlier machines come up.
-                let (before, since) = self.m.cap_before;
-                let grace = self.set.contract.drain_grace.saturating_sub(4 * self.tick());
-                if now < since + grace { n.cap.max(before) } else { n.cap }
-            }
-            _ => first,
-        }
-    }
-
-    /// Which count of the exposure rule a class falls into.
-    fn lane(&self, class: usize) -> usize {
-        if self.set.rollout.per_class { class } else { 0 }
+        let Some(news) = self.m.news.filter(|n| n.build == build) else {
+            return self.set.rollout.stage_cap.first().copied().unwrap_or(0.0);
+        };
+        // A lower cap binds after the grace; until then the old one lets earlier machines come up.
+        let (before, since) = self.m.cap_before;
+        let grace = self.set.contract.drain_grace.saturating_sub(4 * self.tick());
+        if now < since + grace { news.cap.max(before) } else { news.cap }
     }
 
     /// Whether the rules let this request go to this server's build now.
@@ -512,20 +468,20 @@
         let cap = self.cap(now, build);
         let (span, free) = (self.set.rollout.counted_over + 2 * self.tick(), self.set.rollout.uncounted);
         let guarded = stage < self.set.rollout.guarded_stages && !safe;
-        let lane = self.lane(open.request.class);
-        let room = self.m.exposure_of(build, lane).after_one_more(now, span);
+        let count = self.m.exposure_of(build, open.request.class, self.set.rollout.per_class);
+        let room = count.after_one_more(now, span);
         cap > 0.0 && !guarded && room <= free + 1e-9
     }
 
     fn on_news(&mut self, now: Micros, news: StageNews) {
         let before = self.m.news.replace(news);
-        let known =
-            before.is_some_and(|b| (b.build, b.stage, b.phase) == (news.build, news.stage, news.phase));
+        let place = |n: StageNews| (n.build, n.stage, n.phase);
+        let known = before.map(place) == Some(place(news));
         if let Some(b) = before.filter(|b| b.build == news.build && b.cap > news.cap) {
             self.m.cap_before = (b.cap, now);
         }
         if known {
-            return;
+            return; // nothing new
         }
         // Never vote on evidence of another stage or build: window, verdict and vote all start anew.
         if before.is_none_or(|b| b.build != news.build) {
@@ -537,8 +493,7 @@
             self.m.keys.clear();
         }
         self.start_window(now);
-        (self.m.breaches, self.m.verdict, self.m.standing, self.m.pending) =
-            (0, Verdict::Withdraw, None, None);
+        (self.m.breaches, self.m.verdict, self.m.standing) = (0, Verdict::Withdraw, None);
     }
 
     // ---- learning from outcomes
@@ -548,26 +503,25 @@
         let typical = self.m.typical[class].median.max(1.0);
         let Some(server) = self.m.servers.get_mut(&id) else { return };
         server.in_flight = server.in_flight.saturating_sub(1);
-        let answered = matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Rejected);
-        if answered {
+        if matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Rejected) {
             (server.waiting_since, server.streak) = (now, 0);
         }
         let pace = (elapsed as f64 / typical).min(10.0);
         match outcome {
             Outcome::Ok => {
                 server.failing *= 1.0 - SMOOTHING;
-                server.slowness += (pace - server.slowness) * SMOOTHING / 2.0;
                 let per_slot = elapsed as f64 / f64::from(beside.max(1));
                 server.per_slot += (per_slot - server.per_slot) * SMOOTHING;
                 server.out_for = 0;
                 self.m.typical[class].add(elapsed as f64, RECENT);
             }
-            Outcome::Cancelled if pace > server.slowness => {
-                server.slowness += (pace - server.slowness) * SMOOTHING / 2.0;
-            }
             Outcome::Cancelled | Outcome::Moot => {}
             _ => server.failing += (1.0 - server.failing) * SMOOTHING,
         }
+        // A cancelled attempt says "at least this slow".
+        if outcome == Outcome::Ok || (outcome == Outcome::Cancelled && pace > server.slowness) {
+            server.slowness += (pace - server.slowness) * SMOOTHING / 2.0;
+        }
         if matches!(outcome, Outcome::Timeout | Outcome::ConnectFailed | Outcome::Reset) {
             server.streak += 1;
         }
@@ -605,11 +559,10 @@
     fn on_flag(&mut self, now: Micros, server: ServerId, class: usize, since: Micros) {
         let sent = now.saturating_sub(since);
         let of = |s: &&mut Sample| (s.server, s.class) == (server, class) && s.at >= sent && !s.failed;
-        let hit = self.m.samples.iter_mut().find(of);
-        if let Some(sample) = hit {
-            (sample.failed, sample.flagged) = (true, true);
+        if let Some(sample) = self.m.samples.iter_mut().find(of) {
             // Reports come late: the window that is open now is the one that learns of it.
-            sample.at = sample.at.max(self.m.window_start);
+            let at = sample.at.max(self.m.window_start);
+            *sample = Sample { at, failed: true, flagged: true, ..*sample };
         }
     }
 
@@ -633,26 +586,19 @@
             return;
         }
         let finding = self.find(now, news);
+        if finding == Finding::Thin {
+            return; // the window stays open and carries its evidence on until it suffices
+        }
         let timer = self.set.rollout.gate == GateMode::Timer;
-        let verdict = match &finding {
-            // Thin traffic: the window stays open and carries its evidence on until it suffices.
-            Finding::Thin => return,
-            Finding::Clean => {
-                self.m.breaches = 0;
-                if timer || news.phase == Phase::Released { Verdict::Withdraw } else { Verdict::On }
-            }
-            Finding::Breach(_) => {
-                self.m.breaches += 1;
-                if self.m.breaches >= BREACHES_TO_BACK {
-                    Verdict::Back
-                } else if timer && news.phase == Phase::Trial {
-                    Verdict::Hold
-                } else {
-                    Verdict::Withdraw
-                }
-            }
+        let breached = finding != Finding::Clean;
+        self.m.breaches = if breached { self.m.breaches + 1 } else { 0 };
+        let verdict = match news.phase {
+            _ if self.m.breaches >= BREACHES_TO_BACK => Verdict::Back,
+            Phase::Trial if breached && timer => Verdict::Hold,
+            Phase::Trial if !breached && !timer => Verdict::On,
+            _ => Verdict::Withdraw,
         };
-        if verdict != self.m.verdict || matches!(finding, Finding::Breach(_)) {
+        if verdict != self.m.verdict || breached {
             self.note(format!("build {} stage {}: {verdict:?} {finding:?}", news.build, news.stage), out);
         }
         self.m.verdict = verdict;
@@ -675,13 +621,16 @@
         if total < WINDOW_LEAST {
             return Finding::Thin;
         }
-        if let Err(reason) = self.compare(&new, &earlier, ratio, &peers) {
-            // One machine's fault among several new ones lifts everything: the breach must survive
-            // without the worst of them.
-            let rest = without_worst(&new);
-            let alone = rest.len() < new.len() && self.compare(&rest, &earlier, ratio, &peers).is_ok();
-            return if alone { Finding::Thin } else { Finding::Breach(reason) };
-        }
+        let judged = match self.compare(&new, &earlier, ratio, &peers) {
+            Ok(judged) => judged,
+            Err(reason) => {
+                // One machine's fault among several new ones lifts everything: the breach must survive
+                // without the worst of them.
+                let rest = without_worst(&new);
+                let alone = rest.len() < new.len() && self.compare(&rest, &earlier, ratio, &peers).is_ok();
+                return if alone { Finding::Thin } else { Finding::Breach(reason) };
+            }
+        };
         // A class admitted only in this stage needs evidence of its own before 'on'; and what could not be
         // compared does not clear an earlier breach.
         let guarded = news.stage < self.set.rollout.guarded_stages;
@@ -691,7 +640,6 @@
             admitted && own + peers.get(c).map_or(0.0, |p| p[0]) < CLASS_LEAST / 2.0
         });
         let waiting = now.saturating_sub(start) < 3 * WINDOW_SPAN;
-        let judged = self.compare(&new, &earlier, ratio, &peers) == Ok(true);
         if (short && waiting) || (self.m.breaches > 0 && !judged && waiting) {
             return Finding::Thin;
         }
@@ -708,7 +656,7 @@
         new: &[Sample],
         earlier: &[Sample],
         limit: f64,
-        peers: &[[f64; 4]],
+        peers: &Counts,
     ) -> Result<bool, String> {
         let classes = self.set.classes.len();
         let (mut new, mut earlier) = (Tally::by_class(new, classes), Tally::by_class(earlier, classes));
@@ -757,40 +705,39 @@
     /// Casts, renews or withdraws this balancer's vote.
     fn vote(&mut self, now: Micros, out: &mut Vec<Action>) {
         let Some(news) = self.subject() else { return };
-        if self.m.pending.is_some_and(|p| now.saturating_sub(p.at) > 2 * self.set.rollout.call_timeout) {
-            self.m.pending = None; // the reply itself was lost
-        }
+        let age = |cast: &Cast| now.saturating_sub(cast.at);
+        // A reply can be lost itself; a vote stands for its span only.
+        self.m.pending = self.m.pending.filter(|p| age(p) <= 2 * self.set.rollout.call_timeout);
         let ttl = self.set.rollout.vote_ttl;
-        let held = self.m.standing.filter(|s| now.saturating_sub(s.at) < ttl).map(|s| s.verdict);
-        let aged =
-            self.m.standing.is_some_and(|s| now.saturating_sub(s.at) as f64 > ttl as f64 * RENEW_SHARE);
+        let held = self.m.standing.filter(|s| age(s) < ttl);
+        let aged = held.is_some_and(|s| age(&s) as f64 >= ttl as f64 * RENEW_SHARE);
         let wanted = self.m.verdict;
-        let same = held.unwrap_or(Verdict::Withdraw) == wanted;
-        if self.m.pending.is_some()
-            || now < self.m.vote_at
-            || (same && (wanted == Verdict::Withdraw || !aged))
-        {
-            return;
+        let same = held.map_or(Verdict::Withdraw, |s| s.verdict) == wanted;
+        let settled = same && (wanted == Verdict::Withdraw || !aged);
+        if self.m.pending.is_none() && now >= self.m.vote_at && !settled {
+            self.m.pending = Some(Cast { build: news.build, stage: news.stage, verdict: wanted, at: now });
+            out.push(Action::Vote { build: news.build, stage: news.stage, verdict: wanted });
         }
-        self.m.pending = Some(Cast { verdict: wanted, at: now });
-        out.push(Action::Vote { build: news.build, stage: news.stage, verdict: wanted });
     }
 
     fn on_vote_reply(&mut self, now: Micros, outcome: Outcome, news: Option<StageNews>) {
-        let cast = self.m.pending.take();
+        // The reply to a vote on another stage says nothing of this one.
+        let current = self.m.news.map(|n| (n.build, n.stage));
+        let cast = self.m.pending.take().filter(|c| Some((c.build, c.stage)) == current);
         match outcome {
-            Outcome::Ok => self.m.standing = cast.map(|c| Cast { at: now, ..c }),
-            // It may have counted: taken as standing so that it is withdrawn or renewed, after a wait.
-            Outcome::Timeout => self.m.standing = cast.map(|c| Cast { at: 0, ..c }),
+            Outcome::Ok => self.m.standing = cast.map(|c| Cast { at: now, ..c }).or(self.m.standing),
+            // It may have counted: taken as standing, but old, so that it is soon renewed or withdrawn.
+            Outcome::Timeout => {
+                let old = (self.set.rollout.vote_ttl as f64 * RENEW_SHARE) as Micros;
+                self.m.standing = cast.map(|c| Cast { at: now.saturating_sub(old), ..c });
+            }
             _ => {}
         }
         if outcome != Outcome::Ok {
             // The allowance is shared by all balancers: back off with jitter of this one's own.
             self.m.vote_at = now + (VOTE_RETRY as f64 * (1.0 + self.m.rng.unit())) as Micros;
         }
-        if let Some(news) = news {
-            self.on_news(now, news);
-        }
+        news.into_iter().for_each(|news| self.on_news(now, news));
     }
 
     // ---- peers
@@ -813,9 +760,8 @@
     }
 
     fn on_peer(&mut self, now: Micros, from: usize, payload: &[u8]) {
-        if let Some(summary) = PeerSummary::decode(now, payload).filter(|_| from < self.set.fleet_size) {
-            self.m.peers.insert(from, summary);
-        }
+        let summary = PeerSummary::decode(now, payload).filter(|_| from < self.set.fleet_size);
+        self.m.peers.extend(summary.map(|s| (from, s)));
     }
 
     /// Fresh summaries of the same build and stage, added up by class. A supplement: none need come.
@@ -846,7 +792,7 @@
     fn step(&mut self, now: Micros) {
         self.m.typical.iter_mut().for_each(Typical::refresh);
         let ready = self.m.servers.values().filter(|s| s.entry.status == Status::Ready);
-        let sized = |s: &Server| if self.set.sizes_known { s.entry.size.max(0.01) } else { 1.0 };
+        let sized = |s: &Server| self.size(s);
         let warm: f64 = ready.clone().filter(|s| self.warmth(now, s) >= 1.0).map(sized).sum();
         let all: f64 = ready.map(sized).sum();
         let rate = self.m.served.sum(now, 2 * SECOND) / 2.0;
@@ -866,18 +812,9 @@
     }
 }
 
-/// The samples less those of the machine that looks worst, where at least three machines are left to speak.
+/// The samples less those of the machine that looks worst, so that one machine's fault is not the build's.
 fn without_worst(samples: &[Sample]) -> Vec<Sample> {
-    let mut by_server: BTreeMap<ServerId, (f64, f64, f64)> = BTreeMap::new();
-    for s in samples {
-        let e = by_server.entry(s.server).or_default();
-        *e = (e.0 + 1.0, e.1 + f64::from(u8::from(s.failed)), e.2 + s.pace.unwrap_or(0.0));
-    }
-    if by_server.len() < 2 {
-        return samples.to_vec();
-    }
     let mean = samples.iter().filter_map(|s| s.pace).sum::<f64>() / (samples.len() as f64).max(1.0);
-    let badness = |(n, failed, pace): (f64, f64, f64)| 10.0 * failed / n + pace / n / mean.max(1e-9);
-    let worst = by_server.iter().max_by(|a, b| badness(*a.1).total_cmp(&badness(*b.1))).map(|(id, _)| *id);
-    samples.iter().filter(|s| Some(s.server) != worst).copied().collect()
+    let badness = |s: &Sample| s.pace.map_or(1.0, |p| p / mean.max(1e-9)) + if s.failed { 10.0 } else { 0.0 };
+    without_server(samples, badness)
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -245,6 +245,10 @@
 /// A vote as the platform holds it or may hold it.
 #[derive(Clone, Copy, Debug)]
 pub struct Cast {
+    /// The build it is about.
+    pub build: Build,
+    /// The stage it is about.
+    pub stage: u8,
     /// What it says.
     pub verdict: Verdict,
     /// Since when.
@@ -441,8 +445,33 @@
 }
 
 impl Memory {
+    /// Books an attempt at a server; the request's class and deadline, or `None` for an unknown one.
+    pub fn start_attempt(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        to: ServerEntry,
+        cold: bool,
+    ) -> Option<(usize, Micros)> {
+        let (open, server) = (self.open.get_mut(&id)?, self.servers.get_mut(&to.id)?);
+        if server.in_flight == 0 {
+            server.waiting_since = now;
+        }
+        server.in_flight += 1;
+        server.sent.add(now, open.cost);
+        open.attempts.push(Attempt { to, cold, sent_at: now, beside: server.in_flight, ended: None });
+        Some((open.request.class, open.request.deadline))
+    }
+
+    /// The request's answer has started to stream.
+    pub fn stream_started(&mut self, id: RequestId) {
+        if let Some(open) = self.open.get_mut(&id) {
+            open.streaming = true;
+        }
+    }
+
     /// How many listed servers run the build and take work.
-    pub fn ready_with(&self, build: Option<Build>) -> usize {
+    fn ready_with(&self, build: Option<Build>) -> usize {
         let of = |s: &&Server| Some(s.entry.build) == build && s.entry.status == Status::Ready;
         self.servers.values().filter(of).count()
     }
@@ -452,8 +481,9 @@
         self.samples.iter().filter(|s| keep(s)).copied().collect()
     }
 
-    /// The count of attempts at a build, one for each lane.
-    pub fn exposure_of(&mut self, build: Build, lane: usize) -> &mut Exposure {
+    /// The count of attempts at a build: one for all classes, or one for each.
+    pub fn exposure_of(&mut self, build: Build, class: usize, per_class: bool) -> &mut Exposure {
+        let lane = if per_class { class } else { 0 };
         let lanes = self.exposure.entry(build).or_default();
         if lanes.len() <= lane {
             lanes.resize(lane + 1, Exposure::default());
@@ -485,7 +515,9 @@
     }
 
     /// Brings the server table up to date; a restart or another build under a known id clears its record.
-    pub fn apply_list(&mut self, kind: ListKind, entries: &[ServerEntry]) {
+    /// Returns whether more servers of the `watched` build take work than before.
+    pub fn apply_list(&mut self, kind: ListKind, entries: &[ServerEntry], watched: Option<Build>) -> bool {
+        let before = self.ready_with(watched);
         if kind != ListKind::Delta {
             // A server absent from a full list has left.
             self.servers.values_mut().for_each(|s| s.entry.status = Status::Gone);
@@ -499,6 +531,7 @@
             server.entry = *entry;
         }
         self.servers.retain(|_, s| s.entry.status != Status::Gone || s.in_flight > 0);
+        self.ready_with(watched) > before
     }
 }
 
@@ -514,3 +547,15 @@
         sums
     }
 }
+
+/// The samples less those of the server with the highest mean of `badness`; all where there is only one.
+pub fn without_server(samples: &[Sample], badness: impl Fn(&Sample) -> f64) -> Vec<Sample> {
+    let mut sums: BTreeMap<ServerId, (f64, f64)> = BTreeMap::new();
+    for s in samples {
+        let sum = sums.entry(s.server).or_default();
+        *sum = (sum.0 + 1.0, sum.1 + badness(s));
+    }
+    let mean = |(n, sum): &(f64, f64)| sum / n;
+    let worst = sums.iter().max_by(|a, b| mean(a.1).total_cmp(&mean(b.1))).map(|(id, _)| *id);
+    samples.iter().filter(|s| sums.len() < 2 || Some(s.server) != worst).copied().collect()
+}
