--- a/src/balance.rs
+++ b/src/balance.rs
@@ -34,6 +34,7 @@
 const STEP: Micros = 100 * MS; // slow upkeep
 const RECENT: usize = 100; // answer times kept for each class
 const SMOOTHING: f64 = 0.15; // weight of the newest outcome in a server's record
+const FADING: f64 = 0.03; // of a server's record, each step
 const STREAK_OUT: u32 = 3; // attempts in a row without an answer before a server is left out
 const OUT_FIRST: Micros = SECOND; // left out for so long at first, doubled at each repeat ...
 const OUT_LONGEST: Micros = 8 * SECOND; // ... up to this
@@ -43,7 +44,7 @@
 const HURRY_FACTOR: f64 = 1.3; // times the class's 95th percentile: then a second chance is worth its cost
 const HOLD_SHARE: f64 = 0.5; // of a class's aim: how long a request waits for a server before it is refused
 const COLD_SAFETY: f64 = 0.6; // share of a cold server's span budget that this balancer allows itself
-const ADMIT_SHARE: f64 = 0.8; // of a class's aim: a longer expected answer time is refused at once
+const ADMIT_SHARE: f64 = 0.8; // of the tightest aim: a longer expected answer time is refused at once
 const OVER_SHARE: f64 = 0.4; // the same for a tenant past its quota
 const REDRAWS: usize = 3; // further pairs drawn while the better server is busier than the pool's mean
 const KEYS_KEPT: usize = 200_000; // one-way keys remembered; past that only known keys go to the new build
@@ -173,10 +174,12 @@
         let Some(open) = self.m.open.get(&id) else { return };
         let (Request { class, deadline, .. }, arrived, tick) = (open.request, open.arrived, self.tick());
         let aim = self.set.classes[class].aim as f64;
+        // All classes share the queues: measured by its own aim, a patient class would crowd out the others.
+        let tightest = self.set.classes.iter().map(|c| c.aim as f64).fold(aim, f64::min);
         if let Some(server) = self.pick(now, id) {
             let chosen = &self.m.servers[&server];
             let expected = chosen.per_slot * f64::from(chosen.in_flight + 1);
-            if chosen.in_flight > 1 && expected > aim * admit && self.m.open[&id].attempts.is_empty() {
+            if chosen.in_flight > 1 && expected > tightest * admit && self.m.open[&id].attempts.is_empty() {
                 self.give_up(now, id, true, out);
             } else {
                 self.send(now, id, server, out);
@@ -791,6 +794,8 @@
 
     fn step(&mut self, now: Micros) {
         self.m.typical.iter_mut().for_each(Typical::refresh);
+        // What is not renewed by answers fades, or a server once slow would never be tried again.
+        self.m.servers.values_mut().for_each(|s| s.relax(FADING));
         let ready = self.m.servers.values().filter(|s| s.entry.status == Status::Ready);
         let sized = |s: &Server| self.size(s);
         let warm: f64 = ready.clone().filter(|s| self.warmth(now, s) >= 1.0).map(sized).sum();
--- a/src/state.rs
+++ b/src/state.rs
@@ -137,6 +137,13 @@
             waiting_since: 0,
         }
     }
+
+    /// Lets the record fade towards that of a healthy server.
+    pub fn relax(&mut self, share: f64) {
+        self.failing *= 1.0 - share;
+        self.slowness += (1.0 - self.slowness) * share;
+        self.per_slot *= 1.0 - share;
+    }
 }
 
 /// One attempt of a request.
--- /dev/null
+++ b/tests/judging.rs
@@ -0,0 +1,160 @@
+//! The judge by symptom: which windows bring which votes.
+
+mod common;
+use common::*;
+use violetseam::interface::*;
+
+const OK: (Outcome, Micros) = (Outcome::Ok, 50 * MS);
+
+fn rig(stage: u8, cap: f64) -> Rig {
+    Rig::new(settings(), &fleet(6, 4), news(2, stage, Phase::Trial, cap))
+}
+
+#[test]
+fn a_clean_window_brings_on() {
+    let mut rig = rig(2, 1.0);
+    let actions = rig.traffic(&[SAFE, KEYED, FRAGILE], 900, |_, _| OK);
+    assert_eq!(votes(&actions).first(), Some(&Verdict::On));
+    assert!(!votes(&actions).contains(&Verdict::Back));
+}
+
+#[test]
+fn two_breached_windows_bring_back() {
+    let mut rig = rig(2, 1.0);
+    let bad = |to, i| if to >= 100 && i % 4 == 0 { (Outcome::Error, 50 * MS) } else { OK };
+    let actions = rig.traffic(&[SAFE], 2_000, bad);
+    assert_eq!(votes(&actions).last(), Some(&Verdict::Back));
+    assert!(!votes(&actions).contains(&Verdict::On));
+}
+
+#[test]
+fn a_slower_build_is_sent_back_by_median_and_tail() {
+    let mut rig = rig(2, 1.0);
+    let spread = |i: usize| 40 * MS + (i as u64 % 10) * 4 * MS;
+    let actions =
+        rig.traffic(&[SAFE], 2_000, |to, i| (Outcome::Ok, spread(i) * if to >= 100 { 2 } else { 1 }));
+    assert_eq!(votes(&actions).last(), Some(&Verdict::Back));
+}
+
+#[test]
+fn a_tail_alone_is_no_breach() {
+    let mut rig = rig(2, 1.0);
+    let tail = |to, i| if to >= 100 && i % 12 == 0 { (Outcome::Ok, 200 * MS) } else { OK };
+    let actions = rig.traffic(&[SAFE], 2_000, tail);
+    assert!(!votes(&actions).contains(&Verdict::Back));
+}
+
+#[test]
+fn a_fault_of_both_builds_is_not_the_new_ones() {
+    let mut rig = rig(2, 1.0);
+    let actions = rig.traffic(&[SAFE], 2_000, |_, i| if i % 5 == 0 { (Outcome::Error, 50 * MS) } else { OK });
+    assert!(!votes(&actions).contains(&Verdict::Back));
+}
+
+/// Guards: the breach must survive without the worst machine.
+#[test]
+fn one_failing_machine_among_several_new_ones_convicts_nobody() {
+    let mut rig = rig(2, 1.0);
+    let actions = rig.traffic(&[SAFE], 2_000, |to, _| if to == 100 { (Outcome::Error, 50 * MS) } else { OK });
+    assert!(!votes(&actions).contains(&Verdict::Back));
+}
+
+/// Guards: one class broken among healthy ones.
+#[test]
+fn a_single_broken_class_is_found() {
+    let mut rig = rig(2, 1.0);
+    let actions = rig.traffic(&[SAFE, SAFE, SAFE, FRAGILE], 2_400, |to, i| {
+        if to >= 100 && i % 4 == 3 { (Outcome::Error, 50 * MS) } else { OK }
+    });
+    assert_eq!(votes(&actions).last(), Some(&Verdict::Back));
+}
+
+/// Guards: thin traffic; evidence is carried past the window's span until it suffices.
+#[test]
+fn thin_traffic_gathers_evidence_over_windows() {
+    let mut rig = rig(2, 1.0);
+    let mut actions = Vec::new();
+    for _ in 0..150 {
+        actions.extend(rig.traffic(&[SAFE, KEYED, FRAGILE], 1, |_, _| OK));
+        actions.extend(rig.run(150 * MS));
+    }
+    assert!(votes(&actions).contains(&Verdict::On));
+}
+
+#[test]
+fn too_little_evidence_casts_no_vote() {
+    let mut rig = rig(2, 1.0);
+    let mut actions = rig.traffic(&[SAFE], 12, |_, _| OK);
+    actions.extend(rig.run(10 * S));
+    assert_eq!(votes(&actions), []);
+}
+
+/// Guards: flagged answers count as failures, scaled by the share that is reported at all.
+#[test]
+fn flagged_answers_convict() {
+    let mut rig = rig(2, 1.0);
+    let mut actions = Vec::new();
+    for i in 0..1_500 {
+        let (id, sent) = rig.request(SAFE);
+        actions.extend(rig.run(5 * MS));
+        for (_, server) in sends(&sent) {
+            rig.end(id, 0, server, Outcome::Ok, 50 * MS);
+            if server >= 100 && i % 8 == 0 {
+                actions.extend(rig.feed(Event::AnswerFlagged { server, class: SAFE, since: 5 * MS }));
+            }
+        }
+    }
+    assert_eq!(votes(&actions).last(), Some(&Verdict::Back));
+}
+
+/// Guards: never a vote on evidence of another stage.
+#[test]
+fn a_new_stage_starts_the_evidence_anew() {
+    let mut rig = rig(1, 0.5);
+    rig.traffic(&[SAFE, KEYED, FRAGILE], 900, |_, _| OK);
+    rig.feed(Event::Stage(news(2, 2, Phase::Trial, 1.0)));
+    assert_eq!(votes(&rig.run(4 * S)), []);
+}
+
+/// Guards: after the release a build can still turn bad, with no earlier machine left to compare with.
+#[test]
+fn a_released_build_that_turns_bad_is_sent_back() {
+    let mut rig = rig(2, 1.0);
+    rig.traffic(&[SAFE], 900, |_, _| OK);
+    rig.feed(Event::Stage(news(2, 3, Phase::Released, 1.0)));
+    rig.feed(Event::ServerList { kind: ListKind::Full, entries: &fleet(0, 10) });
+    let bad = |_, i| if i % 4 == 0 { (Outcome::Error, 50 * MS) } else { OK };
+    let actions = rig.traffic(&[SAFE], 2_000, bad);
+    assert_eq!(votes(&actions).last(), Some(&Verdict::Back));
+}
+
+#[test]
+fn under_the_clock_a_breach_holds_and_a_clean_window_lets_go() {
+    let mut set = settings();
+    set.rollout.gate = GateMode::Timer;
+    let mut rig = Rig::new(set, &fleet(6, 4), news(2, 2, Phase::Trial, 1.0));
+    let bad = |to, i| if to >= 100 && i % 4 == 0 { (Outcome::Error, 50 * MS) } else { OK };
+    let mut actions = Vec::new();
+    while votes(&actions).is_empty() {
+        actions.extend(rig.traffic(&[SAFE], 20, bad));
+    }
+    assert_eq!(votes(&actions), [Verdict::Hold]);
+    rig.feed(Event::VoteReply { outcome: Outcome::Ok, news: None });
+    let actions = rig.traffic(&[SAFE, KEYED, FRAGILE], 1_500, |_, _| OK);
+    assert_eq!(votes(&actions).first(), Some(&Verdict::Withdraw));
+    assert!(!votes(&actions).contains(&Verdict::On));
+}
+
+#[test]
+fn a_vote_is_renewed_before_it_expires_and_retried_after_a_refusal() {
+    let mut rig = rig(2, 1.0);
+    let mut actions = rig.traffic(&[SAFE, KEYED, FRAGILE], 400, |_, _| OK);
+    assert_eq!(votes(&actions), [Verdict::On]);
+    rig.feed(Event::VoteReply { outcome: Outcome::Rejected, news: None });
+    assert_eq!(votes(&rig.run(300 * MS)), []);
+    actions = rig.run(700 * MS);
+    assert_eq!(votes(&actions), [Verdict::On]);
+    rig.feed(Event::VoteReply { outcome: Outcome::Ok, news: None });
+    assert_eq!(votes(&rig.run(2 * S)), []);
+    assert_eq!(votes(&rig.run(2 * S)), [Verdict::On]);
+}
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,287 @@
+//! The five rules, one situation a test, and a seeded random driver over all of them.
+
+mod common;
+use common::*;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use std::collections::{BTreeMap, BTreeSet};
+use violetseam::balance::Balancer;
+use violetseam::interface::*;
+
+const RELEASED: StageNews = StageNews { build: 1, stage: 3, phase: Phase::Released, cap: 1.0 };
+
+#[test]
+fn without_any_server_a_request_is_refused_in_time() {
+    let mut rig = Rig::new(settings(), &[], RELEASED);
+    let (id, first) = rig.request(FRAGILE);
+    let mut actions = rig.run(1_300 * MS);
+    actions.extend(first);
+    assert_eq!(finals(&actions, id), (1, 0));
+}
+
+#[test]
+fn a_silent_server_does_not_make_the_answer_late() {
+    let mut rig = Rig::new(settings(), &fleet(1, 0), RELEASED);
+    let (id, _) = rig.request(FRAGILE);
+    let actions = rig.run(1_195 * MS);
+    assert_eq!(finals(&actions, id), (0, 1));
+    assert_eq!(sends(&actions), []);
+}
+
+#[test]
+fn a_fragile_request_is_repeated_only_when_it_never_ran() {
+    let mut rig = Rig::new(settings(), &fleet(4, 0), RELEASED);
+    let (id, actions) = rig.request(FRAGILE);
+    let again = rig.end(id, 0, sends(&actions)[0].1, Outcome::Rejected, MS);
+    assert_eq!(sends(&again).len(), 1);
+    let end = rig.end(id, 1, sends(&again)[0].1, Outcome::Error, MS);
+    assert_eq!((sends(&end).len(), finals(&end, id)), (0, (0, 1)));
+}
+
+#[test]
+fn a_keyed_request_is_repeated_in_its_group_only() {
+    for seed in 0..40 {
+        let mut rig = Rig::new(settings(), &fleet(6, 0), RELEASED);
+        rig.balancer = Balancer::new(settings(), seed);
+        rig.feed(Event::ServerList { kind: ListKind::Cached, entries: &fleet(6, 0) });
+        rig.feed(Event::Stage(RELEASED));
+        let (id, actions) = rig.request(KEYED);
+        let first = sends(&actions)[0].1;
+        let again = rig.end(id, 0, first, Outcome::Reset, MS);
+        assert_eq!(sends(&again)[0].1 % 2, first % 2, "another zone");
+    }
+}
+
+#[test]
+fn a_draining_server_gets_nothing_new() {
+    let mut rig = Rig::new(settings(), &fleet(3, 0), RELEASED);
+    let entry = ServerEntry { status: Status::Draining, ..server(11, 1) };
+    rig.feed(Event::ServerList { kind: ListKind::Delta, entries: &[entry] });
+    let actions = rig.traffic(&[SAFE], 200, |_, _| (Outcome::Ok, 20 * MS));
+    assert!(sends(&actions).iter().all(|s| s.1 != 11));
+}
+
+/// Guards: a cold server's span budget counts in what warm servers are seen to carry.
+#[test]
+fn a_cold_server_gets_less_than_warm_ones() {
+    let mut rig = Rig::new(settings(), &fleet(4, 0), RELEASED);
+    rig.traffic(&[SAFE], 400, |_, _| (Outcome::Ok, 20 * MS));
+    let cold = ServerEntry { started_at: rig.now, ..server(50, 1) };
+    rig.feed(Event::ServerList { kind: ListKind::Delta, entries: &[cold] });
+    let actions = rig.traffic(&[SAFE], 100, |_, _| (Outcome::Ok, 20 * MS));
+    let to_cold = sends(&actions).iter().filter(|s| s.1 == 50).count();
+    assert!(to_cold > 0 && to_cold < 20, "{to_cold} of 100 to a server at a third of its capacity");
+}
+
+#[test]
+fn nothing_goes_to_a_build_at_cap_zero_after_the_grace() {
+    let mut rig = Rig::new(settings(), &fleet(0, 4), news(2, 3, Phase::Released, 1.0));
+    rig.feed(Event::Stage(news(2, 3, Phase::RollingBack, 0.0)));
+    rig.run(2 * S);
+    let (id, first) = rig.request(SAFE);
+    let mut actions = rig.run(1_200 * MS);
+    actions.extend(first);
+    assert_eq!((sends(&actions).len(), finals(&actions, id)), (0, (1, 0)));
+}
+
+/// Guards: a popular key would pile onto the new build's few machines, and bound keys stay bound.
+#[test]
+fn a_key_answered_by_the_new_build_goes_to_no_earlier_one() {
+    let mut set = settings();
+    set.rollout.one_way = true;
+    let mut rig = Rig::new(set, &fleet(5, 5), news(2, 2, Phase::Trial, 1.0));
+    let mut bound = BTreeSet::new();
+    for i in 0..2_000u64 {
+        let key = 1 + i * 7919 % 97;
+        let (id, actions) = rig.keyed(SAFE, Some(key));
+        for (_, server) in sends(&actions) {
+            assert!(server >= 100 || !bound.contains(&key), "key {key} sent back");
+            rig.run(5 * MS);
+            rig.end(id, 0, server, Outcome::Ok, 20 * MS);
+            if server >= 100 {
+                bound.insert(key);
+            }
+        }
+    }
+    assert!(bound.len() > 10);
+}
+
+#[test]
+fn a_build_not_announced_yet_counts_as_the_first_stage() {
+    let mut rig = Rig::new(settings(), &fleet(2, 8), RELEASED);
+    let actions = rig.traffic(&[SAFE, FRAGILE], 1_000, |_, _| (Outcome::Ok, 20 * MS));
+    let new: Vec<RequestId> = sends(&actions).iter().filter(|s| s.1 >= 100).map(|s| s.0).collect();
+    assert!(!new.is_empty() && new.len() <= 162, "{} of 1000", new.len());
+    assert!(new.iter().all(|id| id % 2 == 1), "a class that is not safe to repeat went to a guarded stage");
+}
+
+#[test]
+fn the_list_is_asked_for_again_after_a_failure_and_after_silence() {
+    let mut set = settings();
+    set.list_on_request = true;
+    let mut rig = Rig::new(set, &fleet(2, 0), RELEASED);
+    let follows = |actions: &[Action]| actions.iter().filter(|a| **a == Action::FollowList).count();
+    rig.feed(Event::ServerList { kind: ListKind::Failed, entries: &[] });
+    assert_eq!(follows(&rig.run(S)), 1);
+    rig.feed(Event::ServerList { kind: ListKind::Delta, entries: &[] });
+    assert_eq!(follows(&rig.run(9 * S)), 1);
+}
+
+#[test]
+fn events_about_unknown_things_do_nothing() {
+    let mut rig = Rig::new(settings(), &fleet(2, 0), RELEASED);
+    let before = rig.end(999, 3, 77, Outcome::Ok, MS);
+    assert_eq!(before, []);
+    assert_eq!(rig.feed(Event::ClientGone { request: 5 }), []);
+    assert_eq!(rig.feed(Event::AnswerFlagged { server: 1, class: 99, since: u64::MAX }), []);
+    assert_eq!(rig.feed(Event::PeerMessage { from: 9, payload: &[1, 2] }), []);
+    let actions =
+        rig.feed(Event::Request(Request { id: 1, class: 99, deadline: rig.now, ..Request::default() }));
+    assert_eq!(finals(&actions, 1), (1, 0));
+}
+
+/// What the random driver remembers to check the rules on the actions.
+#[derive(Default)]
+struct Watch {
+    deadline: BTreeMap<RequestId, (Micros, usize)>,
+    attempts: BTreeMap<RequestId, Vec<(ServerId, Option<Outcome>, Micros)>>,
+    finished: BTreeSet<RequestId>,
+    draining: BTreeMap<ServerId, Micros>,
+    taken: Vec<Micros>,
+    exposed: Vec<Micros>,
+}
+
+impl Watch {
+    fn check(&mut self, now: Micros, set: &Settings, cap: f64, guarded: bool, actions: &[Action]) {
+        for action in actions {
+            match action {
+                Action::Send { request, server, .. } => {
+                    assert!(!self.finished.contains(request), "sent after the final answer");
+                    let class = &set.classes[self.deadline[request].1];
+                    let before = self.attempts.entry(*request).or_default();
+                    assert!(before.iter().all(|a| a.1.is_some()), "two at once");
+                    let ran = before.iter().find(|a| a.1.is_none_or(Outcome::may_have_run));
+                    if let Some(ran) = ran {
+                        assert!(class.effect != Effect::Fragile, "fragile sent twice");
+                        let keyed = class.effect == Effect::Deduplicated;
+                        assert!(!keyed || (ran.0 % 2 == server % 2 && now < ran.2 + class.dedup_window));
+                    }
+                    before.push((*server, None, now));
+                    assert!(self.draining.get(server).is_none_or(|at| now <= at + set.contract.drain_grace));
+                    if *server >= 100 {
+                        assert!(!guarded || class.effect == Effect::Retryable, "guarded stage");
+                        self.exposed.push(now);
+                        for &from in self.exposed.iter().filter(|&&t| t + set.rollout.counted_over >= now) {
+                            let spent = self.exposed.iter().filter(|&&t| t >= from).count() as f64;
+                            let taken = self.taken.iter().filter(|&&t| t >= from).count() as f64;
+                            let most = set.rollout.uncounted + cap * (taken + 1.0);
+                            assert!(spent <= most + 1e-6, "{spent} attempts over {most}");
+                        }
+                    }
+                }
+                Action::Refuse { request, .. } | Action::Fail { request } => {
+                    assert!(self.finished.insert(*request), "two final answers");
+                    let class = &set.classes[self.deadline[request].1];
+                    let tries = self.attempts.get(request).map(Vec::as_slice).unwrap_or_default();
+                    let ran = tries.iter().any(|a| a.1.is_none_or(Outcome::may_have_run));
+                    let refused = matches!(action, Action::Refuse { .. });
+                    assert!(!refused || !ran || class.effect == Effect::Retryable, "refusal after an effect");
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+fn drive(steps: &[(u8, u16)]) -> Vec<Action> {
+    let set = settings();
+    let mut rig = Rig::new(set.clone(), &fleet(4, 2), news(2, 0, Phase::Trial, 0.16));
+    let (mut watch, mut all) = (Watch::default(), Vec::new());
+    let mut next: RequestId = 1;
+    for &(what, pick) in steps {
+        let open: Vec<(RequestId, usize, ServerId)> = watch
+            .attempts
+            .iter()
+            .flat_map(|(id, tries)| tries.iter().enumerate().map(move |(k, a)| (*id, k, a.0, a.1)))
+            .filter(|a| a.3.is_none())
+            .map(|a| (a.0, a.1, a.2))
+            .collect();
+        let actions = match what {
+            0..=4 => {
+                let (class, deadline) =
+                    (usize::from(pick % 3), rig.now + 200 * MS + u64::from(pick % 1000) * MS);
+                watch.deadline.insert(next, (deadline, class));
+                watch.taken.push(rig.now);
+                next += 1;
+                rig.feed(Event::Request(Request { id: next - 1, deadline, class, ..Request::default() }))
+            }
+            5..=7 if !open.is_empty() => {
+                let (request, attempt, server) = open[usize::from(pick) % open.len()];
+                let outcomes = [
+                    Outcome::Ok,
+                    Outcome::Ok,
+                    Outcome::Error,
+                    Outcome::Rejected,
+                    Outcome::Timeout,
+                    Outcome::ConnectFailed,
+                    Outcome::Reset,
+                    Outcome::Cancelled,
+                ];
+                let outcome = outcomes[usize::from(pick / 7) % outcomes.len()];
+                watch.attempts.get_mut(&request).unwrap()[attempt].1 = Some(outcome);
+                let settled = outcome == Outcome::Ok || watch.finished.contains(&request);
+                if settled {
+                    watch.finished.insert(request);
+                }
+                let elapsed = u64::from(pick) * 3;
+                rig.feed(Event::AttemptEnded(AttemptEnd {
+                    request,
+                    attempt,
+                    server,
+                    outcome,
+                    elapsed,
+                    settled,
+                }))
+            }
+            8 => {
+                let id = 10 + u64::from(pick % 4);
+                let status = if pick % 3 == 0 { Status::Draining } else { Status::Ready };
+                let started_at = if pick % 5 == 0 { rig.now } else { 0 };
+                match status {
+                    Status::Ready => watch.draining.remove(&id),
+                    _ => Some(*watch.draining.entry(id).or_insert(rig.now)),
+                };
+                let entry = ServerEntry { status, started_at, ..server(id, 1) };
+                rig.feed(Event::ServerList { kind: ListKind::Delta, entries: &[entry] })
+            }
+            _ => {
+                rig.now += 5 * MS;
+                rig.feed(Event::Timer { token: 0 })
+            }
+        };
+        watch.check(rig.now, &set, 0.16, true, &actions);
+        all.extend(actions);
+        for (id, (deadline, _)) in &watch.deadline {
+            let late = rig.now > deadline + set.contract.answer_grace;
+            assert!(!late || watch.finished.contains(id), "request {id} without a final answer");
+        }
+    }
+    all
+}
+
+/// Legal event sequences, drawn with a fixed seed: the rules hold on every action, and the same events
+/// bring the same actions.
+#[test]
+fn the_rules_hold_on_random_days_and_decisions_repeat() {
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[42; 32]);
+    let config = Config { cases: 60, failure_persistence: None, ..Config::default() };
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let steps = proptest::collection::vec((0u8..12, any::<u16>()), 200..900);
+    runner
+        .run(&steps, |steps| {
+            let once = drive(&steps);
+            prop_assert_eq!(once, drive(&steps));
+            Ok(())
+        })
+        .unwrap();
+}
--- /dev/null
+++ b/tests/stats.rs
@@ -0,0 +1,45 @@
+//! Interval arithmetic against published values.
+
+use violetseam::stats::{difference_lower, quantile, wilson_lower, wilson_upper};
+
+fn near(a: f64, b: f64) {
+    assert!((a - b).abs() < 5e-4, "{a} against {b}");
+}
+
+/// Newcombe, "Two-sided confidence intervals for the single proportion", Statistics in Medicine 17 (1998),
+/// table I: score method without continuity correction.
+#[test]
+fn wilson_matches_newcombe_1998_table_1() {
+    for (hits, n, low, high) in [
+        (81.0, 263.0, 0.2553, 0.3662),
+        (15.0, 148.0, 0.0624, 0.1605),
+        (0.0, 20.0, 0.0, 0.1611),
+        (1.0, 29.0, 0.0061, 0.1718),
+    ] {
+        near(wilson_lower(hits, n, 1.959_964), low);
+        near(wilson_upper(hits, n, 1.959_964), high);
+    }
+}
+
+/// Newcombe, "Interval estimation for the difference between independent proportions", Statistics in
+/// Medicine 17 (1998), table II, method 10: 56/70 against 48/80 gives 0.0524 to 0.3339.
+#[test]
+fn difference_matches_newcombe_1998_method_10() {
+    near(difference_lower((56.0, 70.0), (48.0, 80.0), 1.959_964), 0.0524);
+    near(-difference_lower((48.0, 80.0), (56.0, 70.0), 1.959_964), 0.3339);
+}
+
+#[test]
+fn nothing_seen_bounds_nothing() {
+    assert_eq!((wilson_lower(0.0, 0.0, 1.96), wilson_upper(0.0, 0.0, 1.96)), (0.0, 1.0));
+    assert_eq!(quantile(&mut [], 0.5), None);
+}
+
+#[test]
+fn quantiles_are_nearest_rank() {
+    let mut values: Vec<f64> = (1..=100).rev().map(f64::from).collect();
+    assert_eq!(quantile(&mut values, 0.5), Some(50.0));
+    assert_eq!(quantile(&mut values, 0.95), Some(95.0));
+    assert_eq!(quantile(&mut values, 0.0), Some(1.0));
+    assert_eq!(quantile(&mut values, 1.0), Some(100.0));
+}
