--- a/src/balance.rs
+++ b/src/balance.rs
@@ -21,9 +21,10 @@
 const FAILURE_MARGIN: f64 = 0.02; // allowed above the earlier build's failure share
 const LATENCY_RATIO: f64 = 1.3; // median and 95th percentile must both exceed it
 const WINDOW_SHORTEST: Micros = SECOND; // a full window stays open so long, or one pause spoils two
-const BREACHES_TO_BACK: u32 = 2; // consecutive breached windows
+const BREACHES_TO_BACK: f64 = 2.0; // consecutive breached windows
 // The judge: extensions (docs/design.md, "Changed").
 const CLASS_LEAST: f64 = 8.0; // attempts that a class of its own needs before it counts or is cleared
+const FAULTY_SHARE: f64 = 0.2; // of an arm's machines, one at least: a breach must survive without the worst
 const EVIDENCE_SPAN: Micros = 15 * SECOND; // samples older than this are forgotten
 const EARLIER_SLACK: Micros = 2 * SECOND; // earlier-build answers from so long before a window count with it
 const PEER_FRESH: Micros = 3 * SECOND; // a peer's summary counts for this long
@@ -50,17 +51,6 @@
 const KEYS_KEPT: usize = 200_000; // one-way keys remembered; past that only known keys go to the new build
 const NOTES_MOST: u32 = 100; // log lines a life
 
-/// Attempts and failures of the new build, then of the earlier one, for each class.
-type Counts = [[f64; 4]];
-
-/// What a closed window says.
-#[derive(Clone, Debug, PartialEq)]
-enum Finding {
-    Thin,
-    Clean,
-    Breach(String),
-}
-
 /// One load balancer's decisions: a deterministic state machine.
 #[derive(Default)]
 pub struct Balancer {
@@ -96,7 +86,10 @@
             Event::ClientGone { request } => self.finish(request, out),
             Event::Stage(news) => self.on_news(now, news),
             Event::VoteReply { outcome, news } => self.on_vote_reply(now, outcome, news),
-            Event::PeerMessage { from, payload } => self.on_peer(now, from, payload),
+            Event::PeerMessage { from, payload } => {
+                let summary = PeerSummary::decode(now, payload).filter(|_| from < self.set.fleet_size);
+                self.m.peers.extend(summary.map(|s| (from, s)));
+            }
             Event::Probed { .. } | Event::PlatformCount { .. } => {}
         }
     }
@@ -207,10 +200,8 @@
 
     /// A request's time has come: it waits for a server, its attempt is slow, or its deadline is near.
     fn on_due(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
-        let Some(open) = self.m.open.get(&id) else { return };
-        if open.done || open.streaming {
-            // nothing is owed
-        } else if now + 3 * self.tick() >= open.request.deadline {
+        let Some(open) = self.m.open.get(&id).filter(|o| !o.done && !o.streaming) else { return };
+        if now + 3 * self.tick() >= open.request.deadline {
             self.give_up(now, id, false, out);
         } else if open.out() == 0 {
             self.place(now, id, ADMIT_SHARE, out);
@@ -252,8 +243,9 @@
         if outcome == Outcome::Ok && !attempt.cold {
             self.m.served.add(now, cost);
         }
-        let subject = self.subject().filter(|n| n.build == attempt.to.build && self.set.rollout.one_way);
-        if let (Outcome::Ok, Some(key), Some(_)) = (outcome, key, subject) {
+        let live = |n: &StageNews| matches!(n.phase, Phase::Trial | Phase::Released);
+        let subject = self.m.news.filter(|n| live(n) && n.build == attempt.to.build);
+        if let (Outcome::Ok, Some(key), Some(_), true) = (outcome, key, subject, self.set.rollout.one_way) {
             self.m.keys.insert(key);
         }
         let Some(open) = self.m.open.get(&id) else { return };
@@ -406,28 +398,28 @@
         let waiting = now.saturating_sub(server.waiting_since) as f64;
         // Attempts out and no answer for long: paused, cut off or dead, whatever the cause.
         let stalled = server.in_flight > 0 && waiting > STALL_FACTOR * typical;
-        (self.size(server) * self.warmth(now, server) * health * if stalled { 0.05 } else { 1.0 }).max(1e-3)
+        (server.size(self.set.sizes_known)
+            * self.warmth(now, server)
+            * health
+            * if stalled { 0.05 } else { 1.0 })
+        .max(1e-3)
     }
 
     /// A cold server's budget over any fall span, small enough to hold when every balancer does the same:
     /// own sends against what own warm servers are seen to carry.
     fn cold_room(&mut self, now: Micros, id: ServerId, cost: f64) -> bool {
-        let Some(server) = self.m.servers.get(&id) else { return false };
+        let server = &self.m.servers[&id];
         let warmth = self.warmth(now, server);
         if warmth >= 1.0 {
             return true;
         }
-        let (contract, size) = (&self.set.contract, self.size(server));
+        let (contract, size) = (&self.set.contract, server.size(self.set.sizes_known));
         let (span, multiple) = (contract.fall_span, contract.fall_multiple);
         let budget = COLD_SAFETY * multiple * warmth * self.m.carried * size * span as f64 / SECOND as f64;
         let sent = self.m.servers.get_mut(&id).map_or(0.0, |s| s.sent.sum(now, span));
         sent == 0.0 || sent + cost <= budget
     }
 
-    fn size(&self, server: &Server) -> f64 {
-        if self.set.sizes_known { server.entry.size.max(0.01) } else { 1.0 }
-    }
-
     // ---- exposure of a build on trial
 
     /// Builds on trial for this balancer: the newest by the news unless released, and any later one listed.
@@ -449,17 +441,19 @@
         };
         // A lower cap binds after the grace; until then the old one lets earlier machines come up.
         let (before, since) = self.m.cap_before;
-        let grace = self.set.contract.drain_grace.saturating_sub(4 * self.tick());
-        if now < since + grace { news.cap.max(before) } else { news.cap }
+        let binds = since + self.set.contract.drain_grace.saturating_sub(4 * self.tick());
+        if now < binds { news.cap.max(before) } else { news.cap }
     }
 
     /// Whether the rules let this request go to this server's build now.
     fn build_admits(&mut self, now: Micros, id: ServerId, open: &Open) -> bool {
         let build = self.m.servers[&id].entry.build;
-        if let (true, Some(news), Some(key)) = (self.set.rollout.one_way, self.m.news, open.request.key) {
-            let bound = matches!(news.phase, Phase::Trial | Phase::Released) && self.m.keys.contains(&key);
-            let full = self.m.keys.len() >= KEYS_KEPT && !bound && build == news.build;
-            if (bound && build < news.build) || full {
+        if let (true, Some(key)) = (self.set.rollout.one_way, open.request.key) {
+            let newest = self.m.news.map_or(0, |n| n.build);
+            let bound = self.m.keys.contains(&key); // held only while the newest build is on trial or released
+            let full = self.m.keys.len() >= KEYS_KEPT && !bound && build == newest;
+            // A build not announced yet gets no keys: what it answers would bind them unseen.
+            if (bound && build < newest) || full || build > newest {
                 return false;
             }
         }
@@ -484,19 +478,19 @@
             self.m.cap_before = (b.cap, now);
         }
         if known {
-            return; // nothing new
+            return;
         }
         // Never vote on evidence of another stage or build: window, verdict and vote all start anew.
-        if before.is_none_or(|b| b.build != news.build) {
+        let other = before.is_none_or(|b| b.build != news.build);
+        if other || matches!(news.phase, Phase::RollingBack | Phase::Withdrawn) {
             self.m.keys.clear();
+        }
+        if other {
             self.m.cap_before = (0.0, 0);
             self.m.exposure.retain(|&build, _| build >= news.build);
         }
-        if matches!(news.phase, Phase::RollingBack | Phase::Withdrawn) {
-            self.m.keys.clear();
-        }
         self.start_window(now);
-        (self.m.breaches, self.m.verdict, self.m.standing) = (0, Verdict::Withdraw, None);
+        (self.m.breaches, self.m.verdict, self.m.standing) = (0.0, Verdict::Withdraw, None);
     }
 
     // ---- learning from outcomes
@@ -538,7 +532,7 @@
 
     fn learn_build(&mut self, now: Micros, attempt: &Attempt, open: (usize, f64, bool), end: AttemptEnd) {
         let ((class, cost, late), AttemptEnd { outcome, elapsed, .. }) = (open, end);
-        let error = matches!(outcome, Outcome::Error | Outcome::Reset);
+        let error = outcome == Outcome::Error;
         let timeout = outcome == Outcome::Timeout && late && !attempt.cold;
         // Refusals, failed connects and attempts never sent are no answers of the build.
         if !outcome.may_have_run() {
@@ -551,7 +545,7 @@
         }
         let pace = (!attempt.cold && !error).then_some(elapsed as f64 / cost);
         let (server, build) = (attempt.to.id, attempt.to.build);
-        let failed = error || timeout;
+        let failed = error || timeout || outcome == Outcome::Reset;
         let sample = Sample { at: now, class, server, build, error, failed, flagged: false, pace };
         self.m.samples.push_back(sample);
         if self.m.news.is_some_and(|n| n.build == build) {
@@ -575,9 +569,11 @@
         (self.m.window_start, self.m.window_count) = (now, 0);
     }
 
-    /// The build that can be voted on, where there is one.
+    /// The build that can be voted on. One released before this balancer ever saw an earlier build has
+    /// nothing to be compared with or sent back to: an overload must not convict it.
     fn subject(&self) -> Option<StageNews> {
-        self.m.news.filter(|n| matches!(n.phase, Phase::Trial | Phase::Released))
+        let earlier = !self.m.reference.is_empty();
+        self.m.news.filter(|n| n.phase == Phase::Trial || (n.phase == Phase::Released && earlier))
     }
 
     /// Closes the window when it is full or old enough, and turns its finding into a verdict.
@@ -593,8 +589,9 @@
             return; // the window stays open and carries its evidence on until it suffices
         }
         let timer = self.set.rollout.gate == GateMode::Timer;
-        let breached = finding != Finding::Clean;
-        self.m.breaches = if breached { self.m.breaches + 1 } else { 0 };
+        let weight = if let Finding::Breach(_, weight) = finding { weight } else { 0.0 };
+        let breached = weight > 0.0;
+        self.m.breaches = if breached { self.m.breaches + weight } else { 0.0 };
         let verdict = match news.phase {
             _ if self.m.breaches >= BREACHES_TO_BACK => Verdict::Back,
             Phase::Trial if breached && timer => Verdict::Hold,
@@ -602,7 +599,8 @@
             _ => Verdict::Withdraw,
         };
         if verdict != self.m.verdict || breached {
-            self.note(format!("build {} stage {}: {verdict:?} {finding:?}", news.build, news.stage), out);
+            let text = format!("build {} stage {}: {verdict:?} {finding:?}", news.build, news.stage);
+            out.extend(self.m.note(text, NOTES_MOST));
         }
         self.m.verdict = verdict;
         self.start_window(now);
@@ -611,14 +609,18 @@
     /// Compares the new build with the earlier one over the open window.
     fn find(&mut self, now: Micros, news: StageNews) -> Finding {
         let start = self.m.window_start;
-        let new = self.m.samples_of(|s| s.build == news.build && s.at >= start);
+        let mut new = self.m.samples_of(|s| s.build == news.build && s.at >= start);
         let from = start.saturating_sub(EARLIER_SLACK);
-        let recent = without_worst(&self.m.samples_of(|s| s.build < news.build && s.at >= from));
+        let recent = sound(&self.m.samples_of(|s| s.build < news.build && s.at >= from));
         // No earlier arm left: what it did last is remembered, with a wider margin for latency, as the
         // moments compared are not the same.
         let remembered = (recent.len() as f64) < WINDOW_LEAST;
         let ratio = if remembered { LATENCY_RATIO * LATENCY_RATIO } else { LATENCY_RATIO };
         let earlier = if remembered { self.m.reference.clone() } else { recent };
+        if remembered {
+            // Without an earlier arm beside it, time-outs and resets may be the load's or the machines'.
+            new.iter_mut().for_each(|s| s.failed = s.error || s.flagged);
+        }
         let peers = self.peer_counts(now, news);
         let total = new.len() as f64 + peers.iter().map(|p| p[0]).sum::<f64>();
         if total < WINDOW_LEAST {
@@ -626,14 +628,21 @@
         }
         let judged = match self.compare(&new, &earlier, ratio, &peers) {
             Ok(judged) => judged,
-            Err(reason) => {
-                // One machine's fault among several new ones lifts everything: the breach must survive
-                // without the worst of them.
-                let rest = without_worst(&new);
+            // A queue that builds up and drains lifts median and tail of a short window: latency is judged
+            // over the whole span, and against another time's answers it takes twice the windows.
+            Err((_, true)) if now.saturating_sub(start) < WINDOW_SPAN => return Finding::Thin,
+            Err((reason, latency)) => {
+                // Machine faults lift everything among few new machines: the breach must survive without
+                // the worst of them.
+                let rest = sound(&new);
                 let alone = rest.len() < new.len() && self.compare(&rest, &earlier, ratio, &peers).is_ok();
-                return if alone { Finding::Thin } else { Finding::Breach(reason) };
+                let weight = if latency && remembered { 0.5 } else { 1.0 };
+                return if alone { Finding::Thin } else { Finding::Breach(reason, weight) };
             }
         };
+        if !remembered {
+            self.m.reference = earlier;
+        }
         // A class admitted only in this stage needs evidence of its own before 'on'; and what could not be
         // compared does not clear an earlier breach.
         let guarded = news.stage < self.set.rollout.guarded_stages;
@@ -643,24 +652,15 @@
             admitted && own + peers.get(c).map_or(0.0, |p| p[0]) < CLASS_LEAST / 2.0
         });
         let waiting = now.saturating_sub(start) < 3 * WINDOW_SPAN;
-        if (short && waiting) || (self.m.breaches > 0 && !judged && waiting) {
+        if (short && waiting) || (self.m.breaches > 0.0 && !judged && waiting) {
             return Finding::Thin;
         }
-        if !remembered {
-            self.m.reference = earlier;
-        }
         Finding::Clean
     }
 
     /// Compares the arms class by class on the same footing: the reason of a breach, else whether there
     /// was enough to compare latency.
-    fn compare(
-        &self,
-        new: &[Sample],
-        earlier: &[Sample],
-        limit: f64,
-        peers: &Counts,
-    ) -> Result<bool, String> {
+    fn compare(&self, new: &[Sample], earlier: &[Sample], limit: f64, peers: &Counts) -> Compared {
         let classes = self.set.classes.len();
         let (mut new, mut earlier) = (Tally::by_class(new, classes), Tally::by_class(earlier, classes));
         // What the earlier build would have done with the new one's mix of classes is its base.
@@ -672,7 +672,10 @@
             }
             let share = theirs.failed / theirs.n.max(1.0);
             if ours.n >= CLASS_LEAST && wilson_lower(ours.failed, ours.n, Z95) > share + FAILURE_MARGIN {
-                return Err(format!("class {class} fails {}/{} against {share:.3}", ours.failed, ours.n));
+                return Err((
+                    format!("class {class} fails {}/{} against {share:.3}", ours.failed, ours.n),
+                    false,
+                ));
             }
             let median = quantile(&mut theirs.paces, 0.5).filter(|&m| m > 0.0 && theirs.n >= CLASS_LEAST);
             sum.merge(ours, 1.0, median);
@@ -681,15 +684,15 @@
         }
         let (n, share) = (sum.n, base.failed / sum.n.max(1.0));
         if wilson_lower(sum.errors, n, Z95) > share + FAILURE_MARGIN {
-            return Err(format!("errors {}/{n} against {share:.3}", sum.errors));
+            return Err((format!("errors {}/{n} against {share:.3}", sum.errors), false));
         }
         if difference_lower((sum.failed, n), (share * earlier_n, earlier_n), Z95) > FAILURE_MARGIN {
-            return Err(format!("failures {}/{n} against {share:.3} of {earlier_n}", sum.failed));
+            return Err((format!("failures {}/{n} against {share:.3} of {earlier_n}", sum.failed), false));
         }
         // Only a share of wrong answers is reported, so the margin is scaled down by it.
         let flags = base.flagged / n.max(1.0) + FAILURE_MARGIN * self.set.rollout.flag_share;
         if sum.flagged >= 2.0 && wilson_lower(sum.flagged, n, Z95) > flags {
-            return Err(format!("wrong answers {}/{n} against {flags:.3}", sum.flagged));
+            return Err((format!("wrong answers {}/{n} against {flags:.3}", sum.flagged), false));
         }
         if (sum.paces.len().min(base.paces.len()) as f64) < WINDOW_LEAST {
             return Ok(false);
@@ -697,10 +700,8 @@
         let mut ratio =
             |q| quantile(&mut sum.paces, q).zip(quantile(&mut base.paces, q)).map_or(1.0, |(a, b)| a / b);
         let (median, tail) = (ratio(0.5), ratio(0.95));
-        if median > limit && tail > limit {
-            return Err(format!("slower: median x{median:.2}, p95 x{tail:.2} over {n}"));
-        }
-        Ok(true)
+        let slower = || (format!("slower: median x{median:.2}, p95 x{tail:.2} over {n}"), true);
+        if median > limit && tail > limit { Err(slower()) } else { Ok(true) }
     }
 
     // ---- voting
@@ -755,18 +756,14 @@
         let from = now.saturating_sub(WINDOW_SPAN).max(self.m.window_start);
         let arm = |new: bool| {
             let of = |s: &Sample| s.at >= from && s.build <= news.build && (s.build == news.build) == new;
-            Tally::by_class(&self.m.samples_of(of), self.set.classes.len())
+            // Machine faults are left out here as well: a peer cannot tell them from the build's.
+            Tally::by_class(&sound(&self.m.samples_of(of)), self.set.classes.len())
         };
         let counts: Vec<[f64; 4]> =
             arm(true).iter().zip(&arm(false)).map(|(a, b)| [a.n, a.failed, b.n, b.failed]).collect();
         out.push(Action::TellPeers { payload: PeerSummary::encode(news.build, news.stage, &counts) });
     }
 
-    fn on_peer(&mut self, now: Micros, from: usize, payload: &[u8]) {
-        let summary = PeerSummary::decode(now, payload).filter(|_| from < self.set.fleet_size);
-        self.m.peers.extend(summary.map(|s| (from, s)));
-    }
-
     /// Fresh summaries of the same build and stage, added up by class. A supplement: none need come.
     fn peer_counts(&self, now: Micros, news: StageNews) -> Vec<[f64; 4]> {
         let fresh = |p: &&PeerSummary| {
@@ -797,7 +794,7 @@
         // What is not renewed by answers fades, or a server once slow would never be tried again.
         self.m.servers.values_mut().for_each(|s| s.relax(FADING));
         let ready = self.m.servers.values().filter(|s| s.entry.status == Status::Ready);
-        let sized = |s: &Server| self.size(s);
+        let sized = |s: &Server| s.size(self.set.sizes_known);
         let warm: f64 = ready.clone().filter(|s| self.warmth(now, s) >= 1.0).map(sized).sum();
         let all: f64 = ready.map(sized).sum();
         let rate = self.m.served.sum(now, 2 * SECOND) / 2.0;
@@ -808,18 +805,11 @@
             self.m.samples.pop_front();
         }
     }
-
-    fn note(&mut self, text: String, out: &mut Vec<Action>) {
-        if self.m.notes < NOTES_MOST {
-            self.m.notes += 1;
-            out.push(Action::Note(text));
-        }
-    }
 }
 
-/// The samples less those of the machine that looks worst, so that one machine's fault is not the build's.
-fn without_worst(samples: &[Sample]) -> Vec<Sample> {
+/// The samples less those of the machines that look worst, so that machine faults are not the build's.
+fn sound(samples: &[Sample]) -> Vec<Sample> {
     let mean = samples.iter().filter_map(|s| s.pace).sum::<f64>() / (samples.len() as f64).max(1.0);
     let badness = |s: &Sample| s.pace.map_or(1.0, |p| p / mean.max(1e-9)) + if s.failed { 10.0 } else { 0.0 };
-    without_server(samples, badness)
+    without_worst(samples, FAULTY_SHARE, badness)
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,8 @@
 //! Containers without decisions: the random source, sliding counters, servers and open requests.
 
 use crate::interface::{
-    Build, ListKind, Micros, Outcome, Request, RequestId, ServerEntry, ServerId, StageNews, Status, Verdict,
+    Action, Build, ListKind, Micros, Outcome, Request, RequestId, ServerEntry, ServerId, StageNews, Status,
+    Verdict,
 };
 use crate::stats::quantile;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -138,6 +139,11 @@
         }
     }
 
+    /// Its size against the others; 1 where sizes are not known.
+    pub fn size(&self, known: bool) -> f64 {
+        if known { self.entry.size.max(0.01) } else { 1.0 }
+    }
+
     /// Lets the record fade towards that of a healthy server.
     pub fn relax(&mut self, share: f64) {
         self.failing *= 1.0 - share;
@@ -215,7 +221,7 @@
     pub server: ServerId,
     /// The build.
     pub build: Build,
-    /// It ended with an error or a broken connection.
+    /// It ended with an error.
     pub error: bool,
     /// It failed in any way, time-outs and flagged answers included.
     pub failed: bool,
@@ -408,7 +414,7 @@
     /// Attempts at the new build in it.
     pub window_count: usize,
     /// Breached windows in a row.
-    pub breaches: u32,
+    pub breaches: f64,
     /// The verdict that stands.
     pub verdict: Verdict,
     /// The earlier build's samples when they last sufficed.
@@ -452,6 +458,12 @@
 }
 
 impl Memory {
+    /// A line for the log, unless `most` have been written.
+    pub fn note(&mut self, text: String, most: u32) -> Option<Action> {
+        self.notes = self.notes.saturating_add(1);
+        (self.notes <= most).then_some(Action::Note(text))
+    }
+
     /// Books an attempt at a server; the request's class and deadline, or `None` for an unknown one.
     pub fn start_attempt(
         &mut self,
@@ -555,14 +567,34 @@
     }
 }
 
-/// The samples less those of the server with the highest mean of `badness`; all where there is only one.
-pub fn without_server(samples: &[Sample], badness: impl Fn(&Sample) -> f64) -> Vec<Sample> {
+/// The samples less those of a share of the servers, rounded up, with the highest mean of `badness`; all
+/// where there is only one server.
+pub fn without_worst(samples: &[Sample], share: f64, badness: impl Fn(&Sample) -> f64) -> Vec<Sample> {
     let mut sums: BTreeMap<ServerId, (f64, f64)> = BTreeMap::new();
     for s in samples {
         let sum = sums.entry(s.server).or_default();
         *sum = (sum.0 + 1.0, sum.1 + badness(s));
     }
-    let mean = |(n, sum): &(f64, f64)| sum / n;
-    let worst = sums.iter().max_by(|a, b| mean(a.1).total_cmp(&mean(b.1))).map(|(id, _)| *id);
-    samples.iter().filter(|s| sums.len() < 2 || Some(s.server) != worst).copied().collect()
+    let mut ranked: Vec<(f64, ServerId)> = sums.iter().map(|(id, (n, sum))| (sum / n, *id)).collect();
+    ranked.sort_by(|a, b| b.0.total_cmp(&a.0));
+    let leave = if ranked.len() < 2 { 0 } else { (ranked.len() as f64 * share).ceil() as usize };
+    let out: BTreeSet<ServerId> = ranked.iter().take(leave).map(|r| r.1).collect();
+    samples.iter().filter(|s| !out.contains(&s.server)).copied().collect()
+}
+
+/// Attempts and failures of the new build, then of the earlier one, for each class.
+pub type Counts = [[f64; 4]];
+
+/// Whether latency could be compared, or the reason of a breach and whether it is of latency alone.
+pub type Compared = Result<bool, (String, bool)>;
+
+/// What a closed window says.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Finding {
+    /// Too little to say anything.
+    Thin,
+    /// Nothing against the build.
+    Clean,
+    /// A breach: its reason and how much it counts.
+    Breach(String, f64),
 }
