--- a/src/balance.rs
+++ b/src/balance.rs
@@ -590,7 +590,7 @@
         }
         let timer = self.set.rollout.gate == GateMode::Timer;
         let weight = if let Finding::Breach(_, weight) = finding { weight } else { 0.0 };
-        let breached = weight > 0.0;
+        let breached = finding != Finding::Clean;
         self.m.breaches = if breached { self.m.breaches + weight } else { 0.0 };
         let verdict = match news.phase {
             _ if self.m.breaches >= BREACHES_TO_BACK => Verdict::Back,
@@ -598,12 +598,14 @@
             Phase::Trial if !breached && !timer => Verdict::On,
             _ => Verdict::Withdraw,
         };
-        if verdict != self.m.verdict || breached {
+        if verdict != self.m.verdict || weight > 0.0 {
             let text = format!("build {} stage {}: {verdict:?} {finding:?}", news.build, news.stage);
             out.extend(self.m.note(text, NOTES_MOST));
         }
         self.m.verdict = verdict;
-        self.start_window(now);
+        if weight > 0.0 || !breached {
+            self.start_window(now);
+        }
     }
 
     /// Compares the new build with the earlier one over the open window.
@@ -628,9 +630,10 @@
         }
         let judged = match self.compare(&new, &earlier, ratio, &peers) {
             Ok(judged) => judged,
-            // A queue that builds up and drains lifts median and tail of a short window: latency is judged
-            // over the whole span, and against another time's answers it takes twice the windows.
-            Err((_, true)) if now.saturating_sub(start) < WINDOW_SPAN => return Finding::Thin,
+            // A queue that builds up and drains lifts median and tail of a short window: latency convicts
+            // over the whole span only (until then no 'on' stands), and against another time's answers it
+            // takes twice the windows.
+            Err((why, true)) if now.saturating_sub(start) < WINDOW_SPAN => return Finding::Breach(why, 0.0),
             Err((reason, latency)) => {
                 // Machine faults lift everything among few new machines: the breach must survive without
                 // the worst of them.
