--- a/src/balance.rs
+++ b/src/balance.rs
@@ -592,10 +592,11 @@
         let weight = if let Finding::Breach(_, weight) = finding { weight } else { 0.0 };
         let breached = finding != Finding::Clean;
         self.m.breaches = if breached { self.m.breaches + weight } else { 0.0 };
+        let settled = self.settled(now, news);
         let verdict = match news.phase {
             _ if self.m.breaches >= BREACHES_TO_BACK => Verdict::Back,
             Phase::Trial if breached && timer => Verdict::Hold,
-            Phase::Trial if !breached && !timer => Verdict::On,
+            Phase::Trial if !breached && !timer && settled => Verdict::On,
             _ => Verdict::Withdraw,
         };
         if verdict != self.m.verdict || weight > 0.0 {
@@ -603,17 +604,27 @@
             out.extend(self.m.note(text, NOTES_MOST));
         }
         self.m.verdict = verdict;
-        if weight > 0.0 || !breached {
+        if weight > 0.0 || !breached || age >= WINDOW_SPAN {
             self.start_window(now);
         }
     }
 
+    /// While earlier machines stand beside the last stage's, waiting costs nothing and going back is quick:
+    /// the release waits until its machines have been seen warm.
+    fn settled(&self, now: Micros, news: StageNews) -> bool {
+        let last = usize::from(news.stage) + 1 >= self.set.rollout.stage_cap.len();
+        let span = self.set.contract.cold_span + WINDOW_SPAN;
+        let youngest =
+            self.m.servers.values().filter(|s| s.entry.build == news.build).map(|s| s.entry.started_at);
+        self.set.rollout.in_place || !last || youngest.max().unwrap_or(0) + span <= now
+    }
+
     /// Compares the new build with the earlier one over the open window.
     fn find(&mut self, now: Micros, news: StageNews) -> Finding {
         let start = self.m.window_start;
         let mut new = self.m.samples_of(|s| s.build == news.build && s.at >= start);
         let from = start.saturating_sub(EARLIER_SLACK);
-        let recent = sound(&self.m.samples_of(|s| s.build < news.build && s.at >= from));
+        let (recent, suspect) = sound(&self.m.samples_of(|s| s.build < news.build && s.at >= from));
         // No earlier arm left: what it did last is remembered, with a wider margin for latency, as the
         // moments compared are not the same.
         let remembered = (recent.len() as f64) < WINDOW_LEAST;
@@ -635,12 +646,16 @@
             // takes twice the windows.
             Err((why, true)) if now.saturating_sub(start) < WINDOW_SPAN => return Finding::Breach(why, 0.0),
             Err((reason, latency)) => {
-                // Machine faults lift everything among few new machines: the breach must survive without
-                // the worst of them.
-                let rest = sound(&new);
-                let alone = rest.len() < new.len() && self.compare(&rest, &earlier, ratio, &peers).is_ok();
+                // Machine faults lift everything among few new machines: the breach must survive without the
+                // worst of them; a lone machine must stand out from what the worst earlier ones do.
+                let (rest, worst) = sound(&new);
+                let alone = if worst.is_empty() {
+                    self.compare(&suspect, &earlier, ratio, &[]).is_err()
+                } else {
+                    self.compare(&rest, &earlier, ratio, &peers).is_ok()
+                };
                 let weight = if latency && remembered { 0.5 } else { 1.0 };
-                return if alone { Finding::Thin } else { Finding::Breach(reason, weight) };
+                return Finding::Breach(reason, if alone { 0.0 } else { weight });
             }
         };
         if !remembered {
@@ -760,7 +775,7 @@
         let arm = |new: bool| {
             let of = |s: &Sample| s.at >= from && s.build <= news.build && (s.build == news.build) == new;
             // Machine faults are left out here as well: a peer cannot tell them from the build's.
-            Tally::by_class(&sound(&self.m.samples_of(of)), self.set.classes.len())
+            Tally::by_class(&sound(&self.m.samples_of(of)).0, self.set.classes.len())
         };
         let counts: Vec<[f64; 4]> =
             arm(true).iter().zip(&arm(false)).map(|(a, b)| [a.n, a.failed, b.n, b.failed]).collect();
@@ -810,9 +825,10 @@
     }
 }
 
-/// The samples less those of the machines that look worst, so that machine faults are not the build's.
-fn sound(samples: &[Sample]) -> Vec<Sample> {
+/// The samples parted into those of sound machines and those of the machines that look worst, so that
+/// machine faults are not the build's.
+fn sound(samples: &[Sample]) -> (Vec<Sample>, Vec<Sample>) {
     let mean = samples.iter().filter_map(|s| s.pace).sum::<f64>() / (samples.len() as f64).max(1.0);
     let badness = |s: &Sample| s.pace.map_or(1.0, |p| p / mean.max(1e-9)) + if s.failed { 10.0 } else { 0.0 };
-    without_worst(samples, FAULTY_SHARE, badness)
+    part_worst(samples, FAULTY_SHARE, badness)
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -567,9 +567,13 @@
     }
 }
 
-/// The samples less those of a share of the servers, rounded up, with the highest mean of `badness`; all
+/// Parts off the samples of a share of the servers, rounded up, with the highest mean of `badness`; none
 /// where there is only one server.
-pub fn without_worst(samples: &[Sample], share: f64, badness: impl Fn(&Sample) -> f64) -> Vec<Sample> {
+pub fn part_worst(
+    samples: &[Sample],
+    share: f64,
+    badness: impl Fn(&Sample) -> f64,
+) -> (Vec<Sample>, Vec<Sample>) {
     let mut sums: BTreeMap<ServerId, (f64, f64)> = BTreeMap::new();
     for s in samples {
         let sum = sums.entry(s.server).or_default();
@@ -579,7 +583,7 @@
     ranked.sort_by(|a, b| b.0.total_cmp(&a.0));
     let leave = if ranked.len() < 2 { 0 } else { (ranked.len() as f64 * share).ceil() as usize };
     let out: BTreeSet<ServerId> = ranked.iter().take(leave).map(|r| r.1).collect();
-    samples.iter().filter(|s| !out.contains(&s.server)).copied().collect()
+    samples.iter().partition(|s| !out.contains(&s.server))
 }
 
 /// Attempts and failures of the new build, then of the earlier one, for each class.
