--- a/src/balance.rs
+++ b/src/balance.rs
@@ -44,7 +44,7 @@
 const RETRY_DEPTH: f64 = 20.0; // further attempts that may be saved up
 const HURRY_FACTOR: f64 = 1.3; // times the class's 95th percentile: then a second chance is worth its cost
 const HOLD_SHARE: f64 = 0.5; // of a class's aim: how long a request waits for a server before it is refused
-const COLD_SAFETY: f64 = 0.6; // share of a cold server's span budget that this balancer allows itself
+const COLD_SAFETY: f64 = 0.8; // share of a cold server's span budget that this balancer allows itself
 const ADMIT_SHARE: f64 = 0.8; // of the tightest aim: a longer expected answer time is refused at once
 const REDRAWS: usize = 3; // further pairs drawn while the better server is busier than the pool's mean
 const KEYS_KEPT: usize = 200_000; // one-way keys remembered; past that only known keys go to the new build
@@ -449,7 +449,7 @@
         let guarded = stage < self.set.rollout.guarded_stages && !safe;
         let count = self.m.exposure_of(build, open.request.class, self.set.rollout.per_class);
         let room = count.after_one_more(now, span);
-        cap > 0.0 && !guarded && room <= free + 1e-9
+        cap > 0.0 && !guarded && room <= free - 1e-6
     }
 
     fn on_news(&mut self, now: Micros, news: StageNews) {
