--- a/src/balance.rs
+++ b/src/balance.rs
@@ -44,7 +44,8 @@
 const RETRY_DEPTH: f64 = 20.0; // further attempts that may be saved up
 const HURRY_FACTOR: f64 = 1.3; // times the class's 95th percentile: then a second chance is worth its cost
 const HOLD_SHARE: f64 = 0.5; // of a class's aim: how long a request waits for a server before it is refused
-const COLD_SAFETY: f64 = 0.8; // share of a cold server's span budget that this balancer allows itself
+const EARNED: f64 = 0.995; // of the cap counts as earned, so that rounding never passes it
+const COLD_SAFETY: f64 = 0.6; // share of a cold server's span budget that this balancer allows itself
 const ADMIT_SHARE: f64 = 0.8; // of the tightest aim: a longer expected answer time is refused at once
 const REDRAWS: usize = 3; // further pairs drawn while the better server is busier than the pool's mean
 const KEYS_KEPT: usize = 200_000; // one-way keys remembered; past that only known keys go to the new build
@@ -134,7 +135,7 @@
         self.m.retry_credit = (self.m.retry_credit + RETRY_SHARE).min(RETRY_DEPTH);
         for build in self.trial_builds() {
             let cap = self.cap(now, build);
-            self.m.exposure_of(build, class, self.set.rollout.per_class).earn(cap);
+            self.m.exposure_of(build, class, self.set.rollout.per_class).earn(cap * EARNED);
         }
         if class >= self.set.classes.len() {
             out.push(Action::Refuse { request: id, come_back: 0 });
@@ -449,7 +450,7 @@
         let guarded = stage < self.set.rollout.guarded_stages && !safe;
         let count = self.m.exposure_of(build, open.request.class, self.set.rollout.per_class);
         let room = count.after_one_more(now, span);
-        cap > 0.0 && !guarded && room <= free - 1e-6
+        cap > 0.0 && !guarded && room <= free + 1e-9
     }
 
     fn on_news(&mut self, now: Micros, news: StageNews) {
@@ -594,7 +595,6 @@
         let mut new = self.m.samples_of(|s| s.build == news.build && s.at >= start);
         let from = start.saturating_sub(EARLIER_SLACK);
         let (recent, suspect) = sound(&self.m.samples_of(|s| s.build < news.build && s.at >= from));
-        // No earlier arm left: what it did last is remembered, with a wider margin for latency.
         let remembered = (recent.len() as f64) < WINDOW_LEAST;
         let ratio = if remembered { LATENCY_RATIO * LATENCY_RATIO } else { LATENCY_RATIO };
         let earlier = if remembered { self.m.reference.clone() } else { recent };
@@ -619,7 +619,7 @@
                 judged
             }
             // A queue that builds up and drains lifts a short window's median and tail: latency convicts over
-            // the whole span only (till then no 'on' stands), and takes twice the windows when remembered.
+            // the whole span only (till then no 'on' stands), unless by the limit squared; twice if remembered.
             Err((why, true)) if now.saturating_sub(start) < WINDOW_SPAN => return Finding::Breach(why, 0.0),
             Err((reason, latency)) => {
                 // Machine faults lift everything among few new machines: the breach must survive without the
@@ -693,7 +693,8 @@
         let mut ratio =
             |q| quantile(&mut sum.paces, q).zip(quantile(&mut base.paces, q)).map_or(1.0, |(a, b)| a / b);
         let (median, tail) = (ratio(0.5), ratio(0.95));
-        let slower = || (format!("slower: median x{median:.2}, p95 x{tail:.2} over {n}"), true);
+        let slower =
+            || (format!("slower: median x{median:.2}, p95 x{tail:.2} over {n}"), median < limit * limit);
         if median > limit && tail > limit { Err(slower()) } else { Ok(true) }
     }
 
