--- a/src/balance.rs
+++ b/src/balance.rs
@@ -46,7 +46,7 @@
 const HOLD_SHARE: f64 = 0.5; // of a class's aim: how long a request waits for a server before it is refused
 const EARNED: f64 = 0.995; // of the cap counts as earned, so that rounding never passes it
 const COLD_SAFETY: f64 = 0.6; // share of a cold server's span budget that this balancer allows itself
-const ADMIT_SHARE: f64 = 0.8; // of the tightest aim: a longer expected answer time is refused at once
+const ADMIT_SHARE: f64 = 1.0; // of the tightest aim: a longer expected answer time is refused at once
 const REDRAWS: usize = 3; // further pairs drawn while the better server is busier than the pool's mean
 const KEYS_KEPT: usize = 200_000; // one-way keys remembered; past that only known keys go to the new build
 const NOTES_MOST: u32 = 100; // log lines a life
@@ -186,7 +186,7 @@
         self.m.look_again(id, hurry.min(guard));
     }
 
-    /// A request's time has come: it waits for a server, its attempt is slow, or its deadline is near.
+    /// It waits for a server, its attempt is slow, or its deadline is near.
     fn on_due(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
         let Some(open) = self.m.open.get(&id).filter(|o| !o.done && !o.streaming) else { return };
         if now + 3 * self.tick() >= open.request.deadline {
@@ -608,8 +608,8 @@
             return Finding::Thin;
         }
         let judged = match self.compare(&new, &earlier, ratio, &peers) {
-            // A small steady failure share passes each window's bounds, but not those of the whole stage.
             Ok(judged) => {
+                // A small steady failure share passes each window's bounds, but not the whole stage's.
                 let stage = |s: &Sample| s.at >= self.m.stage_since;
                 let (long, _) = sound(&self.m.samples_of(|s| s.build == news.build && stage(s)));
                 let (base, _) = sound(&self.m.samples_of(|s| s.build < news.build && stage(s)));
@@ -619,11 +619,11 @@
                 judged
             }
             // A queue that builds up and drains lifts a short window's median and tail: latency convicts over
-            // the whole span only (till then no 'on' stands), unless by the limit squared; twice if remembered.
+            // the whole span only (till then no 'on' stands), or past the limit squared; twice if remembered.
             Err((why, true)) if now.saturating_sub(start) < WINDOW_SPAN => return Finding::Breach(why, 0.0),
             Err((reason, latency)) => {
-                // Machine faults lift everything among few new machines: the breach must survive without the
-                // worst of them; a lone machine must stand out from what the worst earlier ones do.
+                // Machine faults: the breach must survive without the worst of the new machines; a lone one
+                // must stand out from what the worst earlier ones do.
                 let (rest, worst) = sound(&new);
                 let alone = if worst.is_empty() {
                     self.compare(&suspect, &earlier, ratio, &[]).is_err()
@@ -779,7 +779,7 @@
 
     fn step(&mut self, now: Micros) {
         self.m.typical.iter_mut().for_each(Typical::refresh);
-        // What is not renewed by answers fades, or a server once slow would never be tried again.
+        // Unrenewed records fade, or a server once slow would never be tried again.
         self.m.servers.values_mut().for_each(|s| s.relax(FADING));
         let ready = self.m.servers.values().filter(|s| s.entry.status == Status::Ready);
         let sized = |s: &Server| s.size(self.set.sizes_known);
