--- a/src/balance.rs
+++ b/src/balance.rs
@@ -46,7 +46,7 @@
 const HOLD_SHARE: f64 = 0.5; // of a class's aim: how long a request waits for a server before it is refused
 const EARNED: f64 = 0.995; // of the cap counts as earned, so that rounding never passes it
 const COLD_SAFETY: f64 = 0.6; // share of a cold server's span budget that this balancer allows itself
-const ADMIT_SHARE: f64 = 1.0; // of the tightest aim: a longer expected answer time is refused at once
+const ADMIT_SHARE: f64 = 0.65; // of the tightest aim: a longer expected answer time is refused at once
 const REDRAWS: usize = 3; // further pairs drawn while the better server is busier than the pool's mean
 const KEYS_KEPT: usize = 200_000; // one-way keys remembered; past that only known keys go to the new build
 const NOTES_MOST: u32 = 100; // log lines a life
@@ -708,9 +708,8 @@
         let held = self.m.standing.filter(|s| age(s) < ttl);
         let aged = held.is_some_and(|s| age(&s) as f64 >= ttl as f64 * RENEW_SHARE);
         let wanted = self.m.verdict;
-        let same = held.map_or(Verdict::Withdraw, |s| s.verdict) == wanted;
-        let settled = same && (wanted == Verdict::Withdraw || !aged);
-        if self.m.pending.is_none() && now >= self.m.vote_at && !settled {
+        let same = held.map_or(Verdict::Withdraw, |s| s.verdict) == wanted && !aged;
+        if self.m.pending.is_none() && now >= self.m.vote_at && !same {
             self.m.pending = Some(Cast { build: news.build, stage: news.stage, verdict: wanted, at: now });
             out.push(Action::Vote { build: news.build, stage: news.stage, verdict: wanted });
         }
