Whole-stage evidence is not trimmed while both arms are there

Cause: parting off the worst fifth of machines took a fifth to a quarter off a small failure share, so a build failing 4% passed. Over a whole stage machine faults strike both arms alike; with no earlier arm the trim stays. Could hurt where a long fault strikes only new machines.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -610,9 +610,9 @@
         let judged = match self.compare(&new, &earlier, ratio, &peers) {
             Ok(judged) => {
                 // A small steady failure share passes each window's bounds, but not the whole stage's.
-                let stage = |s: &Sample| s.at >= self.m.stage_since;
-                let (long, _) = sound(&self.m.samples_of(|s| s.build == news.build && stage(s)));
-                let (base, _) = sound(&self.m.samples_of(|s| s.build < news.build && stage(s)));
+                // Over so long a time machine faults strike both arms alike, if both are there.
+                let (long, base) = self.m.stage_samples(news.build);
+                let (long, base) = if remembered { (sound(&long).0, sound(&base).0) } else { (long, base) };
                 if let Err((reason, _)) = self.compare(&long, &base, f64::INFINITY, &[]) {
                     return Finding::Breach(reason, 1.0);
                 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -503,6 +503,13 @@
         self.servers.values().filter(of).count()
     }
 
+    /// The present stage's samples of the build, and those of earlier builds.
+    pub fn stage_samples(&self, build: Build) -> (Vec<Sample>, Vec<Sample>) {
+        let since = self.stage_since;
+        let new = self.samples_of(|s| s.build == build && s.at >= since);
+        (new, self.samples_of(|s| s.build < build && s.at >= since))
+    }
+
     /// Copies of the samples that `keep` admits.
     pub fn samples_of(&self, keep: impl Fn(&Sample) -> bool) -> Vec<Sample> {
         self.samples.iter().filter(|s| keep(s)).copied().collect()
--- a/tests/judging.rs
+++ b/tests/judging.rs
@@ -69,6 +69,15 @@
     assert_eq!(votes(&actions).last(), Some(&Verdict::Back));
 }
 
+/// Guards: a small steady failure share that passes each window's bounds, on machines that look alike.
+#[test]
+fn a_small_steady_failure_share_is_found_over_the_stage() {
+    let mut rig = rig(2, 1.0);
+    let bad = |to, i| if to >= 100 && i % 22 == 0 { (Outcome::Error, 50 * MS) } else { OK };
+    let actions = rig.traffic(&[SAFE], 4_000, bad);
+    assert_eq!(votes(&actions).last(), Some(&Verdict::Back));
+}
+
 /// Guards: thin traffic; evidence is carried past the window's span until it suffices.
 #[test]
 fn thin_traffic_gathers_evidence_over_windows() {
