--- a/src/balance.rs
+++ b/src/balance.rs
@@ -35,6 +35,7 @@
 const STEP: Micros = 100 * MS; // slow upkeep
 const RECENT: usize = 100; // answer times kept for each class
 const SMOOTHING: f64 = 0.15; // weight of the newest outcome in a server's record
+const FASTER: f64 = 0.5; // the same where the newest outcome is good news
 const FADING: f64 = 0.03; // of a server's record, each step
 const STREAK_OUT: u32 = 3; // attempts in a row without an answer before a server is left out
 const OUT_FIRST: Micros = SECOND; // left out for so long at first, doubled at each repeat ...
@@ -186,7 +187,6 @@
         self.m.look_again(id, hurry.min(guard));
     }
 
-    /// It waits for a server, its attempt is slow, or its deadline is near.
     fn on_due(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
         let Some(open) = self.m.open.get(&id).filter(|o| !o.done && !o.streaming) else { return };
         if now + 3 * self.tick() >= open.request.deadline {
@@ -366,7 +366,6 @@
         }
     }
 
-    /// How much of its capacity a server has by now, going by its start alone.
     fn warmth(&self, now: Micros, server: &Server) -> f64 {
         let (age, span) = (now.saturating_sub(server.entry.started_at), self.set.contract.cold_span);
         if server.entry.started_at == 0 || age >= span {
@@ -490,7 +489,9 @@
             Outcome::Ok => {
                 server.failing *= 1.0 - SMOOTHING;
                 let per_slot = elapsed as f64 / f64::from(beside.max(1));
-                server.per_slot += (per_slot - server.per_slot) * SMOOTHING;
+                // Few attempts out overstate it, and refusals would keep them few: down fast, up slowly.
+                let rate = if per_slot < server.per_slot { FASTER } else { SMOOTHING };
+                server.per_slot += (per_slot - server.per_slot) * rate;
                 server.out_for = 0;
                 self.m.typical[class].add(elapsed as f64, RECENT);
             }
@@ -778,7 +779,6 @@
 
     fn step(&mut self, now: Micros) {
         self.m.typical.iter_mut().for_each(Typical::refresh);
-        // Unrenewed records fade, or a server once slow would never be tried again.
         self.m.servers.values_mut().for_each(|s| s.relax(FADING));
         let ready = self.m.servers.values().filter(|s| s.entry.status == Status::Ready);
         let sized = |s: &Server| s.size(self.set.sizes_known);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -76,6 +76,26 @@
     assert!(sends(&actions).iter().any(|s| s.1 == 50), "nothing to a server warm by now");
 }
 
+/// Guards: with few attempts out, a server of several cores looks slow for each of them; refusing by that
+/// figure would keep the attempts few and the figure high.
+#[test]
+fn idle_cores_are_not_refused_work() {
+    let mut rig = Rig::new(settings(), &fleet(1, 0), RELEASED);
+    let mut refused = 0;
+    let mut out = Vec::new();
+    for i in 0..400 {
+        let (id, actions) = rig.request(SAFE);
+        refused += if i >= 100 { finals(&actions, id).0 } else { 0 };
+        out.extend(sends(&actions).iter().map(|s| (rig.now, *s)));
+        rig.run(30 * MS);
+        while let Some(&(at, (request, server))) = out.first().filter(|o| o.0 + 90 * MS <= rig.now) {
+            out.remove(0);
+            rig.end(request, 0, server, Outcome::Ok, rig.now - at);
+        }
+    }
+    assert!(refused < 30, "{refused} of 300 refused by a server that answers all in 90 ms");
+}
+
 #[test]
 fn nothing_goes_to_a_build_at_cap_zero_after_the_grace() {
     let mut rig = Rig::new(settings(), &fleet(0, 4), news(2, 3, Phase::Released, 1.0));
