--- a/crates/wirehost/src/codec.rs
+++ b/crates/wirehost/src/codec.rs
@@ -283,13 +283,21 @@
                 Verdict::Withdraw => 0,
             });
         }
-        Action::TellPeers { payload } => {
-            out.push(19);
-            out.extend(u16::MAX.to_le_bytes());
-            let payload = &payload[..payload.len().min(256)];
-            out.extend((payload.len() as u16).to_le_bytes());
-            out.extend(payload);
+        Action::TellPeers { payload } => write_message(out, u16::MAX, payload),
+        Action::TellPeer { to, payload } => {
+            // All bits set would mean every peer; no such number is sent.
+            if let Some(to) = u16::try_from(*to).ok().filter(|&to| to != u16::MAX) {
+                write_message(out, to, payload);
+            }
         }
         Action::Note(text) => write_text(out, 17, text.as_bytes()),
     }
 }
+
+fn write_message(out: &mut Vec<u8>, to: u16, payload: &[u8]) {
+    out.push(19);
+    out.extend(to.to_le_bytes());
+    let payload = &payload[..payload.len().min(256)];
+    out.extend((payload.len() as u16).to_le_bytes());
+    out.extend(payload);
+}
--- a/crates/wirehost/src/settings.rs
+++ b/crates/wirehost/src/settings.rs
@@ -69,6 +69,7 @@
     counted_over: u64,
     flag_share: f64,
     gate_mode: String,
+    noes_needed: Option<f64>,
     one_way: bool,
     per: String,
     safe_only_stages: u8,
@@ -135,6 +136,7 @@
             vote_ttl: family.vote_ttl.unwrap_or(u64::MAX),
             call_timeout: family.call_timeout.unwrap_or(u64::MAX),
             flag_share: family.flag_share,
+            votes_back: family.noes_needed.unwrap_or(1.0),
             vote_allowance: family.vote_allowance.unwrap_or(f64::INFINITY),
         },
         limits: Limits {
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,14 +1,14 @@
 //! All decisions of one balancer. Its events, actions and settings are the plain types of `src/interface.rs`.
 //!
 //! In the order of a request's life it decides: whether to take it (`on_request`), which build and server
-//! get it (`place`, `pick`), when to hurry a slow attempt (`hurry`), what follows an attempt's end
-//! (`on_attempt_ended`), and the final answer (`give_up`). Beside that it follows the server list, keeps the
-//! guards that the rules need (`build_admits`, `cold_room`), and judges the build on trial in windows of its
-//! own attempts (`judge`), which ends in a vote (`vote`). `docs/design.md` tells what follows which source.
+//! get it (`place`, `pick`), when to hurry a slow attempt (`hurry`), what follows its end (`after_failure`),
+//! the final answer (`give_up`). Beside that: the server list (`on_list`), the guards for the rules
+//! (`build_admits`, `cold_limit`), judging in windows (`judge`), the vote (`vote`). See `docs/design.md`.
 
+use crate::evidence::*;
 use crate::interface::*;
 use crate::state::*;
-use crate::stats::{difference_lower, quantile, wilson_lower};
+use crate::stats::{difference_lower, wilson_lower};
 
 const MS: Micros = 1_000;
 const SECOND: Micros = 1_000_000;
@@ -24,11 +24,12 @@
 const BREACHES_TO_BACK: f64 = 2.0; // consecutive breached windows
 // The judge: extensions (docs/design.md, "Changed").
 const CLASS_LEAST: f64 = 8.0; // attempts that a class of its own needs before it counts or is cleared
-const FAULTY_SHARE: f64 = 0.2; // of an arm's machines, one at least: a breach must survive without the worst
-const EVIDENCE_SPAN: Micros = 15 * SECOND; // samples older than this are forgotten
-const EARLIER_SLACK: Micros = 2 * SECOND; // earlier-build answers from so long before a window count with it
-const PEER_FRESH: Micros = 3 * SECOND; // a peer's summary counts for this long
-const PEER_EVERY: Micros = 500 * MS; // summaries go out this often
+const POOL_FROM: f64 = 2.0; // times the own evidence: then the peers' is judged instead
+const PEER_EVERY: Micros = 800 * MS; // counters go out this often, half as often after the release
+const MESH_MOST: usize = 20; // up to so many balancers tell all others; above, collectors add up and pass on
+const COLLECTORS: u64 = 3; // drawn anew for each stage
+const PEER_TIMES: f64 = 20.0; // own counters: what a peer's may hold at most to be believed
+const SPREAD_LEAST: f64 = 0.25; // of a breach must be left on the better half of the machines
 const RENEW_SHARE: f64 = 0.6; // of a vote's life: then it is renewed
 const VOTE_RETRY: Micros = 400 * MS; // least wait after a vote that did not count, doubled by jitter
 // Routing and health.
@@ -46,6 +47,11 @@
 const HURRY_FACTOR: f64 = 1.3; // times the class's 95th percentile: then a second chance is worth its cost
 const HOLD_SHARE: f64 = 0.5; // of a class's aim: how long a request waits for a server before it is refused
 const EARNED: f64 = 0.995; // of the cap counts as earned, so that rounding never passes it
+const COLD_DRAW: f64 = 0.5; // of a cold server's budget, where that is under one request
+const SHED_STEP: f64 = 0.02; // added to the share refused for each late answer ...
+const SHED_BACK: f64 = 0.4; // ... and so much of it taken off for each answer in time
+const SHED_MOST: f64 = 0.9; // some are always taken, to see whether it is over
+const CARRIED_KEPT: f64 = 0.995; // of what a warm server was seen to carry, each step
 const COLD_SAFETY: f64 = 0.6; // share of a cold server's span budget that this balancer allows itself
 const ADMIT_SHARE: f64 = 0.65; // of the tightest aim: a longer expected answer time is refused at once
 const REDRAWS: usize = 3; // further pairs drawn while the better server is busier than the pool's mean
@@ -62,10 +68,11 @@
 impl Balancer {
     /// A fresh balancer that knows nothing but its settings.
     pub fn new(set: Settings, seed: u64) -> Self {
-        let typical =
-            set.classes.iter().map(|c| Typical::new(c.aim as f64 / 4.0, c.aim as f64 / 2.0)).collect();
-        let retry_credit = RETRY_DEPTH / 2.0;
-        let m = Memory { rng: Rng(seed), typical, retry_credit, ..Memory::default() };
+        let guess = |c: &Class| Typical::new(c.aim as f64 / 4.0, c.aim as f64 / 2.0);
+        let (typical, retry_credit) = (set.classes.iter().map(guess).collect(), RETRY_DEPTH / 2.0);
+        let mut m = Memory { rng: Rng(seed), typical, retry_credit, ..Memory::default() };
+        // Drawn starts: what each does once must not be done by all at once.
+        (m.owed, m.life) = (m.rng.unit(), (m.rng.unit() * 256.0) as u8);
         Balancer { set, m }
     }
 
@@ -73,7 +80,8 @@
     pub fn on_event(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         if !self.m.started {
             (self.m.started, self.m.list_heard) = (true, now);
-            out.push(Action::SetTimer { after: self.tick(), token: 0 });
+            let mut drawn = |span: Micros| now + (span as f64 * self.m.rng.unit()) as Micros;
+            (self.m.next_step, self.m.next_tell) = (drawn(STEP), drawn(PEER_EVERY));
             out.extend(self.set.list_on_request.then_some(Action::FollowList));
         }
         match event {
@@ -86,16 +94,15 @@
             Event::ClientGone { request } => self.finish(request, out),
             Event::Stage(news) => self.on_news(now, news),
             Event::VoteReply { outcome, news } => self.on_vote_reply(now, outcome, news),
-            Event::PeerMessage { from, payload } => {
-                let summary = PeerSummary::decode(now, payload).filter(|_| from < self.set.fleet_size);
-                self.m.peers.extend(summary.map(|s| (from, s)));
-            }
+            Event::PeerMessage { from, payload } => self.on_peer_message(from, payload),
             Event::Probed { .. } | Event::PlatformCount { .. } => {}
         }
-    }
-
-    fn tick(&self) -> Micros {
-        self.set.tick.max(5 * MS)
+        // One timer, for what comes next: hundreds of idle balancers cost next to nothing.
+        let due = self.m.due.first().map_or(self.m.next_step, |d| d.0.min(self.m.next_step)).max(now + 1);
+        if self.m.armed <= now || due < self.m.armed {
+            self.m.armed = due;
+            out.push(Action::SetTimer { after: due - now, token: 0 });
+        }
     }
 
     fn on_list(&mut self, now: Micros, kind: ListKind, entries: &[ServerEntry]) {
@@ -113,16 +120,14 @@
         if self.m.apply_list(kind, entries, subject) {
             // A stage is judged with its own machines: faults may show only under load or with time.
             self.start_window(now);
-            if self.m.verdict == Verdict::On {
-                self.m.verdict = Verdict::Withdraw;
-            }
+            self.m.verdict = if self.m.verdict == Verdict::On { Verdict::Withdraw } else { self.m.verdict };
         }
     }
 
     fn follow_list(&mut self, now: Micros, out: &mut Vec<Action>) {
+        // A drop of the subscription can go unheard, so silence is answered by asking again.
         let silent = now.saturating_sub(self.m.list_heard) > self.set.contract.ask_within / 10 * 7;
         if self.set.list_on_request && (self.m.list_retry.is_some_and(|at| at <= now) || silent) {
-            // A drop of the subscription can go unheard, so silence is answered by asking again.
             (self.m.list_retry, self.m.list_heard) = (None, now);
             out.push(Action::FollowList);
         }
@@ -130,21 +135,23 @@
 
     fn on_request(&mut self, now: Micros, request: Request, out: &mut Vec<Action>) {
         let Request { id, class, .. } = request;
-        if let (true, Some(key)) = (self.set.rollout.one_way, request.key) {
-            self.m.key_counts.count(key, KEYS_KEPT);
+        if class >= self.set.classes.len() {
+            return out.push(Action::Refuse { request: id, come_back: 0 });
         }
         self.m.retry_credit = (self.m.retry_credit + RETRY_SHARE).min(RETRY_DEPTH);
-        for build in self.trial_builds() {
+        let trials: Vec<Build> = self.m.builds.iter().copied().filter(|&b| self.on_trial(b)).collect();
+        for build in trials {
             let cap = self.cap(now, build);
             self.m.exposure_of(build, class, self.set.rollout.per_class).earn(cap * EARNED);
         }
-        if class >= self.set.classes.len() {
-            out.push(Action::Refuse { request: id, come_back: 0 });
-            return;
-        }
         let cost = request.hint.map_or(self.m.typical[class].median, |h| h as f64).max(1.0);
+        self.m.offered.add(now, cost);
         self.m.open.insert(id, Open::new(request, now, cost));
-        self.place(now, id, out);
+        if self.m.rng.unit() < self.m.shed {
+            self.give_up(now, id, true, out);
+        } else {
+            self.place(now, id, out);
+        }
     }
 
     /// Sends a request to a server; holds it for a while when none may take it; refuses it at once when
@@ -153,15 +160,13 @@
         let Some(open) = self.m.open.get(&id) else { return };
         let (Request { class, deadline, .. }, arrived, tick) = (open.request, open.arrived, self.tick());
         let aim = self.set.classes[class].aim as f64;
-        // All classes share the queues: measured by its own aim, a patient class would crowd out the others.
-        let tightest = self.set.classes.iter().map(|c| c.aim as f64).fold(aim, f64::min);
         if let Some(server) = self.pick(now, id) {
             let chosen = &self.m.servers[&server];
             let expected = chosen.per_slot * f64::from(chosen.in_flight + 1);
-            if chosen.in_flight > 1
-                && expected > tightest * ADMIT_SHARE
-                && self.m.open[&id].attempts.is_empty()
-            {
+            // All classes share the queues: by its own aim, a patient class would crowd out the others.
+            let tightest = self.set.classes.iter().map(|c| c.aim as f64).fold(aim, f64::min);
+            let crowded = chosen.in_flight > 1 && expected > tightest * ADMIT_SHARE;
+            if crowded && self.m.open[&id].attempts.is_empty() {
                 self.give_up(now, id, true, out);
             } else {
                 self.send(now, id, server, out);
@@ -175,11 +180,11 @@
 
     fn send(&mut self, now: Micros, id: RequestId, to: ServerId, out: &mut Vec<Action>) {
         let Some(server) = self.m.servers.get(&to) else { return };
-        let (entry, cold) = (server.entry, self.warmth(now, server) < 1.0);
+        let (entry, cold) = (server.entry, server.warmth(now, &self.set.contract) < 1.0);
         let Some((class, deadline)) = self.m.start_attempt(now, id, entry, cold) else { return };
-        if self.trial_builds().contains(&entry.build) {
-            self.m.owed = (self.m.owed - 1.0).max(-2.0);
-            self.m.exposure_of(entry.build, class, self.set.rollout.per_class).spend(now);
+        if self.on_trial(entry.build) {
+            let (span, per_class) = (self.set.rollout.counted_over * 2, self.set.rollout.per_class);
+            self.m.exposure_of(entry.build, class, per_class).spend(now, span);
         }
         let guard = deadline.saturating_sub(2 * self.tick()).max(now + 1);
         out.push(Action::Send { request: id, server: to, cut_at: guard });
@@ -205,13 +210,12 @@
         let next = open.request.deadline.saturating_sub(2 * self.tick());
         let worth_it = open.out() == 1 && now < open.arrived + class.aim && self.m.retry_credit >= 1.0;
         if worth_it && class.effect != Effect::Fragile && attempt + 1 < self.set.limits.max_attempts {
-            if self.set.limits.second_copies {
-                if let Some(server) = self.pick(now, id) {
-                    self.m.retry_credit -= 1.0;
-                    self.send(now, id, server, out);
-                }
-            } else if self.set.limits.cancel && class.effect == Effect::Retryable {
-                out.push(Action::Cancel { request: id, attempt });
+            if !self.set.limits.second_copies {
+                let cut = self.set.limits.cancel && class.effect == Effect::Retryable;
+                out.extend(cut.then_some(Action::Cancel { request: id, attempt }));
+            } else if let Some(server) = self.pick(now, id) {
+                self.m.retry_credit -= 1.0;
+                self.send(now, id, server, out);
             }
         }
         self.m.look_again(id, next);
@@ -226,16 +230,21 @@
         }
         let (attempt, class, cost, key) = (attempt.clone(), open.request.class, open.cost, open.request.key);
         let late = now >= open.arrived + self.set.classes[class].aim;
+        let unit = open.request.hint.unwrap_or(self.set.classes[class].aim).max(1) as f64;
         self.learn_server(now, class, attempt.beside, end);
-        self.learn_build(now, &attempt, (class, cost, late), end);
+        self.learn_build(&attempt, class, unit, late, end);
+        if matches!(outcome, Outcome::Ok | Outcome::Timeout | Outcome::Rejected) {
+            // Over all servers: with thin traffic no single one's queue shows to one balancer.
+            let change = if late || outcome == Outcome::Rejected { 1.0 } else { -SHED_BACK };
+            self.m.shed = (self.m.shed + SHED_STEP * change).clamp(0.0, SHED_MOST);
+        }
         if outcome == Outcome::Ok && !attempt.cold {
             self.m.served.add(now, cost);
         }
-        let live = |n: &StageNews| matches!(n.phase, Phase::Trial | Phase::Released);
-        let subject = self.m.news.filter(|n| live(n) && n.build == attempt.to.build);
-        if let (Outcome::Ok, Some(key), Some(_), true) = (outcome, key, subject, self.set.rollout.one_way) {
-            self.m.keys.insert(key);
-        }
+        let live = |n: StageNews| matches!(n.phase, Phase::Trial | Phase::Released);
+        let newest = self.m.news.is_some_and(|n| live(n) && n.build == attempt.to.build);
+        let binds = self.set.rollout.one_way && newest && outcome == Outcome::Ok;
+        self.m.keys.extend(key.filter(|_| binds));
         let Some(open) = self.m.open.get(&id) else { return };
         if settled || open.done {
             self.finish(id, out);
@@ -263,13 +272,10 @@
         let Some(open) = self.m.open.get(&id) else { return };
         let class = &self.set.classes[open.request.class];
         let untouched = open.first_that_may_have_run().is_none();
-        let harmless = match class.effect {
-            Effect::Deduplicated => class.group == DedupGroup::All,
-            effect => effect == Effect::Retryable,
-        };
-        let past_aim = now >= open.arrived + class.aim;
-        if untouched || harmless {
-            let advise = self.set.limits.retry_after && (crowded || past_aim);
+        let for_all = class.effect == Effect::Deduplicated && class.group == DedupGroup::All;
+        if untouched || for_all || class.effect == Effect::Retryable {
+            let late = crowded || now >= open.arrived + class.aim;
+            let advise = self.set.limits.retry_after && late;
             let come_back = if advise { self.set.limits.max_retry_after } else { 0 };
             out.push(Action::Refuse { request: id, come_back });
         } else {
@@ -282,9 +288,7 @@
     fn finish(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(open) = self.m.open.get_mut(&id) else { return };
         if !open.done && self.set.limits.cancel && !open.streaming {
-            for (attempt, _) in open.attempts.iter().enumerate().filter(|(_, a)| a.ended.is_none()) {
-                out.push(Action::Cancel { request: id, attempt });
-            }
+            out.extend(open.unended().map(|attempt| Action::Cancel { request: id, attempt }));
         }
         open.done = true;
         if open.out() == 0 {
@@ -295,55 +299,78 @@
     /// Chooses a server: the trial build by its share of warm listed machines, then two random choices.
     fn pick(&mut self, now: Micros, id: RequestId) -> Option<ServerId> {
         let open = self.m.open.get(&id)?.clone();
-        let trials = self.trial_builds();
-        let mut pools: [Vec<(ServerId, f64, bool)>; 2] = [Vec::new(), Vec::new()];
+        let gate = |b: Build| (b, usize::from(self.on_trial(b)), self.build_admits(now, b, &open));
+        let gates: Vec<(Build, usize, bool)> = self.m.builds.iter().map(|&b| gate(b)).collect();
+        let usual = self.m.typical.iter().map(|t| t.median).fold(0.0, f64::max);
+        let mut pools: [Vec<Candidate>; 2] = [Vec::new(), Vec::new()];
         let mut share = [0.0; 2];
-        for sid in self.m.servers.keys().copied().collect::<Vec<_>>() {
-            let server = &self.m.servers[&sid];
-            if server.entry.status != Status::Ready || !self.may_repeat(now, &open, Some(&server.entry)) {
-                continue;
+        let able = |e: &ServerEntry| e.status == Status::Ready && self.may_repeat(now, &open, Some(e));
+        for (&id, server) in self.m.servers.iter().filter(|(_, s)| able(&s.entry)) {
+            let Some(&(_, pool, admits)) = gates.iter().find(|g| g.0 == server.entry.build) else { continue };
+            let warmth = server.warmth(now, &self.set.contract);
+            share[pool] += warmth;
+            if admits {
+                let tried = open.attempts.iter().any(|a| a.to.id == id);
+                let weight = self.weight(now, server, usual) * if tried { 0.01 } else { 1.0 };
+                let (out, held) = (server.out_until > now, f64::from(server.in_flight));
+                pools[pool].push(Candidate { id, weight, uncapped: weight, out, held, warmth });
             }
-            let pool = usize::from(trials.contains(&server.entry.build));
-            share[pool] += self.warmth(now, server);
-            let tried = open.attempts.iter().any(|a| a.to.id == sid);
-            let weight = self.weight(now, server) * if tried { 0.01 } else { 1.0 };
-            let out = server.out_until > now;
-            if self.cold_room(now, sid, open.cost) && self.build_admits(now, sid, &open) {
-                pools[pool].push((sid, weight, out));
+        }
+        // A held request has had its chance: drawing at each look would add up to certainty.
+        let drawn = open.attempts.is_empty() && open.arrived < now;
+        let whole: f64 = pools.iter().flatten().map(|s| s.weight).sum();
+        for (pool, share) in pools.iter_mut().zip(&mut share) {
+            for s in pool.iter_mut().filter(|s| s.warmth < 1.0) {
+                s.weight = s.weight.min(whole * self.cold_limit(now, s.id, open.cost, drawn));
+                // What a cold machine may not take is no reason to send more to its build's warm ones.
+                *share -= s.warmth * (1.0 - s.weight / s.uncapped);
             }
         }
         let going_back = self.m.news.is_some_and(|n| n.phase == Phase::RollingBack);
-        if open.attempts.is_empty() && open.arrived == now && share[1] > 0.0 {
+        let first = open.attempts.is_empty();
+        if first && open.arrived == now && share[1] > 0.0 && !going_back {
             // Machines beside those they replace count as one place: they must show what they do under load.
             let places = if self.set.rollout.in_place { share[0] + share[1] } else { share[0].max(share[1]) };
             self.m.owed = (self.m.owed + share[1] / places).min(2.0);
         }
-        // A key that the new build answers is bound to it, so popular keys would pile onto few machines,
-        // and classes not yet admitted would find their keys bound: only keys rarer than most go first.
-        let popular = open.request.key.is_some_and(|k| self.m.key_counts.popularity(k) > 1.0);
-        let to_trial = open.attempts.is_empty() && self.m.owed >= 1.0 && !popular && !going_back;
+        let to_trial = first && self.m.owed >= 1.0 && !going_back;
         let order = if to_trial { [1, 0] } else { [0, 1] };
-        order.into_iter().find_map(|pool| self.choose(&mut pools[pool]))
+        let mut choose = |p: usize| Some((p, self.choose(std::mem::take(&mut pools[p]))?));
+        let (pool, server) = order.into_iter().find_map(&mut choose)?;
+        if pool == 1 {
+            self.m.owed = (self.m.owed - 1.0).max(-2.0);
+        } else if to_trial {
+            // No room: saved up, the turns of all balancers would come in one burst.
+            self.m.owed = self.m.rng.unit();
+        }
+        Some(server)
     }
 
     /// Two random choices by own attempts out, drawn again while the better one is busier than the mean.
     /// Servers left out stay so only while half of the pool is in.
-    fn choose(&mut self, pool: &mut Vec<(ServerId, f64, bool)>) -> Option<ServerId> {
-        if pool.iter().filter(|s| !s.2).count() * 2 >= pool.len() {
-            pool.retain(|s| !s.2);
-        }
-        let total: f64 = pool.iter().map(|s| s.1).sum();
-        let held: f64 = pool.iter().map(|s| f64::from(self.m.servers[&s.0].in_flight)).sum();
-        let mean = (held + 1.0) / total.max(1e-9);
+    fn choose(&mut self, mut pool: Vec<Candidate>) -> Option<ServerId> {
+        let uncapped: f64 = pool.iter().map(|s| s.uncapped).sum();
+        pool.retain(|s| s.weight > 0.0);
+        if pool.iter().filter(|s| !s.out).count() * 2 >= pool.len() {
+            pool.retain(|s| !s.out);
+        }
+        let total: f64 = pool.iter().map(|s| s.weight).sum();
+        // Where hardly any but cold servers are left, most requests must go without.
+        let cold = pool.iter().any(|s| s.warmth < 1.0);
+        if total <= 0.0 || (cold && self.m.rng.unit() * uncapped > 2.0 * total) {
+            return None;
+        }
+        let mean = (pool.iter().map(|s| s.held).sum::<f64>() + 1.0) / total;
         let mut best: Option<(ServerId, f64)> = None;
         for draw in 0..2 + 2 * REDRAWS {
             if draw >= 2 && draw % 2 == 0 && best.is_some_and(|b| b.1 <= mean) {
                 break;
             }
-            let (id, weight, _) = *pool.get(self.m.rng.weighted(total, pool.iter().map(|s| s.1)))?;
-            let load = (f64::from(self.m.servers[&id].in_flight) + 1.0) / weight;
+            let s = pool.get(self.m.rng.weighted(total, pool.iter().map(|s| s.weight)))?;
+            // Idle servers tie: the draw has weighed them, and comparing again would starve cold ones.
+            let load = if s.held > 0.0 { (s.held + 1.0) / s.weight } else { 0.0 };
             if best.is_none_or(|b| load < b.1) {
-                best = Some((id, load));
+                best = Some((s.id, load));
             }
         }
         best.map(|b| b.0)
@@ -366,55 +393,39 @@
         }
     }
 
-    fn warmth(&self, now: Micros, server: &Server) -> f64 {
-        let (age, span) = (now.saturating_sub(server.entry.started_at), self.set.contract.cold_span);
-        if server.entry.started_at == 0 || age >= span {
-            return 1.0;
-        }
-        let from = self.set.contract.cold_from;
-        from + (1.0 - from) * age as f64 / span as f64
-    }
-
     /// A server's share of its pool: size and warmth, less what own outcomes say against it.
-    fn weight(&self, now: Micros, server: &Server) -> f64 {
+    fn weight(&self, now: Micros, server: &Server, usual: f64) -> f64 {
         let health = (1.0 - server.failing).powi(3) / server.slowness.max(1.0).powi(2);
-        let typical = self.m.typical.iter().map(|t| t.median).fold(0.0, f64::max);
-        let waiting = now.saturating_sub(server.waiting_since) as f64;
         // Attempts out and no answer for long: paused, cut off or dead, whatever the cause.
-        let stalled = server.in_flight > 0 && waiting > STALL_FACTOR * typical;
-        (server.size(self.set.sizes_known)
-            * self.warmth(now, server)
-            * health
-            * if stalled { 0.05 } else { 1.0 })
-        .max(1e-3)
-    }
-
-    /// A cold server's budget over any fall span, small enough to hold when every balancer does the same:
-    /// own sends against what own warm servers are seen to carry.
-    fn cold_room(&mut self, now: Micros, id: ServerId, cost: f64) -> bool {
-        let server = &self.m.servers[&id];
-        let warmth = self.warmth(now, server);
-        if warmth >= 1.0 {
-            return true;
-        }
+        let silent = now.saturating_sub(server.waiting_since) as f64 > STALL_FACTOR * usual;
+        let stalled = server.in_flight > 0 && silent;
+        let size = server.size(self.set.sizes_known) * server.warmth(now, &self.set.contract);
+        (size * health * if stalled { 0.05 } else { 1.0 }).max(1e-3)
+    }
+
+    /// How much of all weight a cold server may have. Its budget over any fall span is small enough to hold
+    /// when every balancer does the same: own sends against what own warm servers are seen to carry. Under
+    /// one request, a chance that keeps to it stands in: one send from each of hundreds would be hundreds.
+    fn cold_limit(&mut self, now: Micros, id: ServerId, cost: f64, drawn: bool) -> f64 {
+        let offered = self.m.offered.sum(now, 2 * SECOND) / 2.0;
+        let Some(server) = self.m.servers.get_mut(&id) else { return 0.0 };
         let (contract, size) = (&self.set.contract, server.size(self.set.sizes_known));
-        let (span, multiple) = (contract.fall_span, contract.fall_multiple);
-        let budget = COLD_SAFETY * multiple * warmth * self.m.carried * size * span as f64 / SECOND as f64;
-        let sent = self.m.servers.get_mut(&id).map_or(0.0, |s| s.sent.sum(now, span));
-        sent == 0.0 || sent + cost <= budget
+        let (span, warmth) = (contract.fall_span, server.warmth(now, &self.set.contract));
+        let rate = COLD_SAFETY * contract.fall_multiple * warmth * self.m.carried * size;
+        let budget = rate * span as f64 / SECOND as f64;
+        if budget < cost {
+            return if drawn { 0.0 } else { (COLD_DRAW * rate / offered.max(1.0)).min(1.0) };
+        }
+        if server.sent.sum(now, span) + cost <= budget { 1.0 } else { 0.0 }
     }
 
-    /// Builds on trial for this balancer: the newest by the news unless released, and any later one listed.
-    fn trial_builds(&self) -> Vec<Build> {
-        let ready = self.m.servers.values().filter(|s| s.entry.status == Status::Ready);
-        let listed: Vec<Build> = ready.map(|s| s.entry.build).collect();
-        // No news yet: only the lowest listed build is surely not on trial.
-        let known = self.m.news.map_or(listed.iter().copied().min().unwrap_or(0), |n| n.build);
-        let mut builds: Vec<Build> = listed.into_iter().filter(|&b| b > known).collect();
-        builds.extend(self.m.news.filter(|n| n.phase != Phase::Released).map(|n| n.build));
-        builds.sort_unstable();
-        builds.dedup();
-        builds
+    /// On trial for this balancer: the newest build by the news unless released, and any later one listed.
+    fn on_trial(&self, build: Build) -> bool {
+        match self.m.news {
+            Some(n) => build > n.build || (build == n.build && n.phase != Phase::Released),
+            // No news yet: only the lowest listed build is surely not on trial.
+            None => self.m.builds.first().is_some_and(|&lowest| build > lowest),
+        }
     }
 
     fn cap(&self, now: Micros, build: Build) -> f64 {
@@ -428,8 +439,7 @@
     }
 
     /// Whether the rules let this request go to this server's build now.
-    fn build_admits(&mut self, now: Micros, id: ServerId, open: &Open) -> bool {
-        let build = self.m.servers[&id].entry.build;
+    fn build_admits(&self, now: Micros, build: Build, open: &Open) -> bool {
         if let (true, Some(key)) = (self.set.rollout.one_way, open.request.key) {
             let newest = self.m.news.map_or(0, |n| n.build);
             let bound = self.m.keys.contains(&key); // kept only while the newest build is live
@@ -439,27 +449,26 @@
                 return false;
             }
         }
-        if !self.trial_builds().contains(&build) {
+        if !self.on_trial(build) {
             return true;
         }
         let stage = self.m.news.filter(|n| n.build == build).map_or(0, |n| n.stage);
         let safe = self.set.classes[open.request.class].effect == Effect::Retryable;
-        let cap = self.cap(now, build);
         let (span, free) = (self.set.rollout.counted_over + 2 * self.tick(), self.set.rollout.uncounted);
         let guarded = stage < self.set.rollout.guarded_stages && !safe;
-        let count = self.m.exposure_of(build, open.request.class, self.set.rollout.per_class);
-        let room = count.after_one_more(now, span);
-        cap > 0.0 && !guarded && room <= free + 1e-9
+        let lane = if self.set.rollout.per_class { open.request.class } else { 0 };
+        let count = self.m.exposure.get(&build).and_then(|lanes| lanes.get(lane));
+        let room = count.map_or(1.0, |c| c.after_one_more(now, span));
+        self.cap(now, build) > 0.0 && !guarded && room <= free + 1e-9
     }
 
     fn on_news(&mut self, now: Micros, news: StageNews) {
         let before = self.m.news.replace(news);
         let place = |n: StageNews| (n.build, n.stage, n.phase);
-        let known = before.map(place) == Some(place(news));
         if let Some(b) = before.filter(|b| b.build == news.build && b.cap > news.cap) {
             self.m.cap_before = (b.cap, now);
         }
-        if known {
+        if before.map(place) == Some(place(news)) {
             return;
         }
         // Never vote on evidence of another stage or build: window, verdict and vote all start anew.
@@ -468,12 +477,15 @@
             self.m.keys.clear();
         }
         if other {
+            self.m.owed = self.m.rng.unit();
             self.m.cap_before = (0.0, 0);
             self.m.exposure.retain(|&build, _| build >= news.build);
         }
-        self.start_window(now);
+        self.m.pool.restart(self.set.classes.len());
+        self.m.life = self.m.life.wrapping_add(1);
+        (self.m.window_start, self.m.window_count, self.m.stage_since) = (now, 0, now);
         (self.m.breaches, self.m.verdict, self.m.standing) = (0.0, Verdict::Withdraw, None);
-        self.m.stage_since = now;
+        self.m.compared &= !other;
     }
 
     fn learn_server(&mut self, now: Micros, class: usize, beside: u32, end: AttemptEnd) {
@@ -481,8 +493,12 @@
         let typical = self.m.typical[class].median.max(1.0);
         let Some(server) = self.m.servers.get_mut(&id) else { return };
         server.in_flight = server.in_flight.saturating_sub(1);
-        if matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Rejected) {
-            (server.waiting_since, server.streak) = (now, 0);
+        match outcome {
+            Outcome::Ok | Outcome::Error | Outcome::Rejected => {
+                (server.waiting_since, server.streak) = (now, 0)
+            }
+            Outcome::Timeout | Outcome::ConnectFailed | Outcome::Reset => server.streak += 1,
+            Outcome::Cancelled | Outcome::Moot => {}
         }
         let pace = (elapsed as f64 / typical).min(10.0);
         match outcome {
@@ -502,9 +518,6 @@
         if outcome == Outcome::Ok || (outcome == Outcome::Cancelled && pace > server.slowness) {
             server.slowness += (pace - server.slowness) * SMOOTHING / 2.0;
         }
-        if matches!(outcome, Outcome::Timeout | Outcome::ConnectFailed | Outcome::Reset) {
-            server.streak += 1;
-        }
         // Dead or unreachable before the list says so: left out, then tried again with one request.
         if server.streak >= STREAK_OUT || (outcome == Outcome::ConnectFailed && server.streak >= 2) {
             server.out_for = (server.out_for * 2).clamp(OUT_FIRST, OUT_LONGEST);
@@ -513,75 +526,77 @@
         }
     }
 
-    fn learn_build(&mut self, now: Micros, attempt: &Attempt, open: (usize, f64, bool), end: AttemptEnd) {
-        let ((class, cost, late), AttemptEnd { outcome, elapsed, .. }) = (open, end);
+    /// Counts an attempt's end. Counters are added up over balancers, so times have the same unit at all.
+    fn learn_build(&mut self, attempt: &Attempt, class: usize, unit: f64, late: bool, end: AttemptEnd) {
+        let AttemptEnd { outcome, elapsed, .. } = end;
         let error = outcome == Outcome::Error;
         let timeout = outcome == Outcome::Timeout && late && !attempt.cold;
-        // Refusals, failed connects and attempts never sent are no answers of the build.
-        if !outcome.may_have_run() {
-            return;
-        }
-        // Cut short: at least this slow, which says something only past the typical time.
+        // Refusals, failed connects and attempts never sent are no answers of the build. One cut short took
+        // at least so long, which says something only past the typical time.
         let cut = matches!(outcome, Outcome::Cancelled | Outcome::Timeout);
-        if cut && (elapsed as f64) < self.m.typical[class].median && !timeout {
+        let early = cut && (elapsed as f64) < self.m.typical[class].median && !timeout;
+        if early || !outcome.may_have_run() {
             return;
         }
-        let pace = (!attempt.cold && !error).then_some(elapsed as f64 / cost);
         let (server, build) = (attempt.to.id, attempt.to.build);
         let failed = error || timeout || outcome == Outcome::Reset;
-        let sample = Sample { at: now, class, server, build, error, failed, flagged: false, pace };
-        self.m.samples.push_back(sample);
-        if self.m.news.is_some_and(|n| n.build == build) {
-            self.m.window_count += 1;
-        }
+        let Some(news) = self.m.news.filter(|n| build <= n.build) else { return };
+        let pace = (!attempt.cold && !error).then_some(elapsed as f64 / unit);
+        let slow = elapsed as f64 > self.m.typical[class].median * LATENCY_RATIO;
+        let sample = Sample { class, server, error, failed, slow, pace };
+        self.m.pool.mine.add(usize::from(build < news.build), &sample);
+        self.m.window_count += usize::from(build == news.build);
     }
 
     fn on_flag(&mut self, now: Micros, server: ServerId, class: usize, since: Micros) {
-        let sent = now.saturating_sub(since);
-        let of = |s: &&mut Sample| (s.server, s.class) == (server, class) && s.at >= sent && !s.failed;
-        if let Some(sample) = self.m.samples.iter_mut().find(of) {
-            // Reports come late: the window that is open now is the one that learns of it.
-            let at = sample.at.max(self.m.window_start);
-            *sample = Sample { at, failed: true, flagged: true, ..*sample };
+        let Some(server) = self.m.servers.get(&server).map(|s| s.entry) else { return };
+        // Reports come late: the window that is open now is the one that learns of it.
+        let counted = now.saturating_sub(since) >= self.m.stage_since.max(server.started_at);
+        if let Some(news) = self.m.news.filter(|n| counted && server.build <= n.build) {
+            self.m.pool.mine.flag(usize::from(server.build < news.build), server.id, class);
         }
     }
 
+    fn tick(&self) -> Micros {
+        self.set.tick.max(5 * MS)
+    }
+
     fn start_window(&mut self, now: Micros) {
         (self.m.window_start, self.m.window_count) = (now, 0);
+        self.m.pool.mark(self.set.position);
     }
 
     /// The build that can be voted on; not one released before an earlier build was ever seen to compare.
     fn subject(&self) -> Option<StageNews> {
-        let earlier = !self.m.reference.is_empty();
-        self.m.news.filter(|n| n.phase == Phase::Trial || (n.phase == Phase::Released && earlier))
+        let live = |p: Phase| p == Phase::Trial || (p == Phase::Released && self.m.compared);
+        self.m.news.filter(|n| live(n.phase))
     }
 
     /// Closes the window when it is full or old enough, and turns its finding into a verdict.
     fn judge(&mut self, now: Micros, out: &mut Vec<Action>) {
         let Some(news) = self.subject() else { return };
         let age = now.saturating_sub(self.m.window_start);
-        let full = self.m.window_count >= WINDOW_ATTEMPTS && age >= WINDOW_SHORTEST;
-        if !full && age < WINDOW_SPAN {
+        if age < WINDOW_SHORTEST {
             return;
         }
-        let finding = self.find(now, news);
+        let (whole, window) = self.m.pool.widest(self.set.position);
+        let open = age < WINDOW_SPAN && (window.attempts(0) as usize) < WINDOW_ATTEMPTS;
+        let finding = if open { Finding::Thin } else { self.find(now, news, &whole, &window) };
         if finding == Finding::Thin {
             return; // the window stays open and carries its evidence on until it suffices
         }
         let timer = self.set.rollout.gate == GateMode::Timer;
-        let weight = if let Finding::Breach(_, weight) = finding { weight } else { 0.0 };
-        let breached = finding != Finding::Clean;
+        let (breached, weight) = finding.breach();
         self.m.breaches = if breached { self.m.breaches + weight } else { 0.0 };
-        let doubted = self.fresh_peers(now, news).any(|p| p.doubts);
         let verdict = match news.phase {
             // A conviction stands until the news changes: a desk that hears late must not find it replaced.
             _ if self.m.verdict == Verdict::Back || self.m.breaches >= BREACHES_TO_BACK => Verdict::Back,
             Phase::Trial if breached && timer => Verdict::Hold,
-            Phase::Trial if !breached && !timer && !doubted => Verdict::On,
+            Phase::Trial if !breached && !timer => Verdict::On,
             _ => Verdict::Withdraw,
         };
+        let text = format!("build {} stage {}: {verdict:?} {finding:?}", news.build, news.stage);
         if verdict != self.m.verdict || weight > 0.0 {
-            let text = format!("build {} stage {}: {verdict:?} {finding:?}", news.build, news.stage);
             out.extend(self.m.note(text, NOTES_MOST));
         }
         self.m.verdict = verdict;
@@ -590,113 +605,90 @@
         }
     }
 
-    /// Compares the new build with the earlier one over the open window.
-    fn find(&mut self, now: Micros, news: StageNews) -> Finding {
-        let start = self.m.window_start;
-        let mut new = self.m.samples_of(|s| s.build == news.build && s.at >= start);
-        let from = start.saturating_sub(EARLIER_SLACK);
-        let (recent, suspect) = sound(&self.m.samples_of(|s| s.build < news.build && s.at >= from));
-        let remembered = (recent.len() as f64) < WINDOW_LEAST;
-        let ratio = if remembered { LATENCY_RATIO * LATENCY_RATIO } else { LATENCY_RATIO };
-        let earlier = if remembered { self.m.reference.clone() } else { recent };
-        if remembered {
-            // Without an earlier arm beside it, time-outs and resets may be the load's or the machines'.
-            new.iter_mut().for_each(|s| s.failed = s.error || s.flagged);
-        }
-        let peers = PeerSummary::add_up(self.fresh_peers(now, news), self.set.classes.len());
-        let total = new.len() as f64 + peers.iter().map(|p| p[0]).sum::<f64>();
-        if total < WINDOW_LEAST {
+    /// Compares the new build with the earlier one over the open window, then failures over the stage: a
+    /// small steady share passes each window's bounds, but not the whole stage's.
+    fn find(&mut self, now: Micros, news: StageNews, whole: &Evidence, window: &Evidence) -> Finding {
+        let (age, seen) = (now.saturating_sub(self.m.window_start), window.tallies(0));
+        if window.attempts(0) < WINDOW_LEAST {
             return Finding::Thin;
         }
-        let judged = match self.compare(&new, &earlier, ratio, &peers) {
-            Ok(judged) => {
-                // A small steady failure share passes each window's bounds, but not the whole stage's.
-                // Over so long a time machine faults strike both arms alike, if both are there.
-                let (long, base) = self.m.stage_samples(news.build);
-                let (long, base) = if remembered { (sound(&long).0, sound(&base).0) } else { (long, base) };
-                if let Err((reason, _)) = self.compare(&long, &base, f64::INFINITY, &[]) {
-                    return Finding::Breach(reason, 1.0);
-                }
-                judged
+        let alone = window.attempts(1) < WINDOW_LEAST;
+        self.m.compared |= !alone;
+        // Each of many balancers that judge on their own may be unlucky, and few votes decide.
+        let pooled = window.attempts(0) > POOL_FROM * self.m.window_count as f64;
+        let judges = (self.set.fleet_size as f64 / self.set.rollout.votes_back.max(1.0)).max(1.0);
+        let z = if pooled { Z95 } else { (Z95 * Z95 + 2.0 * judges.ln()).sqrt() };
+        let judge = |evidence: &Evidence, limit: f64| {
+            let (mut new, mut earlier) = (evidence.tallies(0), evidence.tallies(1));
+            if alone {
+                // Without an earlier arm beside it, time-outs and resets may be the load's or the machines'.
+                new.iter_mut().for_each(|t| t.failed = t.errors + t.flagged);
+                earlier.fill(Tally::default());
             }
+            let compared = self.compare(&new, &earlier, limit, z);
+            compared.map_err(|(why, hits, mild)| (why, mild, of_machines(evidence, hits)))
+        };
+        let over_stage = |judged| judge(whole, f64::INFINITY).map(|_| judged);
+        let judged = match judge(window, LATENCY_RATIO).and_then(over_stage) {
             // A queue that builds up and drains lifts a short window's median and tail: latency convicts over
-            // the whole span only (till then no 'on' stands), or past the limit squared; twice if remembered.
-            Err((why, true)) if now.saturating_sub(start) < WINDOW_SPAN => return Finding::Breach(why, 0.0),
-            Err((reason, latency)) => {
-                // Machine faults: the breach must survive without the worst of the new machines; a lone one
-                // must stand out from what the worst earlier ones do.
-                let (rest, worst) = sound(&new);
-                let alone = if worst.is_empty() {
-                    self.compare(&suspect, &earlier, ratio, &[]).is_err()
-                } else {
-                    self.compare(&rest, &earlier, ratio, &peers).is_ok()
-                };
-                let weight = if latency && remembered { 0.5 } else { 1.0 };
-                return Finding::Breach(reason, if alone { 0.0 } else { weight });
-            }
+            // the whole span only (till then no 'on' stands), or past the limit squared.
+            Err((why, true, _)) if age < WINDOW_SPAN => return Finding::Breach(why, 0.0),
+            Err((why, _, machines)) => return Finding::Breach(why, if machines { 0.0 } else { 1.0 }),
+            Ok(judged) => judged,
         };
-        if !remembered {
-            self.m.reference = earlier;
-        }
         // A class admitted late needs evidence of its own; what was not compared clears no breach.
         let guarded = news.stage < self.set.rollout.guarded_stages;
-        let short = self.set.classes.iter().enumerate().any(|(c, class)| {
-            let own = new.iter().filter(|s| s.class == c).count() as f64;
-            let admitted = !guarded || class.effect == Effect::Retryable;
-            admitted && own + peers.get(c).map_or(0.0, |p| p[0]) < CLASS_LEAST / 2.0
+        let short = self.set.classes.iter().zip(&seen).any(|(class, seen)| {
+            (!guarded || class.effect == Effect::Retryable) && seen.n < CLASS_LEAST / 2.0
         });
-        let waiting = now.saturating_sub(start) < 3 * WINDOW_SPAN;
-        if (short && waiting) || (self.m.breaches > 0.0 && !judged && waiting) {
-            return Finding::Thin;
-        }
-        Finding::Clean
+        let unclear = short || (self.m.breaches > 0.0 && !judged);
+        if unclear && age < 3 * WINDOW_SPAN { Finding::Thin } else { Finding::Clean }
     }
 
     /// Compares the arms class by class on the same footing: the reason of a breach, else whether there
     /// was enough to compare latency.
-    fn compare(&self, new: &[Sample], earlier: &[Sample], limit: f64, peers: &Counts) -> Compared {
-        let classes = self.set.classes.len();
-        let (mut new, mut earlier) = (Tally::by_class(new, classes), Tally::by_class(earlier, classes));
+    fn compare(&self, new: &[Tally], earlier: &[Tally], limit: f64, z: f64) -> Compared {
         // What the earlier build would have done with the new one's mix of classes is its base.
         let (mut sum, mut base, mut earlier_n) = (Tally::default(), Tally::default(), 0.0);
-        for (class, (ours, theirs)) in new.iter_mut().zip(&mut earlier).enumerate() {
-            if let Some([n, failed, earlier_n, earlier_failed]) = peers.get(class) {
-                ours.add(*n, *failed);
-                theirs.add(*earlier_n, *earlier_failed);
-            }
+        for (class, (ours, theirs)) in new.iter().zip(earlier).enumerate() {
             let share = theirs.failed / theirs.n.max(1.0);
-            if ours.n >= CLASS_LEAST && wilson_lower(ours.failed, ours.n, Z95) > share + FAILURE_MARGIN {
+            if ours.n >= CLASS_LEAST && wilson_lower(ours.failed, ours.n, z) > share + FAILURE_MARGIN {
+                let (failed, n) = (ours.failed, ours.n);
                 return Err((
-                    format!("class {class} fails {}/{} against {share:.3}", ours.failed, ours.n),
+                    format!("class {class} fails {failed}/{n} against {share:.3}"),
+                    Hits::Failed,
                     false,
                 ));
             }
-            let median = quantile(&mut theirs.paces, 0.5).filter(|&m| m > 0.0 && theirs.n >= CLASS_LEAST);
+            let median = theirs.paces.quantile(0.5).filter(|_| theirs.n >= CLASS_LEAST);
             sum.merge(ours, 1.0, median);
             base.merge(theirs, ours.n / theirs.n.max(1.0), median);
             earlier_n += theirs.n;
         }
         let (n, share) = (sum.n, base.failed / sum.n.max(1.0));
-        if wilson_lower(sum.errors, n, Z95) > share + FAILURE_MARGIN {
-            return Err((format!("errors {}/{n} against {share:.3}", sum.errors), false));
+        if wilson_lower(sum.errors, n, z) > share + FAILURE_MARGIN {
+            return Err((format!("errors {}/{n} against {share:.3}", sum.errors), Hits::Failed, false));
         }
-        if difference_lower((sum.failed, n), (share * earlier_n, earlier_n), Z95) > FAILURE_MARGIN {
-            return Err((format!("failures {}/{n} against {share:.3} of {earlier_n}", sum.failed), false));
+        if difference_lower((sum.failed, n), (share * earlier_n, earlier_n), z) > FAILURE_MARGIN {
+            let why = format!("failures {}/{n} against {share:.3} of {earlier_n}", sum.failed);
+            return Err((why, Hits::Failed, false));
         }
         // Only a share of wrong answers is reported, so the margin is scaled down by it.
         let flags = base.flagged / n.max(1.0) + FAILURE_MARGIN * self.set.rollout.flag_share;
-        if sum.flagged >= 2.0 && wilson_lower(sum.flagged, n, Z95) > flags {
-            return Err((format!("wrong answers {}/{n} against {flags:.3}", sum.flagged), false));
+        if sum.flagged >= 2.0 && wilson_lower(sum.flagged, n, z) > flags {
+            let why = format!("wrong answers {}/{n} against {flags:.3}", sum.flagged);
+            return Err((why, Hits::Failed, false));
         }
-        if (sum.paces.len().min(base.paces.len()) as f64) < WINDOW_LEAST {
+        if sum.paces.total().min(base.paces.total()) < WINDOW_LEAST {
             return Ok(false);
         }
-        let mut ratio =
-            |q| quantile(&mut sum.paces, q).zip(quantile(&mut base.paces, q)).map_or(1.0, |(a, b)| a / b);
+        let ratio = |q| sum.paces.quantile(q).zip(base.paces.quantile(q)).map_or(1.0, |(a, b)| a / b);
         let (median, tail) = (ratio(0.5), ratio(0.95));
-        let slower =
-            || (format!("slower: median x{median:.2}, p95 x{tail:.2} over {n}"), median < limit * limit);
-        if median > limit && tail > limit { Err(slower()) } else { Ok(true) }
+        if median <= limit || tail <= limit {
+            return Ok(true);
+        }
+        let why = format!("slower: median x{median:.2}, p95 x{tail:.2} over {n}");
+        Err((why, Hits::Slow, median < limit * limit))
     }
 
     /// Casts, renews or withdraws this balancer's vote.
@@ -711,8 +703,9 @@
         let wanted = self.m.verdict;
         let same = held.map_or(Verdict::Withdraw, |s| s.verdict) == wanted && !aged;
         if self.m.pending.is_none() && now >= self.m.vote_at && !same {
-            self.m.pending = Some(Cast { build: news.build, stage: news.stage, verdict: wanted, at: now });
-            out.push(Action::Vote { build: news.build, stage: news.stage, verdict: wanted });
+            let (build, stage) = (news.build, news.stage);
+            self.m.pending = Some(Cast { build, stage, verdict: wanted, at: now });
+            out.push(Action::Vote { build, stage, verdict: wanted });
         }
     }
 
@@ -720,84 +713,89 @@
         // The reply to a vote on another stage says nothing of this one.
         let current = self.m.news.map(|n| (n.build, n.stage));
         let cast = self.m.pending.take().filter(|c| Some((c.build, c.stage)) == current);
-        match outcome {
-            Outcome::Ok => self.m.standing = cast.map(|c| Cast { at: now, ..c }).or(self.m.standing),
-            // It may have counted: taken as standing, but old, so that it is soon renewed or withdrawn.
-            Outcome::Timeout => {
+        if outcome == Outcome::Ok {
+            self.m.standing = cast.map(|c| Cast { at: now, ..c }).or(self.m.standing);
+        } else {
+            if outcome == Outcome::Timeout {
+                // It may have counted: taken as standing, but old, so that it is soon renewed or withdrawn.
                 let old = (self.set.rollout.vote_ttl as f64 * RENEW_SHARE) as Micros;
                 self.m.standing = cast.map(|c| Cast { at: now.saturating_sub(old), ..c });
             }
-            _ => {}
-        }
-        if outcome != Outcome::Ok {
             // The allowance is shared by all balancers: back off with jitter.
             self.m.vote_at = now + (VOTE_RETRY as f64 * (1.0 + self.m.rng.unit())) as Micros;
         }
         news.into_iter().for_each(|news| self.on_news(now, news));
     }
 
-    /// Tells the open window's counts for each class: attempts and failures of both builds.
+    /// Tells own counters on the stage: to all peers where these are few, else to the stage's collectors,
+    /// which tell all what theirs add up to: each hears a few messages a second, however many there are.
     fn tell_peers(&mut self, now: Micros, out: &mut Vec<Action>) {
-        let Some(news) = self.subject() else { return };
-        if !self.set.limits.peer_messages || self.set.fleet_size < 2 || now < self.m.next_tell {
-            return;
+        let (fleet, position) = (self.set.fleet_size, self.set.position);
+        let due = self.set.limits.peer_messages && fleet > 1 && now >= self.m.next_tell;
+        let Some(news) = self.subject().filter(|_| due) else { return };
+        self.m.next_tell = now + if news.phase == Phase::Trial { PEER_EVERY } else { 2 * PEER_EVERY };
+        let label = Label { build: news.build, stage: news.stage, sum: false, life: self.m.life };
+        let payload = encode(label, &self.m.pool.mine);
+        if fleet <= MESH_MOST {
+            return out.push(Action::TellPeers { payload });
+        }
+        for draw in 0..COLLECTORS {
+            let seed = (u64::from(news.build) << 16) + (u64::from(news.stage) << 8) + draw;
+            let collector = (Rng(seed).unit() * fleet as f64) as usize;
+            if collector == position {
+                let label = Label { sum: true, ..label };
+                out.push(Action::TellPeers { payload: encode(label, &self.m.pool.total()) });
+            } else {
+                out.push(Action::TellPeer { to: collector, payload: payload.clone() });
+            }
         }
-        self.m.next_tell = now + PEER_EVERY;
-        let from = now.saturating_sub(WINDOW_SPAN).max(self.m.window_start);
-        let arm = |new: bool| {
-            let of = |s: &Sample| s.at >= from && s.build <= news.build && (s.build == news.build) == new;
-            // Machine faults are left out here as well: a peer cannot tell them from the build's.
-            Tally::by_class(&sound(&self.m.samples_of(of)).0, self.set.classes.len())
-        };
-        let doubts = self.m.breaches > 0.0 || self.m.verdict == Verdict::Back;
-        let counts: Vec<[f64; 4]> =
-            arm(true).iter().zip(&arm(false)).map(|(a, b)| [a.n, a.failed, b.n, b.failed]).collect();
-        out.push(Action::TellPeers { payload: PeerSummary::encode(news.build, news.stage, doubts, &counts) });
     }
 
-    /// Fresh summaries of the same build and stage, added up by class. A supplement: none need come.
-    fn fresh_peers(&self, now: Micros, news: StageNews) -> impl Iterator<Item = &PeerSummary> {
-        let fresh = move |p: &&PeerSummary| now.saturating_sub(p.at) < PEER_FRESH;
-        let same = move |p: &&PeerSummary| (p.build, p.stage) == (news.build, news.stage);
-        self.m.peers.values().filter(fresh).filter(same)
+    /// A supplement: none need come, and what cannot be true is not believed.
+    fn on_peer_message(&mut self, from: usize, payload: &[u8]) {
+        let fleet = self.set.fleet_size;
+        let most = PEER_TIMES * (self.m.pool.mine.all() + WINDOW_ATTEMPTS as f64);
+        let read = decode(payload, self.set.classes.len(), most * fleet as f64);
+        let Some((label, evidence)) = read else { return };
+        let current = self.m.news.is_some_and(|n| (n.build, n.stage) == (label.build, label.stage));
+        let peer = from < fleet && from != self.set.position;
+        if current && peer && (label.sum || evidence.all() <= most) {
+            self.m.pool.hear(from, label, evidence);
+        }
     }
 
     fn on_tick(&mut self, now: Micros, out: &mut Vec<Action>) {
-        out.push(Action::SetTimer { after: self.tick(), token: 0 });
         while let Some(id) = self.m.next_due(now) {
             self.on_due(now, id, out);
         }
-        self.follow_list(now, out);
         if now >= self.m.next_step {
             self.m.next_step = now + STEP;
             self.step(now);
+            self.follow_list(now, out);
             self.judge(now, out);
             self.tell_peers(now, out);
+            self.vote(now, out);
         }
-        self.vote(now, out);
     }
 
     fn step(&mut self, now: Micros) {
         self.m.typical.iter_mut().for_each(Typical::refresh);
         self.m.servers.values_mut().for_each(|s| s.relax(FADING));
-        let ready = self.m.servers.values().filter(|s| s.entry.status == Status::Ready);
-        let sized = |s: &Server| s.size(self.set.sizes_known);
-        let warm: f64 = ready.clone().filter(|s| self.warmth(now, s) >= 1.0).map(sized).sum();
-        let all: f64 = ready.map(sized).sum();
-        let rate = self.m.served.sum(now, 2 * SECOND) / 2.0;
+        let (warm, all) = self.m.ready_sizes(now, &self.set.contract, self.set.sizes_known);
         if warm * 2.0 >= all && warm > 0.0 {
-            self.m.carried = (rate / warm).max(self.m.carried * 0.995);
-        }
-        while self.m.samples.front().is_some_and(|s| s.at + EVIDENCE_SPAN < now) {
-            self.m.samples.pop_front();
+            let rate = self.m.served.sum(now, 2 * SECOND) / 2.0 / warm;
+            self.m.carried = rate.max(self.m.carried * CARRIED_KEPT);
         }
     }
 }
 
-/// The samples parted into those of sound machines and those of the machines that look worst, so that
-/// machine faults are not the build's.
-fn sound(samples: &[Sample]) -> (Vec<Sample>, Vec<Sample>) {
-    let mean = samples.iter().filter_map(|s| s.pace).sum::<f64>() / (samples.len() as f64).max(1.0);
-    let badness = |s: &Sample| s.pace.map_or(1.0, |p| p / mean.max(1e-9)) + if s.failed { 10.0 } else { 0.0 };
-    part_worst(samples, FAULTY_SHARE, badness)
+/// Whether a breach over all machines is the doing of a part of them: the better half of the slices is
+/// then hardly worse than the better half of the earlier ones. A lone one must stand out from their worst.
+fn of_machines(evidence: &Evidence, hits: Hits) -> bool {
+    let [new, earlier] = [evidence.slices(0, hits), evidence.slices(1, hits)];
+    if let ([one], Some(worst)) = (&new[..], earlier.last()) {
+        return share(&[*one]) <= share(&[*worst]);
+    }
+    let better = |slices: &[Slice]| share(&slices[..slices.len().div_ceil(2)]);
+    better(&new) - better(&earlier) <= SPREAD_LEAST * (share(&new) - share(&earlier))
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -93,6 +93,8 @@
     pub call_timeout: Micros,
     /// The share of wrong answers that clients report; 0: no reports.
     pub flag_share: f64,
+    /// Votes that send a build back.
+    pub votes_back: f64,
     /// Votes a second that the platform takes from all balancers together.
     pub vote_allowance: f64,
 }
@@ -454,6 +456,13 @@
         /// The bytes.
         payload: Vec<u8>,
     },
+    /// Send a message to one peer.
+    TellPeer {
+        /// Its number.
+        to: usize,
+        /// The bytes.
+        payload: Vec<u8>,
+    },
     /// A line for the log.
     Note(String),
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! it is told what happened ([`interface::Event`]) and writes down what to do ([`interface::Action`]).
 
 pub mod balance;
+pub mod evidence;
 pub mod interface;
 pub mod state;
 pub mod stats;
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,8 +1,9 @@
 //! Containers without decisions: the random source, sliding counters, servers and open requests.
 
+use crate::evidence::Pool;
 use crate::interface::{
-    Action, Build, ListKind, Micros, Outcome, Request, RequestId, ServerEntry, ServerId, StageNews, Status,
-    Verdict,
+    Action, Build, Contract, ListKind, Micros, Outcome, Request, RequestId, ServerEntry, ServerId, StageNews,
+    Status, Verdict,
 };
 use crate::stats::quantile;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -78,8 +79,11 @@
         self.level -= cap;
     }
 
-    /// An attempt was made.
-    pub fn spend(&mut self, now: Micros) {
+    /// An attempt was made; lows from before the last `span` are forgotten.
+    pub fn spend(&mut self, now: Micros, span: Micros) {
+        while self.lows.front().is_some_and(|&(at, _)| at + span < now) {
+            self.lows.pop_front();
+        }
         while self.lows.back().is_some_and(|&(_, low)| low >= self.level) {
             self.lows.pop_back();
         }
@@ -88,11 +92,9 @@
     }
 
     /// What the worst span of length `span` that ends now would hold after one more attempt.
-    pub fn after_one_more(&mut self, now: Micros, span: Micros) -> f64 {
-        while self.lows.front().is_some_and(|&(at, _)| at + span < now) {
-            self.lows.pop_front();
-        }
-        let low = self.lows.front().map_or(self.level, |&(_, low)| low.min(self.level));
+    pub fn after_one_more(&self, now: Micros, span: Micros) -> f64 {
+        let first = self.lows.iter().find(|&&(at, _)| at + span >= now);
+        let low = first.map_or(self.level, |&(_, low)| low.min(self.level));
         self.level + 1.0 - low
     }
 }
@@ -139,6 +141,15 @@
         }
     }
 
+    /// The share of its capacity that it surely has: it rises evenly over the stated time.
+    pub fn warmth(&self, now: Micros, contract: &Contract) -> f64 {
+        let (age, span) = (now.saturating_sub(self.entry.started_at), contract.cold_span);
+        if self.entry.started_at == 0 || age >= span {
+            return 1.0;
+        }
+        contract.cold_from + (1.0 - contract.cold_from) * age as f64 / span as f64
+    }
+
     /// Its size against the others; 1 where sizes are not known.
     pub fn size(&self, known: bool) -> f64 {
         if known { self.entry.size.max(0.01) } else { 1.0 }
@@ -204,31 +215,15 @@
         self.attempts.iter().find(|a| a.may_have_run())
     }
 
-    /// Attempts still out.
-    pub fn out(&self) -> usize {
-        self.attempts.iter().filter(|a| a.ended.is_none()).count()
+    /// Numbers of the attempts still out.
+    pub fn unended(&self) -> impl Iterator<Item = usize> {
+        self.attempts.iter().enumerate().filter(|(_, a)| a.ended.is_none()).map(|(number, _)| number)
     }
-}
 
-/// An attempt's end as evidence about the build that answered.
-#[derive(Clone, Copy, Debug)]
-pub struct Sample {
-    /// When it ended.
-    pub at: Micros,
-    /// The class.
-    pub class: usize,
-    /// Who answered.
-    pub server: ServerId,
-    /// The build.
-    pub build: Build,
-    /// It ended with an error.
-    pub error: bool,
-    /// It failed in any way, time-outs and flagged answers included.
-    pub failed: bool,
-    /// Its answer was flagged as wrong.
-    pub flagged: bool,
-    /// Time taken for each unit of hinted work; a lower bound where it was cut; `None` where it says nothing.
-    pub pace: Option<f64>,
+    /// How many attempts are still out.
+    pub fn out(&self) -> usize {
+        self.unended().count()
+    }
 }
 
 /// What this balancer knows of a class's answer times.
@@ -242,21 +237,6 @@
     pub tail: f64,
 }
 
-/// A peer's last summary: for each class attempts and failures of the new build, then of the earlier one.
-#[derive(Clone, Debug)]
-pub struct PeerSummary {
-    /// When it came.
-    pub at: Micros,
-    /// The build it is about.
-    pub build: Build,
-    /// The stage it is about.
-    pub stage: u8,
-    /// The peer has seen a breach in this stage.
-    pub doubts: bool,
-    /// The counts.
-    pub counts: Vec<[f64; 4]>,
-}
-
 /// A vote as the platform holds it or may hold it.
 #[derive(Clone, Copy, Debug)]
 pub struct Cast {
@@ -270,108 +250,6 @@
     pub at: Micros,
 }
 
-impl PeerSummary {
-    /// The bytes of a summary: a version, build, stage, doubts, and four counts for each class.
-    pub fn encode(build: Build, stage: u8, doubts: bool, counts: &[[f64; 4]]) -> Vec<u8> {
-        let mut bytes = vec![1];
-        bytes.extend(build.to_le_bytes());
-        bytes.extend([stage, u8::from(doubts)]);
-        for count in counts.iter().take(31).flatten() {
-            bytes.extend((count.clamp(0.0, 65_535.0) as u16).to_le_bytes());
-        }
-        bytes
-    }
-
-    /// Reads a summary; `None` where the bytes are no such thing.
-    pub fn decode(at: Micros, bytes: &[u8]) -> Option<Self> {
-        let [1, low, high, stage, doubts, rest @ ..] = bytes else { return None };
-        let word = |pair: &[u8]| f64::from(u16::from_le_bytes([pair[0], pair[1]]));
-        let row = |c: &[u8]| [word(c), word(&c[2..]), word(&c[4..]), word(&c[6..])];
-        let counts = rest.chunks_exact(8).map(row).collect();
-        Some(PeerSummary {
-            at,
-            build: u16::from_le_bytes([*low, *high]),
-            stage: *stage,
-            doubts: *doubts != 0,
-            counts,
-        })
-    }
-}
-
-/// What one arm's samples of one class come to.
-#[derive(Clone, Debug, Default)]
-pub struct Tally {
-    /// Attempts.
-    pub n: f64,
-    /// Those that ended with an error.
-    pub errors: f64,
-    /// Those that failed in any way.
-    pub failed: f64,
-    /// Those whose answer was flagged.
-    pub flagged: f64,
-    /// Times taken, where they say something.
-    pub paces: Vec<f64>,
-}
-
-impl Tally {
-    /// Adds counts heard of.
-    pub fn add(&mut self, n: f64, failed: f64) {
-        self.n += n;
-        self.errors += failed;
-        self.failed += failed;
-    }
-
-    /// Adds another tally, its counts scaled and its times set against `unit` (left out without one).
-    pub fn merge(&mut self, other: &Tally, scale: f64, unit: Option<f64>) {
-        self.n += other.n * scale;
-        self.errors += other.errors * scale;
-        self.failed += other.failed * scale;
-        self.flagged += other.flagged * scale;
-        if let Some(unit) = unit {
-            self.paces.extend(other.paces.iter().map(|p| p / unit));
-        }
-    }
-
-    /// Adds samples up, by class.
-    pub fn by_class(samples: &[Sample], classes: usize) -> Vec<Tally> {
-        let mut all = vec![Tally::default(); classes];
-        for s in samples {
-            if let Some(tally) = all.get_mut(s.class) {
-                tally.n += 1.0;
-                tally.errors += f64::from(u8::from(s.error));
-                tally.failed += f64::from(u8::from(s.failed));
-                tally.flagged += f64::from(u8::from(s.flagged));
-                tally.paces.extend(s.pace);
-            }
-        }
-        all
-    }
-}
-
-/// How often keys came, within bounded memory.
-#[derive(Clone, Debug, Default)]
-pub struct KeyCounts {
-    counts: BTreeMap<u64, f64>,
-    total: f64,
-}
-
-impl KeyCounts {
-    /// Counts a key; forgets all once `most` keys are held.
-    pub fn count(&mut self, key: u64, most: usize) {
-        if self.counts.len() >= most {
-            *self = KeyCounts::default();
-        }
-        *self.counts.entry(key).or_default() += 1.0;
-        self.total += 1.0;
-    }
-
-    /// How often a key came against the mean of all keys; 0 where none has been counted.
-    pub fn popularity(&self, key: u64) -> f64 {
-        let count = self.counts.get(&key).copied().unwrap_or(0.0);
-        count * self.counts.len() as f64 / self.total.max(1.0)
-    }
-}
-
 /// All that a balancer remembers; what to do with it is decided elsewhere.
 #[derive(Clone, Debug, Default)]
 pub struct Memory {
@@ -395,8 +273,18 @@
     pub carried: f64,
     /// First tries owed to the build on trial.
     pub owed: f64,
+    /// Cost of requests taken.
+    pub offered: SpanSum,
+    /// Share of requests refused at once, as answers come late.
+    pub shed: f64,
     /// When slow upkeep is due.
     pub next_step: Micros,
+    /// When the earliest timer that is set comes due.
+    pub armed: Micros,
+    /// Drawn at the start, for peers to tell one life from another.
+    pub life: u8,
+    /// Builds of the servers that take work, in order.
+    pub builds: Vec<Build>,
     /// When the list was last heard of.
     pub list_heard: Micros,
     /// When to ask for the list again.
@@ -411,10 +299,6 @@
     pub exposure: BTreeMap<Build, Vec<Exposure>>,
     /// Keys that the new build has answered.
     pub keys: BTreeSet<u64>,
-    /// How often keys come.
-    pub key_counts: KeyCounts,
-    /// Evidence, oldest first.
-    pub samples: VecDeque<Sample>,
     /// When the present stage was heard of.
     pub stage_since: Micros,
     /// When the open window began.
@@ -425,16 +309,16 @@
     pub breaches: f64,
     /// The verdict that stands.
     pub verdict: Verdict,
-    /// The earlier build's samples when they last sufficed.
-    pub reference: Vec<Sample>,
+    /// The build on trial has been compared with an earlier one.
+    pub compared: bool,
     /// The vote that the platform holds.
     pub standing: Option<Cast>,
     /// A vote without a reply yet.
     pub pending: Option<Cast>,
     /// Earliest time of the next vote.
     pub vote_at: Micros,
-    /// Peers' last summaries.
-    pub peers: BTreeMap<usize, PeerSummary>,
+    /// Evidence on the stage, own and heard of.
+    pub pool: Pool,
     /// When the next summary is due.
     pub next_tell: Micros,
     /// Log lines written.
@@ -497,24 +381,19 @@
         }
     }
 
+    /// The sizes of the servers that take work, added up: of the warm ones, and of all.
+    pub fn ready_sizes(&self, now: Micros, contract: &Contract, known: bool) -> (f64, f64) {
+        let ready = self.servers.values().filter(|s| s.entry.status == Status::Ready);
+        let sized = ready.map(|s| (s.size(known), s.warmth(now, contract) >= 1.0));
+        sized.fold((0.0, 0.0), |(warm, all), (size, is)| (warm + if is { size } else { 0.0 }, all + size))
+    }
+
     /// How many listed servers run the build and take work.
     fn ready_with(&self, build: Option<Build>) -> usize {
         let of = |s: &&Server| Some(s.entry.build) == build && s.entry.status == Status::Ready;
         self.servers.values().filter(of).count()
     }
 
-    /// The present stage's samples of the build, and those of earlier builds.
-    pub fn stage_samples(&self, build: Build) -> (Vec<Sample>, Vec<Sample>) {
-        let since = self.stage_since;
-        let new = self.samples_of(|s| s.build == build && s.at >= since);
-        (new, self.samples_of(|s| s.build < build && s.at >= since))
-    }
-
-    /// Copies of the samples that `keep` admits.
-    pub fn samples_of(&self, keep: impl Fn(&Sample) -> bool) -> Vec<Sample> {
-        self.samples.iter().filter(|s| keep(s)).copied().collect()
-    }
-
     /// The count of attempts at a build: one for all classes, or one for each.
     pub fn exposure_of(&mut self, build: Build, class: usize, per_class: bool) -> &mut Exposure {
         let lane = if per_class { class } else { 0 };
@@ -565,55 +444,26 @@
             server.entry = *entry;
         }
         self.servers.retain(|_, s| s.entry.status != Status::Gone || s.in_flight > 0);
+        let ready = self.servers.values().filter(|s| s.entry.status == Status::Ready);
+        let builds: BTreeSet<Build> = ready.map(|s| s.entry.build).collect();
+        self.builds = builds.into_iter().collect();
         self.ready_with(watched) > before
     }
 }
 
-impl PeerSummary {
-    /// Adds summaries up, by class.
-    pub fn add_up<'a>(summaries: impl Iterator<Item = &'a PeerSummary>, classes: usize) -> Vec<[f64; 4]> {
-        let mut sums = vec![[0.0; 4]; classes];
-        for summary in summaries {
-            for (sum, counts) in sums.iter_mut().zip(&summary.counts) {
-                sum.iter_mut().zip(counts).for_each(|(s, c)| *s += c);
-            }
-        }
-        sums
-    }
-}
-
-/// Parts off the samples of a share of the servers, rounded up, with the highest mean of `badness`; none
-/// where there is only one server.
-pub fn part_worst(
-    samples: &[Sample],
-    share: f64,
-    badness: impl Fn(&Sample) -> f64,
-) -> (Vec<Sample>, Vec<Sample>) {
-    let mut sums: BTreeMap<ServerId, (f64, f64)> = BTreeMap::new();
-    for s in samples {
-        let sum = sums.entry(s.server).or_default();
-        *sum = (sum.0 + 1.0, sum.1 + badness(s));
-    }
-    let mut ranked: Vec<(f64, ServerId)> = sums.iter().map(|(id, (n, sum))| (sum / n, *id)).collect();
-    ranked.sort_by(|a, b| b.0.total_cmp(&a.0));
-    let leave = if ranked.len() < 2 { 0 } else { (ranked.len() as f64 * share).ceil() as usize };
-    let out: BTreeSet<ServerId> = ranked.iter().take(leave).map(|r| r.1).collect();
-    samples.iter().partition(|s| !out.contains(&s.server))
-}
-
-/// Attempts and failures of the new build, then of the earlier one, for each class.
-pub type Counts = [[f64; 4]];
-
-/// Whether latency could be compared, or the reason of a breach and whether it is of latency alone.
-pub type Compared = Result<bool, (String, bool)>;
-
-/// What a closed window says.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Finding {
-    /// Too little to say anything.
-    Thin,
-    /// Nothing against the build.
-    Clean,
-    /// A breach: its reason and how much it counts.
-    Breach(String, f64),
+/// A server that may take a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate {
+    /// Which.
+    pub id: ServerId,
+    /// Its share of the pool.
+    pub weight: f64,
+    /// Left out for now.
+    pub out: bool,
+    /// Own attempts out there.
+    pub held: f64,
+    /// The same before the guard on cold servers.
+    pub uncapped: f64,
+    /// How far it has warmed up; 1 is warm.
+    pub warmth: f64,
 }
