Way back offered by share, shedding by the late share, machine faults among many clear the build

Might hurt: a bad build that shows on a minority of its machines only is let on until it shows on more.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -30,9 +30,12 @@
 const COLLECTORS: u64 = 3; // drawn anew for each stage
 const PEER_TIMES: f64 = 20.0; // own counters: what a peer's may hold at most to be believed
 const SPREAD_LEAST: f64 = 0.25; // of a breach must be left on the better half of the machines
+const MACHINES_LEAST: usize = 4; // slices of the new machines that can clear a build of a few's breach
 const RENEW_SHARE: f64 = 0.6; // of a vote's life: then it is renewed
 const VOTE_RETRY: Micros = 400 * MS; // least wait after a vote that did not count, doubled by jitter
 // Routing and health.
+const LIST_RETRY: Micros = 200 * MS; // doubled before each further call, up to five times
+const TICK_LEAST: Micros = 5 * MS; // margins before deadlines are counted in ticks
 const STEP: Micros = 100 * MS; // slow upkeep
 const RECENT: usize = 100; // answer times kept for each class
 const SMOOTHING: f64 = 0.15; // weight of the newest outcome in a server's record
@@ -48,9 +51,10 @@
 const HOLD_SHARE: f64 = 0.5; // of a class's aim: how long a request waits for a server before it is refused
 const EARNED: f64 = 0.995; // of the cap counts as earned, so that rounding never passes it
 const COLD_DRAW: f64 = 0.5; // of a cold server's budget, where that is under one request
-const SHED_STEP: f64 = 0.02; // added to the share refused for each late answer ...
-const SHED_BACK: f64 = 0.4; // ... and so much of it taken off for each answer in time
-const SHED_MOST: f64 = 0.9; // some are always taken, to see whether it is over
+const SHED_SPAN: Micros = 2 * SECOND; // answers of so long tell whether it is crowded
+const SHED_FROM: f64 = 0.15; // late share of them from which on requests are refused at once ...
+const SHED_GAIN: f64 = 2.0; // ... so much of what is over it
+const SHED_MOST: f64 = 0.9; // so that some are always tried
 const CARRIED_KEPT: f64 = 0.995; // of what a warm server was seen to carry, each step
 const COLD_SAFETY: f64 = 0.6; // share of a cold server's span budget that this balancer allows itself
 const ADMIT_SHARE: f64 = 0.65; // of the tightest aim: a longer expected answer time is refused at once
@@ -67,7 +71,8 @@
 
 impl Balancer {
     /// A fresh balancer that knows nothing but its settings.
-    pub fn new(set: Settings, seed: u64) -> Self {
+    pub fn new(mut set: Settings, seed: u64) -> Self {
+        set.tick = set.tick.max(TICK_LEAST);
         let guess = |c: &Class| Typical::new(c.aim as f64 / 4.0, c.aim as f64 / 2.0);
         let (typical, retry_credit) = (set.classes.iter().map(guess).collect(), RETRY_DEPTH / 2.0);
         let mut m = Memory { rng: Rng(seed), typical, retry_credit, ..Memory::default() };
@@ -109,9 +114,8 @@
         if kind == ListKind::Failed {
             // Jittered back-off: all balancers share the list service, and a loss hits them together.
             self.m.list_failures = (self.m.list_failures + 1).min(5);
-            let wait = ((200 * MS) << self.m.list_failures) as f64 * (0.5 + self.m.rng.unit());
-            self.m.list_retry = Some(now + wait as Micros);
-            return;
+            let wait = (LIST_RETRY << self.m.list_failures) as f64 * (0.5 + self.m.rng.unit());
+            return self.m.list_retry = Some(now + wait as Micros);
         }
         if kind != ListKind::Cached {
             (self.m.list_heard, self.m.list_failures, self.m.list_retry) = (now, 0, None);
@@ -158,8 +162,8 @@
     /// the answer would come too late anyway, so that a crowd does not make everybody late.
     fn place(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
         let Some(open) = self.m.open.get(&id) else { return };
-        let (Request { class, deadline, .. }, arrived, tick) = (open.request, open.arrived, self.tick());
-        let aim = self.set.classes[class].aim as f64;
+        let (request, arrived, tick) = (open.request, open.arrived, self.set.tick);
+        let aim = self.set.classes[request.class].aim as f64;
         if let Some(server) = self.pick(now, id) {
             let chosen = &self.m.servers[&server];
             let expected = chosen.per_slot * f64::from(chosen.in_flight + 1);
@@ -171,7 +175,8 @@
             } else {
                 self.send(now, id, server, out);
             }
-        } else if now.saturating_sub(arrived) as f64 >= aim * HOLD_SHARE || now + 3 * tick >= deadline {
+        } else if now.saturating_sub(arrived) as f64 >= aim * HOLD_SHARE || now + 3 * tick >= request.deadline
+        {
             self.give_up(now, id, true, out);
         } else {
             self.m.look_again(id, now + tick);
@@ -186,7 +191,7 @@
             let (span, per_class) = (self.set.rollout.counted_over * 2, self.set.rollout.per_class);
             self.m.exposure_of(entry.build, class, per_class).spend(now, span);
         }
-        let guard = deadline.saturating_sub(2 * self.tick()).max(now + 1);
+        let guard = deadline.saturating_sub(2 * self.set.tick).max(now + 1);
         out.push(Action::Send { request: id, server: to, cut_at: guard });
         let hurry = now + (self.m.typical[class].tail * HURRY_FACTOR) as Micros;
         self.m.look_again(id, hurry.min(guard));
@@ -194,20 +199,18 @@
 
     fn on_due(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
         let Some(open) = self.m.open.get(&id).filter(|o| !o.done && !o.streaming) else { return };
-        if now + 3 * self.tick() >= open.request.deadline {
-            self.give_up(now, id, false, out);
-        } else if open.out() == 0 {
-            self.place(now, id, out);
-        } else {
-            self.hurry(now, id, out);
+        match open.out() {
+            _ if now + 3 * self.set.tick >= open.request.deadline => self.give_up(now, id, false, out),
+            0 => self.place(now, id, out),
+            _ => self.hurry(now, id, out),
         }
     }
 
     /// A slow attempt gets a second copy where allowed, else it is cut so that a retry can follow.
     fn hurry(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
-        let open = &self.m.open[&id];
+        let Some(open) = self.m.open.get(&id) else { return };
         let (class, attempt) = (&self.set.classes[open.request.class], open.attempts.len() - 1);
-        let next = open.request.deadline.saturating_sub(2 * self.tick());
+        let next = open.request.deadline.saturating_sub(2 * self.set.tick);
         let worth_it = open.out() == 1 && now < open.arrived + class.aim && self.m.retry_credit >= 1.0;
         if worth_it && class.effect != Effect::Fragile && attempt + 1 < self.set.limits.max_attempts {
             if !self.set.limits.second_copies {
@@ -235,16 +238,15 @@
         self.learn_build(&attempt, class, unit, late, end);
         if matches!(outcome, Outcome::Ok | Outcome::Timeout | Outcome::Rejected) {
             // Over all servers: with thin traffic no single one's queue shows to one balancer.
-            let change = if late || outcome == Outcome::Rejected { 1.0 } else { -SHED_BACK };
-            self.m.shed = (self.m.shed + SHED_STEP * change).clamp(0.0, SHED_MOST);
+            self.m.answers.add(now, 1.0);
+            self.m.late.add(now, f64::from(u8::from(late || outcome == Outcome::Rejected)));
         }
         if outcome == Outcome::Ok && !attempt.cold {
             self.m.served.add(now, cost);
         }
-        let live = |n: StageNews| matches!(n.phase, Phase::Trial | Phase::Released);
-        let newest = self.m.news.is_some_and(|n| live(n) && n.build == attempt.to.build);
-        let binds = self.set.rollout.one_way && newest && outcome == Outcome::Ok;
-        self.m.keys.extend(key.filter(|_| binds));
+        let newest = self.m.news.filter(|n| n.build == attempt.to.build);
+        let live = newest.is_some_and(|n| matches!(n.phase, Phase::Trial | Phase::Released));
+        self.m.keys.extend(key.filter(|_| live && self.set.rollout.one_way && outcome == Outcome::Ok));
         let Some(open) = self.m.open.get(&id) else { return };
         if settled || open.done {
             self.finish(id, out);
@@ -256,7 +258,7 @@
     /// All attempts have ended without an answer: another one, or the final answer at once.
     fn after_failure(&mut self, now: Micros, id: RequestId, outcome: Outcome, out: &mut Vec<Action>) {
         let open = &self.m.open[&id];
-        let time_left = now + 4 * self.tick() < open.request.deadline;
+        let time_left = now + 4 * self.set.tick < open.request.deadline;
         let attempts_left = open.attempts.len() < self.set.limits.max_attempts && outcome != Outcome::Moot;
         // The budget keeps retries from feeding an overload; proven non-runs cost as much as any.
         if time_left && attempts_left && self.may_repeat(now, open, None) && self.m.retry_credit >= 1.0 {
@@ -304,8 +306,8 @@
         let usual = self.m.typical.iter().map(|t| t.median).fold(0.0, f64::max);
         let mut pools: [Vec<Candidate>; 2] = [Vec::new(), Vec::new()];
         let mut share = [0.0; 2];
-        let able = |e: &ServerEntry| e.status == Status::Ready && self.may_repeat(now, &open, Some(e));
-        for (&id, server) in self.m.servers.iter().filter(|(_, s)| able(&s.entry)) {
+        let ready = self.m.servers.iter().filter(|(_, s)| s.entry.status == Status::Ready);
+        for (&id, server) in ready.filter(|(_, s)| self.may_repeat(now, &open, Some(&s.entry))) {
             let Some(&(_, pool, admits)) = gates.iter().find(|g| g.0 == server.entry.build) else { continue };
             let warmth = server.warmth(now, &self.set.contract);
             share[pool] += warmth;
@@ -327,15 +329,16 @@
             }
         }
         let going_back = self.m.news.is_some_and(|n| n.phase == Phase::RollingBack);
-        let first = open.attempts.is_empty();
-        if first && open.arrived == now && share[1] > 0.0 && !going_back {
+        if open.attempts.is_empty() && open.arrived == now && share[1] > 0.0 && !going_back {
             // Machines beside those they replace count as one place: they must show what they do under load.
             let places = if self.set.rollout.in_place { share[0] + share[1] } else { share[0].max(share[1]) };
             self.m.owed = (self.m.owed + share[1] / places).min(2.0);
         }
-        let to_trial = first && self.m.owed >= 1.0 && !going_back;
+        let to_trial = open.attempts.is_empty() && self.m.owed >= 1.0 && !going_back;
         let order = if to_trial { [1, 0] } else { [0, 1] };
-        let mut choose = |p: usize| Some((p, self.choose(std::mem::take(&mut pools[p]))?));
+        // Out of turn a pool may be offered everything, above all the few first machines of a way back.
+        let in_turn = [!going_back, to_trial];
+        let mut choose = |p: usize| Some((p, self.choose(whole, in_turn[p], std::mem::take(&mut pools[p]))?));
         let (pool, server) = order.into_iter().find_map(&mut choose)?;
         if pool == 1 {
             self.m.owed = (self.m.owed - 1.0).max(-2.0);
@@ -348,8 +351,8 @@
 
     /// Two random choices by own attempts out, drawn again while the better one is busier than the mean.
     /// Servers left out stay so only while half of the pool is in.
-    fn choose(&mut self, mut pool: Vec<Candidate>) -> Option<ServerId> {
-        let uncapped: f64 = pool.iter().map(|s| s.uncapped).sum();
+    fn choose(&mut self, whole: f64, in_turn: bool, mut pool: Vec<Candidate>) -> Option<ServerId> {
+        let offered = if in_turn { pool.iter().map(|s| s.uncapped).sum() } else { whole };
         pool.retain(|s| s.weight > 0.0);
         if pool.iter().filter(|s| !s.out).count() * 2 >= pool.len() {
             pool.retain(|s| !s.out);
@@ -357,7 +360,7 @@
         let total: f64 = pool.iter().map(|s| s.weight).sum();
         // Where hardly any but cold servers are left, most requests must go without.
         let cold = pool.iter().any(|s| s.warmth < 1.0);
-        if total <= 0.0 || (cold && self.m.rng.unit() * uncapped > 2.0 * total) {
+        if total <= 0.0 || (cold && self.m.rng.unit() * offered > 2.0 * total) {
             return None;
         }
         let mean = (pool.iter().map(|s| s.held).sum::<f64>() + 1.0) / total;
@@ -389,7 +392,7 @@
         match class.effect {
             Effect::Retryable => true,
             Effect::Fragile => false,
-            Effect::Deduplicated => same_group && now + 2 * self.tick() < ran.sent_at + class.dedup_window,
+            Effect::Deduplicated => same_group && now + 2 * self.set.tick < ran.sent_at + class.dedup_window,
         }
     }
 
@@ -434,7 +437,7 @@
         };
         // A lower cap binds after the grace; until then the old one lets earlier machines come up.
         let (before, since) = self.m.cap_before;
-        let binds = since + self.set.contract.drain_grace.saturating_sub(4 * self.tick());
+        let binds = since + self.set.contract.drain_grace.saturating_sub(4 * self.set.tick);
         if now < binds { news.cap.max(before) } else { news.cap }
     }
 
@@ -454,7 +457,7 @@
         }
         let stage = self.m.news.filter(|n| n.build == build).map_or(0, |n| n.stage);
         let safe = self.set.classes[open.request.class].effect == Effect::Retryable;
-        let (span, free) = (self.set.rollout.counted_over + 2 * self.tick(), self.set.rollout.uncounted);
+        let (span, free) = (self.set.rollout.counted_over + 2 * self.set.tick, self.set.rollout.uncounted);
         let guarded = stage < self.set.rollout.guarded_stages && !safe;
         let lane = if self.set.rollout.per_class { open.request.class } else { 0 };
         let count = self.m.exposure.get(&build).and_then(|lanes| lanes.get(lane));
@@ -535,12 +538,10 @@
         // at least so long, which says something only past the typical time.
         let cut = matches!(outcome, Outcome::Cancelled | Outcome::Timeout);
         let early = cut && (elapsed as f64) < self.m.typical[class].median && !timeout;
-        if early || !outcome.may_have_run() {
-            return;
-        }
+        let news = self.m.news.filter(|n| attempt.to.build <= n.build);
+        let Some(news) = news.filter(|_| !early && outcome.may_have_run()) else { return };
         let (server, build) = (attempt.to.id, attempt.to.build);
         let failed = error || timeout || outcome == Outcome::Reset;
-        let Some(news) = self.m.news.filter(|n| build <= n.build) else { return };
         let pace = (!attempt.cold && !error).then_some(elapsed as f64 / unit);
         let slow = elapsed as f64 > self.m.typical[class].median * LATENCY_RATIO;
         let sample = Sample { class, server, error, failed, slow, pace };
@@ -557,10 +558,6 @@
         }
     }
 
-    fn tick(&self) -> Micros {
-        self.set.tick.max(5 * MS)
-    }
-
     fn start_window(&mut self, now: Micros) {
         (self.m.window_start, self.m.window_count) = (now, 0);
         self.m.pool.mark(self.set.position);
@@ -568,8 +565,7 @@
 
     /// The build that can be voted on; not one released before an earlier build was ever seen to compare.
     fn subject(&self) -> Option<StageNews> {
-        let live = |p: Phase| p == Phase::Trial || (p == Phase::Released && self.m.compared);
-        self.m.news.filter(|n| live(n.phase))
+        self.m.news.filter(|n| n.phase == Phase::Trial || (n.phase == Phase::Released && self.m.compared))
     }
 
     /// Closes the window when it is full or old enough, and turns its finding into a verdict.
@@ -595,8 +591,8 @@
             Phase::Trial if !breached && !timer => Verdict::On,
             _ => Verdict::Withdraw,
         };
-        let text = format!("build {} stage {}: {verdict:?} {finding:?}", news.build, news.stage);
         if verdict != self.m.verdict || weight > 0.0 {
+            let text = format!("build {} stage {}: {verdict:?} {finding:?}", news.build, news.stage);
             out.extend(self.m.note(text, NOTES_MOST));
         }
         self.m.verdict = verdict;
@@ -609,6 +605,7 @@
     /// small steady share passes each window's bounds, but not the whole stage's.
     fn find(&mut self, now: Micros, news: StageNews, whole: &Evidence, window: &Evidence) -> Finding {
         let (age, seen) = (now.saturating_sub(self.m.window_start), window.tallies(0));
+        let many = window.slices(0, Hits::Failed).len() >= MACHINES_LEAST;
         if window.attempts(0) < WINDOW_LEAST {
             return Finding::Thin;
         }
@@ -630,9 +627,11 @@
         };
         let over_stage = |judged| judge(whole, f64::INFINITY).map(|_| judged);
         let judged = match judge(window, LATENCY_RATIO).and_then(over_stage) {
-            // A queue that builds up and drains lifts a short window's median and tail: latency convicts over
-            // the whole span only (till then no 'on' stands), or past the limit squared.
+            // A queue that builds up and drains lifts median and tail for a while: latency convicts over the
+            // whole span only (till then no 'on' stands), or past the limit squared.
             Err((why, true, _)) if age < WINDOW_SPAN => return Finding::Breach(why, 0.0),
+            // The doing of some machines among many for a whole span: the others clear the build.
+            Err((_, _, true)) if age >= WINDOW_SPAN && many => true,
             Err((why, _, machines)) => return Finding::Breach(why, if machines { 0.0 } else { 1.0 }),
             Ok(judged) => judged,
         };
@@ -691,21 +690,20 @@
         Err((why, Hits::Slow, median < limit * limit))
     }
 
-    /// Casts, renews or withdraws this balancer's vote.
+    /// Casts, renews or withdraws the vote.
     fn vote(&mut self, now: Micros, out: &mut Vec<Action>) {
         let Some(news) = self.subject() else { return };
         let age = |cast: &Cast| now.saturating_sub(cast.at);
+        let ttl = self.set.rollout.vote_ttl;
         // A reply can be lost itself; a vote stands for its span only.
         self.m.pending = self.m.pending.filter(|p| age(p) <= 2 * self.set.rollout.call_timeout);
-        let ttl = self.set.rollout.vote_ttl;
         let held = self.m.standing.filter(|s| age(s) < ttl);
         let aged = held.is_some_and(|s| age(&s) as f64 >= ttl as f64 * RENEW_SHARE);
-        let wanted = self.m.verdict;
-        let same = held.map_or(Verdict::Withdraw, |s| s.verdict) == wanted && !aged;
+        let (build, stage, verdict) = (news.build, news.stage, self.m.verdict);
+        let same = held.map_or(Verdict::Withdraw, |s| s.verdict) == verdict && !aged;
         if self.m.pending.is_none() && now >= self.m.vote_at && !same {
-            let (build, stage) = (news.build, news.stage);
-            self.m.pending = Some(Cast { build, stage, verdict: wanted, at: now });
-            out.push(Action::Vote { build, stage, verdict: wanted });
+            self.m.pending = Some(Cast { build, stage, verdict, at: now });
+            out.push(Action::Vote { build, stage, verdict });
         }
     }
 
@@ -713,14 +711,13 @@
         // The reply to a vote on another stage says nothing of this one.
         let current = self.m.news.map(|n| (n.build, n.stage));
         let cast = self.m.pending.take().filter(|c| Some((c.build, c.stage)) == current);
-        if outcome == Outcome::Ok {
-            self.m.standing = cast.map(|c| Cast { at: now, ..c }).or(self.m.standing);
-        } else {
-            if outcome == Outcome::Timeout {
-                // It may have counted: taken as standing, but old, so that it is soon renewed or withdrawn.
-                let old = (self.set.rollout.vote_ttl as f64 * RENEW_SHARE) as Micros;
-                self.m.standing = cast.map(|c| Cast { at: now.saturating_sub(old), ..c });
-            }
+        if matches!(outcome, Outcome::Ok | Outcome::Timeout) {
+            // One without a reply may have counted: it stands, but old, so that it is soon sent again.
+            let renewed = (self.set.rollout.vote_ttl as f64 * RENEW_SHARE) as Micros;
+            let at = now.saturating_sub(if outcome == Outcome::Ok { 0 } else { renewed });
+            self.m.standing = cast.map(|c| Cast { at, ..c }).or(self.m.standing);
+        }
+        if outcome != Outcome::Ok {
             // The allowance is shared by all balancers: back off with jitter.
             self.m.vote_at = now + (VOTE_RETRY as f64 * (1.0 + self.m.rng.unit())) as Micros;
         }
@@ -781,6 +778,8 @@
     fn step(&mut self, now: Micros) {
         self.m.typical.iter_mut().for_each(Typical::refresh);
         self.m.servers.values_mut().for_each(|s| s.relax(FADING));
+        let share = self.m.late.sum(now, SHED_SPAN) / self.m.answers.sum(now, SHED_SPAN).max(1.0);
+        self.m.shed = ((share - SHED_FROM) * SHED_GAIN).clamp(0.0, SHED_MOST);
         let (warm, all) = self.m.ready_sizes(now, &self.set.contract, self.set.sizes_known);
         if warm * 2.0 >= all && warm > 0.0 {
             let rate = self.m.served.sum(now, 2 * SECOND) / 2.0 / warm;
--- a/src/state.rs
+++ b/src/state.rs
@@ -275,6 +275,10 @@
     pub owed: f64,
     /// Cost of requests taken.
     pub offered: SpanSum,
+    /// Answers lately.
+    pub answers: SpanSum,
+    /// Those of them that came late.
+    pub late: SpanSum,
     /// Share of requests refused at once, as answers come late.
     pub shed: f64,
     /// When slow upkeep is due.
