--- a/src/balance.rs
+++ b/src/balance.rs
@@ -28,7 +28,7 @@
 const PEER_EVERY: Micros = 800 * MS; // counters go out this often, half as often after the release
 const MESH_MOST: usize = 20; // up to so many balancers tell all others; above, collectors add up and pass on
 const COLLECTORS: u64 = 3; // drawn anew for each stage
-const PEER_TIMES: f64 = 20.0; // own counters: what a peer's may hold at most to be believed
+const PEER_TIMES: f64 = 4.0; // own counters: what a peer's may hold at most to be believed
 const SPREAD_LEAST: f64 = 0.25; // of a breach must be left on the better half of the machines
 const MACHINES_LEAST: usize = 4; // slices of the new machines that can clear a build of a few's breach
 const RENEW_SHARE: f64 = 0.6; // of a vote's life: then it is renewed
@@ -41,9 +41,6 @@
 const SMOOTHING: f64 = 0.15; // weight of the newest outcome in a server's record
 const FASTER: f64 = 0.5; // the same where the newest outcome is good news
 const FADING: f64 = 0.03; // of a server's record, each step
-const STREAK_OUT: u32 = 3; // attempts in a row without an answer before a server is left out
-const OUT_FIRST: Micros = SECOND; // left out for so long at first, doubled at each repeat ...
-const OUT_LONGEST: Micros = 8 * SECOND; // ... up to this
 const STALL_FACTOR: f64 = 4.0; // typical answer times without any answer: the server may be standing still
 const RETRY_SHARE: f64 = 0.1; // further attempts earned by each request
 const RETRY_DEPTH: f64 = 4.0; // further attempts that may be saved up
@@ -51,8 +48,10 @@
 const HOLD_SHARE: f64 = 0.5; // of a class's aim: how long a request waits for a server before it is refused
 const EARNED: f64 = 0.995; // of the cap counts as earned, so that rounding never passes it
 const COLD_DRAW: f64 = 0.5; // of a cold server's budget, where that is under one request
-const SHED_SPAN: Micros = 2 * SECOND; // answers of so long tell whether it is crowded
-const SHED_FROM: f64 = 0.15; // late share of them from which on requests are refused at once ...
+const LATE_WEIGHT: f64 = 0.1; // of the newest answer in the late share
+const LATE_ALONE: f64 = 0.3; // over the late share of all: a class or tenant then counts by itself
+const LATE_KEPT: f64 = 0.99; // of that share, each step
+const SHED_FROM: f64 = 0.15; // late share from which on requests are refused at once ...
 const SHED_GAIN: f64 = 2.0; // ... so much of what is over it
 const SHED_MOST: f64 = 0.9; // so that some are always tried
 const CARRIED_KEPT: f64 = 0.995; // of what a warm server was seen to carry, each step
@@ -73,9 +72,10 @@
     /// A fresh balancer that knows nothing but its settings.
     pub fn new(mut set: Settings, seed: u64) -> Self {
         set.tick = set.tick.max(TICK_LEAST);
+        set.rollout.votes_back = set.rollout.votes_back.max(1.0);
         let guess = |c: &Class| Typical::new(c.aim as f64 / 4.0, c.aim as f64 / 2.0);
-        let (typical, retry_credit) = (set.classes.iter().map(guess).collect(), RETRY_DEPTH / 2.0);
-        let mut m = Memory { rng: Rng(seed), typical, retry_credit, ..Memory::default() };
+        let typical = set.classes.iter().map(guess).collect();
+        let mut m = Memory { rng: Rng(seed), typical, retry_credit: RETRY_DEPTH, ..Memory::default() };
         // Drawn starts: what each does once must not be done by all at once.
         (m.owed, m.life) = (m.rng.unit(), (m.rng.unit() * 256.0) as u8);
         Balancer { set, m }
@@ -143,15 +143,17 @@
             return out.push(Action::Refuse { request: id, come_back: 0 });
         }
         self.m.retry_credit = (self.m.retry_credit + RETRY_SHARE).min(RETRY_DEPTH);
-        let trials: Vec<Build> = self.m.builds.iter().copied().filter(|&b| self.on_trial(b)).collect();
-        for build in trials {
-            let cap = self.cap(now, build);
-            self.m.exposure_of(build, class, self.set.rollout.per_class).earn(cap * EARNED);
+        for build in self.m.builds.clone() {
+            let earned = if self.on_trial(build) { self.cap(now, build) * EARNED } else { 0.0 };
+            self.m.exposure_of(build, class, self.set.rollout.per_class).earn(earned);
         }
         let cost = request.hint.map_or(self.m.typical[class].median, |h| h as f64).max(1.0);
         self.m.offered.add(now, cost);
         self.m.open.insert(id, Open::new(request, now, cost));
-        if self.m.rng.unit() < self.m.shed {
+        let lane = (class, request.tenant.min(self.set.tenants.len()));
+        let own = self.m.late_by.get(&lane).copied().unwrap_or(0.0);
+        let late = if own > self.m.late + LATE_ALONE { own } else { self.m.late };
+        if self.m.rng.unit() < ((late - SHED_FROM) * SHED_GAIN).min(SHED_MOST) {
             self.give_up(now, id, true, out);
         } else {
             self.place(now, id, out);
@@ -233,14 +235,19 @@
         }
         let (attempt, class, cost, key) = (attempt.clone(), open.request.class, open.cost, open.request.key);
         let late = now >= open.arrived + self.set.classes[class].aim;
+        let lane = (class, open.request.tenant.min(self.set.tenants.len()));
         let unit = open.request.hint.unwrap_or(self.set.classes[class].aim).max(1) as f64;
-        self.learn_server(now, class, attempt.beside, end);
-        self.learn_build(&attempt, class, unit, late, end);
         if matches!(outcome, Outcome::Ok | Outcome::Timeout | Outcome::Rejected) {
-            // Over all servers: with thin traffic no single one's queue shows to one balancer.
-            self.m.answers.add(now, 1.0);
-            self.m.late.add(now, f64::from(u8::from(late || outcome == Outcome::Rejected)));
+            // Over all servers, as none's queue shows on thin traffic. A class or tenant that alone is late
+            // waits for reasons of its own: it must neither have the others refused nor hold their slots.
+            let lateness = f64::from(u8::from(late || outcome == Outcome::Rejected));
+            let own = self.m.late_by.entry(lane).or_default();
+            smooth(own, lateness, LATE_WEIGHT);
+            let alone = *own > self.m.late + LATE_ALONE;
+            smooth(&mut self.m.late, lateness, if alone { 0.0 } else { LATE_WEIGHT });
         }
+        self.learn_server(now, class, attempt.beside, end);
+        self.learn_build(&attempt, class, unit, late, end);
         if outcome == Outcome::Ok && !attempt.cold {
             self.m.served.add(now, cost);
         }
@@ -276,8 +283,7 @@
         let untouched = open.first_that_may_have_run().is_none();
         let for_all = class.effect == Effect::Deduplicated && class.group == DedupGroup::All;
         if untouched || for_all || class.effect == Effect::Retryable {
-            let late = crowded || now >= open.arrived + class.aim;
-            let advise = self.set.limits.retry_after && late;
+            let advise = self.set.limits.retry_after && (crowded || now >= open.arrived + class.aim);
             let come_back = if advise { self.set.limits.max_retry_after } else { 0 };
             out.push(Action::Refuse { request: id, come_back });
         } else {
@@ -314,8 +320,8 @@
             if admits {
                 let tried = open.attempts.iter().any(|a| a.to.id == id);
                 let weight = self.weight(now, server, usual) * if tried { 0.01 } else { 1.0 };
-                let (out, held) = (server.out_until > now, f64::from(server.in_flight));
-                pools[pool].push(Candidate { id, weight, uncapped: weight, out, held, warmth });
+                let held = f64::from(server.in_flight);
+                pools[pool].push(Candidate { id, weight, uncapped: weight, held, warmth });
             }
         }
         // A held request has had its chance: drawing at each look would add up to certainty.
@@ -350,13 +356,9 @@
     }
 
     /// Two random choices by own attempts out, drawn again while the better one is busier than the mean.
-    /// Servers left out stay so only while half of the pool is in.
     fn choose(&mut self, whole: f64, in_turn: bool, mut pool: Vec<Candidate>) -> Option<ServerId> {
         let offered = if in_turn { pool.iter().map(|s| s.uncapped).sum() } else { whole };
         pool.retain(|s| s.weight > 0.0);
-        if pool.iter().filter(|s| !s.out).count() * 2 >= pool.len() {
-            pool.retain(|s| !s.out);
-        }
         let total: f64 = pool.iter().map(|s| s.weight).sum();
         // Where hardly any but cold servers are left, most requests must go without.
         let cold = pool.iter().any(|s| s.warmth < 1.0);
@@ -437,8 +439,8 @@
         };
         // A lower cap binds after the grace; until then the old one lets earlier machines come up.
         let (before, since) = self.m.cap_before;
-        let binds = since + self.set.contract.drain_grace.saturating_sub(4 * self.set.tick);
-        if now < binds { news.cap.max(before) } else { news.cap }
+        let grace = self.set.contract.drain_grace.saturating_sub(4 * self.set.tick);
+        if now < since + grace { news.cap.max(before) } else { news.cap }
     }
 
     /// Whether the rules let this request go to this server's build now.
@@ -496,36 +498,25 @@
         let typical = self.m.typical[class].median.max(1.0);
         let Some(server) = self.m.servers.get_mut(&id) else { return };
         server.in_flight = server.in_flight.saturating_sub(1);
-        match outcome {
-            Outcome::Ok | Outcome::Error | Outcome::Rejected => {
-                (server.waiting_since, server.streak) = (now, 0)
-            }
-            Outcome::Timeout | Outcome::ConnectFailed | Outcome::Reset => server.streak += 1,
-            Outcome::Cancelled | Outcome::Moot => {}
+        if matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Rejected) {
+            server.waiting_since = now;
         }
         let pace = (elapsed as f64 / typical).min(10.0);
         match outcome {
             Outcome::Ok => {
-                server.failing *= 1.0 - SMOOTHING;
+                smooth(&mut server.failing, 0.0, SMOOTHING);
                 let per_slot = elapsed as f64 / f64::from(beside.max(1));
                 // Few attempts out overstate it, and refusals would keep them few: down fast, up slowly.
                 let rate = if per_slot < server.per_slot { FASTER } else { SMOOTHING };
-                server.per_slot += (per_slot - server.per_slot) * rate;
-                server.out_for = 0;
+                smooth(&mut server.per_slot, per_slot, rate);
                 self.m.typical[class].add(elapsed as f64, RECENT);
             }
             Outcome::Cancelled | Outcome::Moot => {}
-            _ => server.failing += (1.0 - server.failing) * SMOOTHING,
+            _ => smooth(&mut server.failing, 1.0, SMOOTHING),
         }
         // A cancelled attempt says "at least this slow".
         if outcome == Outcome::Ok || (outcome == Outcome::Cancelled && pace > server.slowness) {
-            server.slowness += (pace - server.slowness) * SMOOTHING / 2.0;
-        }
-        // Dead or unreachable before the list says so: left out, then tried again with one request.
-        if server.streak >= STREAK_OUT || (outcome == Outcome::ConnectFailed && server.streak >= 2) {
-            server.out_for = (server.out_for * 2).clamp(OUT_FIRST, OUT_LONGEST);
-            server.out_until = now + server.out_for;
-            server.streak = STREAK_OUT - 1;
+            smooth(&mut server.slowness, pace, SMOOTHING / 2.0);
         }
     }
 
@@ -575,7 +566,7 @@
         if age < WINDOW_SHORTEST {
             return;
         }
-        let (whole, window) = self.m.pool.widest(self.set.position);
+        let (whole, window) = self.m.pool.widest(self.set.position, WINDOW_ATTEMPTS as f64);
         let open = age < WINDOW_SPAN && (window.attempts(0) as usize) < WINDOW_ATTEMPTS;
         let finding = if open { Finding::Thin } else { self.find(now, news, &whole, &window) };
         if finding == Finding::Thin {
@@ -613,8 +604,8 @@
         self.m.compared |= !alone;
         // Each of many balancers that judge on their own may be unlucky, and few votes decide.
         let pooled = window.attempts(0) > POOL_FROM * self.m.window_count as f64;
-        let judges = (self.set.fleet_size as f64 / self.set.rollout.votes_back.max(1.0)).max(1.0);
-        let z = if pooled { Z95 } else { (Z95 * Z95 + 2.0 * judges.ln()).sqrt() };
+        let judges = if pooled { 1.0 } else { self.set.fleet_size as f64 / self.set.rollout.votes_back };
+        let z = (Z95 * Z95 + 2.0 * judges.max(1.0).ln()).sqrt();
         let judge = |evidence: &Evidence, limit: f64| {
             let (mut new, mut earlier) = (evidence.tallies(0), evidence.tallies(1));
             if alone {
@@ -637,9 +628,8 @@
         };
         // A class admitted late needs evidence of its own; what was not compared clears no breach.
         let guarded = news.stage < self.set.rollout.guarded_stages;
-        let short = self.set.classes.iter().zip(&seen).any(|(class, seen)| {
-            (!guarded || class.effect == Effect::Retryable) && seen.n < CLASS_LEAST / 2.0
-        });
+        let admitted = |c: &Class| !guarded || c.effect == Effect::Retryable;
+        let short = self.set.classes.iter().zip(&seen).any(|(c, t)| admitted(c) && t.n < CLASS_LEAST / 2.0);
         let unclear = short || (self.m.breaches > 0.0 && !judged);
         if unclear && age < 3 * WINDOW_SPAN { Finding::Thin } else { Finding::Clean }
     }
@@ -778,8 +768,7 @@
     fn step(&mut self, now: Micros) {
         self.m.typical.iter_mut().for_each(Typical::refresh);
         self.m.servers.values_mut().for_each(|s| s.relax(FADING));
-        let share = self.m.late.sum(now, SHED_SPAN) / self.m.answers.sum(now, SHED_SPAN).max(1.0);
-        self.m.shed = ((share - SHED_FROM) * SHED_GAIN).clamp(0.0, SHED_MOST);
+        self.m.late_by.values_mut().chain([&mut self.m.late]).for_each(|share| *share *= LATE_KEPT);
         let (warm, all) = self.m.ready_sizes(now, &self.set.contract, self.set.sizes_known);
         if warm * 2.0 >= all && warm > 0.0 {
             let rate = self.m.served.sum(now, 2 * SECOND) / 2.0 / warm;
--- a/src/evidence.rs
+++ b/src/evidence.rs
@@ -326,6 +326,8 @@
     sums: BTreeMap<usize, (u8, Evidence)>,
     /// What all sums stood at when the open window began.
     base: BTreeMap<usize, Evidence>,
+    /// What the own counters stood at then.
+    base_own: Evidence,
     fresh: bool,
 }
 
@@ -333,7 +335,8 @@
     /// A new stage: all counters at zero.
     pub fn restart(&mut self, classes: usize) {
         let zero = Evidence::new(classes);
-        *self = Pool { mine: zero.clone(), ended: zero, fresh: true, ..Pool::default() };
+        *self =
+            Pool { mine: zero.clone(), ended: zero.clone(), base_own: zero, fresh: true, ..Pool::default() };
     }
 
     /// Takes a peer's message in.
@@ -372,14 +375,19 @@
 
     /// A window begins.
     pub fn mark(&mut self, position: usize) {
-        self.fresh = false;
+        (self.fresh, self.base_own) = (false, self.mine.clone());
         self.base = self.sums.iter().map(|(from, (_, sum))| (*from, sum.clone())).collect();
         self.base.insert(position, self.total());
     }
 
-    /// The widest evidence at hand on the whole stage and on the open window: own total or one collector's
-    /// sum, never two of them added up, so that nothing counts twice.
-    pub fn widest(&self, position: usize) -> (Evidence, Evidence) {
+    /// The evidence on the whole stage and on the open window: the own, if its window holds `enough` attempts
+    /// at the new build; else the widest at hand, own total or one collector's sum. Never two of them added
+    /// up, so that nothing counts twice.
+    pub fn widest(&self, position: usize, enough: f64) -> (Evidence, Evidence) {
+        let own = self.mine.since(Some(&self.base_own));
+        if own.attempts(0) >= enough {
+            return (self.mine.clone(), own);
+        }
         let total = self.total();
         let mut best = (total.since(self.base.get(&position)), total);
         for (from, (_, sum)) in &self.sums {
--- a/src/state.rs
+++ b/src/state.rs
@@ -37,6 +37,11 @@
     }
 }
 
+/// Moves a smoothed value towards the newest one.
+pub fn smooth(value: &mut f64, newest: f64, weight: f64) {
+    *value += (newest - *value) * weight;
+}
+
 /// A sum over a sliding span.
 #[derive(Clone, Debug, Default)]
 pub struct SpanSum {
@@ -114,12 +119,6 @@
     pub slowness: f64,
     /// Smoothed answer time for each own attempt out.
     pub per_slot: f64,
-    /// Attempts in a row without an answer.
-    pub streak: u32,
-    /// Left out until then.
-    pub out_until: Micros,
-    /// How long it was last left out for.
-    pub out_for: Micros,
     /// Since when attempts have been out without an answer.
     pub waiting_since: Micros,
 }
@@ -134,9 +133,6 @@
             failing: 0.0,
             slowness: 1.0,
             per_slot: 0.0,
-            streak: 0,
-            out_until: 0,
-            out_for: 0,
             waiting_since: 0,
         }
     }
@@ -275,12 +271,10 @@
     pub owed: f64,
     /// Cost of requests taken.
     pub offered: SpanSum,
-    /// Answers lately.
-    pub answers: SpanSum,
-    /// Those of them that came late.
-    pub late: SpanSum,
-    /// Share of requests refused at once, as answers come late.
-    pub shed: f64,
+    /// Smoothed share of late answers.
+    pub late: f64,
+    /// The same by class and tenant.
+    pub late_by: BTreeMap<(usize, usize), f64>,
     /// When slow upkeep is due.
     pub next_step: Micros,
     /// When the earliest timer that is set comes due.
@@ -462,8 +456,6 @@
     pub id: ServerId,
     /// Its share of the pool.
     pub weight: f64,
-    /// Left out for now.
-    pub out: bool,
     /// Own attempts out there.
     pub held: f64,
     /// The same before the guard on cold servers.
--- a/tests/judging.rs
+++ b/tests/judging.rs
@@ -174,3 +174,24 @@
     assert_eq!(votes(&rig.run(2 * S)), []);
     assert_eq!(votes(&rig.run(2 * S)), [Verdict::On]);
 }
+
+/// Guards: a build slowed so much that it convicts at once is looked for in slow answers, not in failures.
+#[test]
+fn a_build_three_times_slower_is_sent_back() {
+    let mut rig = rig(2, 1.0);
+    let spread = |i: usize| 40 * MS + (i as u64 % 10) * 4 * MS;
+    let slow = |to, i| (Outcome::Ok, spread(i) * if to >= 100 { 3 } else { 1 });
+    let actions = rig.traffic(&[SAFE], 2_000, slow);
+    assert_eq!(votes(&actions).last(), Some(&Verdict::Back));
+}
+
+/// Guards: a good build must not hang for as long as a few machines of the fleet are slow.
+#[test]
+fn slow_machines_among_many_do_not_hold_a_good_build() {
+    let set = settings();
+    let mut rig = Rig::new(set, &fleet(12, 12), news(2, 2, Phase::Trial, 1.0));
+    let slow = |to: ServerId, _| (Outcome::Ok, if to == 100 || to == 101 { 400 * MS } else { 50 * MS });
+    let actions = rig.traffic(&[SAFE, KEYED, FRAGILE], 3_000, slow);
+    assert!(votes(&actions).contains(&Verdict::On), "{:?}", votes(&actions));
+    assert!(!votes(&actions).contains(&Verdict::Back));
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -96,6 +96,29 @@
     assert!(refused < 30, "{refused} of 300 refused by a server that answers all in 90 ms");
 }
 
+/// Guards: one tenant whose requests all wait must not have the others refused with it.
+#[test]
+fn a_tenant_whose_requests_wait_is_refused_before_the_others() {
+    let mut set = settings();
+    set.tenants = vec![Tenant { quota_per_s: 100.0 }; 2];
+    let mut rig = Rig::new(set, &fleet(6, 0), RELEASED);
+    let mut refused = [0, 0];
+    for i in 0..600 {
+        let tenant = i % 2;
+        let request =
+            Request { id: 5_000 + i as u64, deadline: rig.now + 1_200 * MS, tenant, ..Request::default() };
+        let actions = rig.feed(Event::Request(request));
+        refused[tenant] += finals(&actions, request.id).0;
+        let wait = if tenant == 1 { 500 * MS } else { 30 * MS };
+        rig.now += wait;
+        for (id, server) in sends(&actions) {
+            rig.end(id, 0, server, Outcome::Ok, wait);
+        }
+    }
+    assert!(refused[1] > 150, "{refused:?}");
+    assert!(refused[0] < 20, "{refused:?}");
+}
+
 #[test]
 fn nothing_goes_to_a_build_at_cap_zero_after_the_grace() {
     let mut rig = Rig::new(settings(), &fleet(0, 4), news(2, 3, Phase::Released, 1.0));
