Votes gather thin evidence where peers are silent and votes are counted

Where the gate counts votes, a balancer whose few attempts are all clean and not slow votes on after two spans, if the votes needed stand together for a full window; one failure withholds its vote. Where one vote decides this never acts. May hurt: a build failing under about one in five attempts can pass a stage while messages are lost.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -29,6 +29,7 @@
 const MESH_MOST: usize = 20; // up to so many balancers tell all others; above, collectors add up and pass on
 const COLLECTORS: u64 = 3; // drawn anew for each stage
 const PEER_TIMES: f64 = 4.0; // own counters: what a peer's may hold at most to be believed
+const SILENT_SPAN: Micros = 2 * WINDOW_SPAN; // so long without evidence enough: votes alone gather it
 const SPREAD_LEAST: f64 = 0.25; // of a breach must be left on the better half of the machines
 const MACHINES_LEAST: usize = 4; // slices of the new machines that can clear a build of a few's breach
 const RENEW_SHARE: f64 = 0.6; // of a vote's life: then it is renewed
@@ -598,7 +599,13 @@
         let (age, seen) = (now.saturating_sub(self.m.window_start), window.tallies(0));
         let many = window.slices(0, Hits::Failed).len() >= MACHINES_LEAST;
         if window.attempts(0) < WINDOW_LEAST {
-            return Finding::Thin;
+            // Peers silent, own traffic thin: where votes are counted, they add up what each has seen. Votes
+            // that together stand for a full window move a stage; one failure withholds this balancer's.
+            let together = window.attempts(0) * self.set.rollout.votes_on;
+            let counted = self.set.rollout.gate == GateMode::Share && age >= SILENT_SPAN;
+            let fine = seen.iter().all(|t| t.failed == 0.0) && share(&window.slices(0, Hits::Slow)) < 0.5;
+            let on = counted && fine && together >= WINDOW_ATTEMPTS as f64;
+            return if on { Finding::Clean } else { Finding::Thin };
         }
         let alone = window.attempts(1) < WINDOW_LEAST;
         self.m.compared |= !alone;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -93,6 +93,8 @@
     pub call_timeout: Micros,
     /// The share of wrong answers that clients report; 0: no reports.
     pub flag_share: f64,
+    /// Votes that move a stage on.
+    pub votes_on: f64,
     /// Votes that send a build back.
     pub votes_back: f64,
     /// Votes a second that the platform takes from all balancers together.
--- a/tests/judging.rs
+++ b/tests/judging.rs
@@ -195,3 +195,24 @@
     assert!(votes(&actions).contains(&Verdict::On), "{:?}", votes(&actions));
     assert!(!votes(&actions).contains(&Verdict::Back));
 }
+
+/// Guards: with peers silent and votes counted, thin clean evidence still moves a stage; a failure withholds it,
+/// and where one vote decides it never does.
+#[test]
+fn thin_evidence_votes_only_where_votes_are_counted() {
+    let play = |gate, failing: bool| {
+        let mut set = settings();
+        (set.rollout.gate, set.rollout.votes_on, set.fleet_size) = (gate, 100.0, 200);
+        let mut rig = Rig::new(set, &fleet(6, 4), news(2, 2, Phase::Trial, 1.0));
+        let mut actions = Vec::new();
+        for _ in 0..16 {
+            let bad = |to, _| if failing && to >= 100 { (Outcome::Error, 50 * MS) } else { OK };
+            actions.extend(rig.traffic(&[SAFE], 1, bad));
+            actions.extend(rig.run(500 * MS));
+        }
+        votes(&actions)
+    };
+    assert!(play(GateMode::Share, false).contains(&Verdict::On));
+    assert_eq!(play(GateMode::Share, true), []);
+    assert_eq!(play(GateMode::Any, false), []);
+}
