--- a/src/balance.rs
+++ b/src/balance.rs
@@ -337,7 +337,9 @@
         }
         let going_back = self.m.news.is_some_and(|n| n.phase == Phase::RollingBack);
         if open.attempts.is_empty() && open.arrived == now && share[1] > 0.0 && !going_back {
-            self.m.owed = (self.m.owed + share[1] / (share[0] + share[1])).min(2.0);
+            // Machines beside those they replace count as one place: they must show what they do under load.
+            let places = if self.set.rollout.in_place { share[0] + share[1] } else { share[0].max(share[1]) };
+            self.m.owed = (self.m.owed + share[1] / places).min(2.0);
         }
         let to_trial = open.attempts.is_empty() && self.m.owed >= 1.0 && !going_back;
         let order = if to_trial { [1, 0] } else { [0, 1] };
