--- a/src/balance.rs
+++ b/src/balance.rs
@@ -59,6 +59,7 @@
 const COLD_SAFETY: f64 = 0.6; // share of a cold server's span budget that this balancer allows itself
 const ADMIT_SHARE: f64 = 0.65; // of the tightest aim: a longer expected answer time is refused at once
 const REDRAWS: usize = 3; // further pairs drawn while the better server is busier than the pool's mean
+const KEY_POPULAR: f64 = 3.0; // times the mean: such a key is not bound to a trial build early
 const KEYS_KEPT: usize = 200_000; // one-way keys remembered; past that only known keys go to the new build
 const NOTES_MOST: u32 = 100; // log lines a life
 
@@ -143,6 +144,9 @@
         if class >= self.set.classes.len() {
             return out.push(Action::Refuse { request: id, come_back: 0 });
         }
+        if let (true, Some(key)) = (self.set.rollout.one_way, request.key) {
+            self.m.key_counts.count(key, KEYS_KEPT);
+        }
         self.m.retry_credit = (self.m.retry_credit + RETRY_SHARE).min(RETRY_DEPTH);
         for build in self.m.builds.clone() {
             let earned = if self.on_trial(build) { self.cap(now, build) * EARNED } else { 0.0 };
@@ -165,7 +169,7 @@
     /// the answer would come too late anyway, so that a crowd does not make everybody late.
     fn place(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
         let Some(open) = self.m.open.get(&id) else { return };
-        let (request, arrived, tick) = (open.request, open.arrived, self.set.tick);
+        let (request, tick, held) = (open.request, self.set.tick, now.saturating_sub(open.arrived) as f64);
         let aim = self.set.classes[request.class].aim as f64;
         if let Some(server) = self.pick(now, id) {
             let chosen = &self.m.servers[&server];
@@ -178,8 +182,7 @@
             } else {
                 self.send(now, id, server, out);
             }
-        } else if now.saturating_sub(arrived) as f64 >= aim * HOLD_SHARE || now + 3 * tick >= request.deadline
-        {
+        } else if held >= aim * HOLD_SHARE || now + 3 * tick >= request.deadline {
             self.give_up(now, id, true, out);
         } else {
             self.m.look_again(id, now + tick);
@@ -341,7 +344,9 @@
             let places = if self.set.rollout.in_place { share[0] + share[1] } else { share[0].max(share[1]) };
             self.m.owed = (self.m.owed + share[1] / places).min(2.0);
         }
-        let to_trial = open.attempts.is_empty() && self.m.owed >= 1.0 && !going_back;
+        // A key that the new build answers is bound to it: the popular ones would pile onto few machines.
+        let popular = open.request.key.is_some_and(|k| self.m.key_counts.popularity(k) > KEY_POPULAR);
+        let to_trial = open.attempts.is_empty() && self.m.owed >= 1.0 && !popular && !going_back;
         let order = if to_trial { [1, 0] } else { [0, 1] };
         // Out of turn a pool may be offered everything, above all the few first machines of a way back.
         let in_turn = [!going_back, to_trial];
@@ -763,7 +768,6 @@
             self.on_due(now, id, out);
         }
         if now >= self.m.next_step {
-            self.m.next_step = now + STEP;
             self.step(now);
             self.follow_list(now, out);
             self.judge(now, out);
@@ -773,6 +777,7 @@
     }
 
     fn step(&mut self, now: Micros) {
+        self.m.next_step = now + STEP;
         self.m.typical.iter_mut().for_each(Typical::refresh);
         self.m.servers.values_mut().for_each(|s| s.relax(FADING));
         self.m.late_by.values_mut().chain([&mut self.m.late]).for_each(|share| *share *= LATE_KEPT);
--- a/src/state.rs
+++ b/src/state.rs
@@ -246,6 +246,30 @@
     pub at: Micros,
 }
 
+/// How often keys came, within bounded memory.
+#[derive(Clone, Debug, Default)]
+pub struct KeyCounts {
+    counts: BTreeMap<u64, f64>,
+    total: f64,
+}
+
+impl KeyCounts {
+    /// Counts a key; forgets all once `most` keys are held.
+    pub fn count(&mut self, key: u64, most: usize) {
+        if self.counts.len() >= most {
+            *self = KeyCounts::default();
+        }
+        *self.counts.entry(key).or_default() += 1.0;
+        self.total += 1.0;
+    }
+
+    /// How often a key came against the mean of all keys; 0 where none has been counted.
+    pub fn popularity(&self, key: u64) -> f64 {
+        let count = self.counts.get(&key).copied().unwrap_or(0.0);
+        count * self.counts.len() as f64 / self.total.max(1.0)
+    }
+}
+
 /// All that a balancer remembers; what to do with it is decided elsewhere.
 #[derive(Clone, Debug, Default)]
 pub struct Memory {
@@ -295,6 +319,8 @@
     pub cap_before: (f64, Micros),
     /// Attempts at builds on trial, by build and counted class.
     pub exposure: BTreeMap<Build, Vec<Exposure>>,
+    /// How often keys come.
+    pub key_counts: KeyCounts,
     /// Keys that the new build has answered.
     pub keys: BTreeSet<u64>,
     /// When the present stage was heard of.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -152,6 +152,29 @@
     assert!(bound.len() > 10);
 }
 
+/// Guards: a popular key bound to the new build early would bring its machines more than their share.
+#[test]
+fn a_popular_key_does_not_go_to_the_new_build_first() {
+    let mut set = settings();
+    set.rollout.one_way = true;
+    let mut rig = Rig::new(set, &fleet(8, 0), RELEASED);
+    let play = |rig: &mut Rig, i: u64| {
+        let key = if i % 3 == 0 { 1 } else { 100 + i };
+        let (id, actions) = rig.keyed(SAFE, Some(key));
+        for (_, server) in sends(&actions) {
+            rig.run(5 * MS);
+            rig.end(id, 0, server, Outcome::Ok, 20 * MS);
+        }
+        sends(&actions).iter().filter(|s| s.1 >= 100).map(|_| key).collect::<Vec<u64>>()
+    };
+    (0..60).for_each(|i| drop(play(&mut rig, i)));
+    rig.feed(Event::Stage(news(2, 1, Phase::Trial, 0.5)));
+    rig.feed(Event::ServerList { kind: ListKind::Full, entries: &fleet(8, 2) });
+    let on_trial: Vec<u64> = (60..660).flat_map(|i| play(&mut rig, i)).collect();
+    assert!(on_trial.len() > 40, "{} attempts at the new build", on_trial.len());
+    assert!(!on_trial.contains(&1));
+}
+
 #[test]
 fn a_build_not_announced_yet_counts_as_the_first_stage() {
     let mut rig = Rig::new(settings(), &fleet(2, 8), RELEASED);
