--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -159,7 +159,7 @@
     set.rollout.one_way = true;
     let mut rig = Rig::new(set, &fleet(8, 0), RELEASED);
     let play = |rig: &mut Rig, i: u64| {
-        let key = if i % 3 == 0 { 1 } else { 100 + i };
+        let key = if i.is_multiple_of(3) { 1 } else { 100 + i };
         let (id, actions) = rig.keyed(SAFE, Some(key));
         for (_, server) in sends(&actions) {
             rig.run(5 * MS);
