--- a/src/balance.rs
+++ b/src/balance.rs
@@ -24,7 +24,7 @@
 const BREACHES_TO_BACK: f64 = 2.0; // consecutive breached windows
 // The judge: extensions (docs/design.md, "Changed").
 const CLASS_LEAST: f64 = 8.0; // attempts that a class of its own needs before it counts or is cleared
-const POOL_FROM: f64 = 2.0; // times the own evidence: then the peers' is judged instead
+const POOL_FROM: f64 = 2.0; // times the own evidence: then it counts as pooled, and the bound as one judge's
 const PEER_EVERY: Micros = 800 * MS; // counters go out this often, half as often after the release
 const MESH_MOST: usize = 20; // up to so many balancers tell all others; above, collectors add up and pass on
 const COLLECTORS: u64 = 3; // drawn anew for each stage
