Site protocols: roster, release desk, flags and peers' datagrams, without I/O

A proxy must hear its site over a wire that is published, bounded and refuses what is malformed.

New package violetseam-site: JSON lines for roster and desk, a binary datagram with version, site and checksum for peers.

--- /dev/null
+++ b/crates/site/src/flag.rs
@@ -0,0 +1,31 @@
+//! Clients' reports of wrong answers: the id that came with the answer, as JSON.
+
+use crate::{Malformed, malformed};
+use serde::{Deserialize, Serialize};
+
+/// The longest body that is taken, in bytes.
+pub const BODY_MOST: usize = 256;
+
+/// A report.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Flag {
+    /// The answer's id: 16 hexadecimal digits, as its header gave it.
+    pub answer: String,
+}
+
+/// Reads a report's body: the answer's id.
+pub fn parse(body: &[u8]) -> Result<u64, Malformed> {
+    if body.len() > BODY_MOST {
+        return malformed("flag: too long");
+    }
+    let flag: Flag = serde_json::from_slice(body).map_err(|e| Malformed(format!("flag: {e}")))?;
+    if flag.answer.len() != 16 || !flag.answer.bytes().all(|b| b.is_ascii_hexdigit()) {
+        return malformed("flag: an answer id has 16 hexadecimal digits");
+    }
+    u64::from_str_radix(&flag.answer, 16).map_err(|_| Malformed("flag: not a number".into()))
+}
+
+/// Writes an answer's id.
+pub fn write_id(id: u64) -> String {
+    format!("{id:016x}")
+}
--- /dev/null
+++ b/crates/site/src/lib.rs
@@ -0,0 +1,27 @@
+//! What a proxy and its site say to each other, without I/O: bytes and lines in, plain types out.
+//!
+//! The roster and the release desk speak JSON lines over HTTP, as people read them; peers speak binary
+//! datagrams. `docs/protocols.md` is the published description. Whatever is malformed becomes an error
+//! with a reason here and never reaches the decisions.
+
+pub mod desk;
+pub mod flag;
+pub mod lines;
+pub mod peer;
+pub mod roster;
+
+/// Why a message was not taken.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Malformed(pub String);
+
+impl std::fmt::Display for Malformed {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for Malformed {}
+
+pub(crate) fn malformed<T>(reason: impl Into<String>) -> Result<T, Malformed> {
+    Err(Malformed(reason.into()))
+}
--- /dev/null
+++ b/crates/site/src/peer.rs
@@ -0,0 +1,64 @@
+//! Peers' datagrams: a header, at most 256 bytes of payload, a checksum.
+//!
+//! ```text
+//! 0  2  "VS"
+//! 2  1  version, 1
+//! 3  1  reserved, 0
+//! 4  4  site: a number that all proxies of one fleet share (little-endian, as all that follow)
+//! 8  2  from: the sender's number in the fleet
+//! 10 2  length of the payload
+//! 12 n  payload
+//! .. 4  CRC-32 (IEEE) of all before
+//! ```
+//!
+//! A datagram may be lost, repeated or late: the payload's own counters are made for that. Anything that
+//! does not read exactly so is dropped.
+
+use crate::{Malformed, malformed};
+
+/// The version written and taken.
+pub const VERSION: u8 = 1;
+/// The most payload bytes.
+pub const PAYLOAD_MOST: usize = 256;
+/// The longest datagram.
+pub const DATAGRAM_MOST: usize = HEADER + PAYLOAD_MOST + 4;
+const HEADER: usize = 12;
+
+/// Writes a datagram; none for a payload past the bound.
+pub fn encode(site: u32, from: u16, payload: &[u8]) -> Option<Vec<u8>> {
+    let length = u16::try_from(payload.len()).ok().filter(|&n| usize::from(n) <= PAYLOAD_MOST)?;
+    let mut out = Vec::with_capacity(HEADER + payload.len() + 4);
+    out.extend_from_slice(&[b'V', b'S', VERSION, 0]);
+    out.extend_from_slice(&site.to_le_bytes());
+    out.extend_from_slice(&from.to_le_bytes());
+    out.extend_from_slice(&length.to_le_bytes());
+    out.extend_from_slice(payload);
+    let sum = crc32fast::hash(&out);
+    out.extend_from_slice(&sum.to_le_bytes());
+    Some(out)
+}
+
+/// Reads a datagram: the sender's number and the payload.
+pub fn decode(site: u32, bytes: &[u8]) -> Result<(u16, &[u8]), Malformed> {
+    if bytes.len() < HEADER + 4 || bytes.len() > DATAGRAM_MOST {
+        return malformed("peer: wrong size");
+    }
+    if &bytes[..2] != b"VS" {
+        return malformed("peer: not a peer's datagram");
+    }
+    if bytes[2] != VERSION || bytes[3] != 0 {
+        return malformed(format!("peer: version {}", bytes[2]));
+    }
+    let (body, sum) = bytes.split_at(bytes.len() - 4);
+    let word = |at: usize| u16::from_le_bytes([body[at], body[at + 1]]);
+    if crc32fast::hash(body).to_le_bytes() != sum {
+        return malformed("peer: checksum");
+    }
+    if body[4..8] != site.to_le_bytes() {
+        return malformed("peer: another site");
+    }
+    if usize::from(word(10)) != body.len() - HEADER {
+        return malformed("peer: length");
+    }
+    Ok((word(8), &body[HEADER..]))
+}
