Settings as a Starlark script, and a flight recorder that replays the decisions

A fleet's proxies share all but a few words of settings, and a decision in service must be explainable afterwards.

violetseam-settings reads a bounded Starlark script (no clock, network or files but its own folder) and refuses unknown names, wrong types and contradictions with file, line and reason; the evaluator's own store needs an unsafe trait, so a thread-local one stands in. violetseam-recorder frames events and actions with postcard and CRC-32 on a writer thread, and replays them against a fresh module. The interface's types get an optional serde feature; decisions are untouched.

--- /dev/null
+++ b/crates/recorder/tests/recording.rs
@@ -0,0 +1,125 @@
+//! Recordings are read back as written, replay the same, and stop plainly where they are damaged.
+
+use std::path::{Path, PathBuf};
+use violetseam::balance::Balancer;
+use violetseam::interface::*;
+use violetseam_recorder::{Bounds, Interest, Reader, Recorder, replay};
+
+fn settings() -> Settings {
+    let class = Class { aim: 300_000, deadline: 1_000_000, effect: Effect::Retryable, ..Class::default() };
+    Settings {
+        classes: vec![class],
+        fleet_size: 1,
+        limits: Limits { max_attempts: 3, ..Limits::default() },
+        ..Settings::default()
+    }
+}
+
+/// Records `count` requests over three servers and returns the recording's path.
+fn record(name: &str, count: u64, bounds: Bounds) -> PathBuf {
+    let folder = std::env::temp_dir().join(format!("violetseam-recording-{}-{name}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let path = folder.join("flight");
+    let (mut module, seed) = (Balancer::new(settings(), 9), 9);
+    let mut recorder = Recorder::start(&path, bounds, &settings(), seed).unwrap();
+    let mut feed = |now: Micros, event: Event<'_>| {
+        let mut actions = Vec::new();
+        module.on_event(now, event, &mut actions);
+        recorder.event(now, &event, &actions);
+        actions
+    };
+    let entry =
+        |id| ServerEntry { id, zone: 0, build: 1, cell: 0, status: Status::Ready, size: 1.0, started_at: 0 };
+    let entries = [entry(1), entry(2), entry(3)];
+    feed(1_000, Event::ServerList { kind: ListKind::Full, entries: &entries });
+    for id in 1..=count {
+        let now = 2_000 + id * 500;
+        let request = Request { id, deadline: now + 1_000_000, ..Request::default() };
+        for action in feed(now, Event::Request(request)) {
+            if let Action::Send { request, server, .. } = action {
+                let end = AttemptEnd {
+                    request,
+                    attempt: 0,
+                    server,
+                    outcome: Outcome::Ok,
+                    elapsed: 400,
+                    settled: true,
+                };
+                feed(now + 400, Event::AttemptEnded(end));
+            }
+        }
+    }
+    recorder.finish().unwrap();
+    path
+}
+
+fn remove(path: &Path) {
+    std::fs::remove_dir_all(path.parent().unwrap()).unwrap();
+}
+
+#[test]
+fn a_recording_over_several_segments_replays_the_same() {
+    let bounds = Bounds { segment: 200_000, total: 1 << 30 };
+    let path = record("same", 20_000, bounds);
+    assert!(path.with_extension("1").exists(), "no second segment was written");
+    let mut lines = Vec::new();
+    let interest = Interest { request: Some(77), build: None };
+    let report = replay(&path, interest, &mut |line| lines.push(line)).unwrap();
+    assert_eq!((report.events, report.starts), (40_001, 1));
+    assert!(report.difference.is_none() && report.fault.is_none() && !report.full);
+    assert_eq!(lines.len(), 3, "the request, its send and its end: {lines:?}");
+    remove(&path);
+}
+
+#[test]
+fn a_recording_past_its_bound_ends_there_and_says_so() {
+    let path = record("bound", 20_000, Bounds { segment: 1 << 30, total: 300_000 });
+    let report = replay(&path, Interest::default(), &mut |_| {}).unwrap();
+    assert!(report.full && report.difference.is_none() && report.events < 40_000);
+    assert!(std::fs::metadata(&path).unwrap().len() < 310_000);
+    remove(&path);
+}
+
+#[test]
+fn damaged_and_cut_frames_stop_a_replay_with_their_place() {
+    let path = record("damage", 500, Bounds::default());
+    let sound = std::fs::read(&path).unwrap();
+    for (cut, reason) in [(sound.len() - 3, "ends after"), (5 + 4, "within a frame's head")] {
+        std::fs::write(&path, &sound[..cut]).unwrap();
+        let report = replay(&path, Interest::default(), &mut |_| {}).unwrap();
+        assert!(report.fault.as_ref().is_some_and(|f| f.reason.contains(reason)), "{report:?}");
+        assert!(report.difference.is_none());
+    }
+    let mut flipped = sound.clone();
+    flipped[sound.len() / 2] ^= 0x10;
+    std::fs::write(&path, &flipped).unwrap();
+    assert!(replay(&path, Interest::default(), &mut |_| {}).unwrap().fault.is_some());
+    std::fs::write(&path, b"VSFR\x09").unwrap();
+    assert!(Reader::open(&path).unwrap_err().reason.contains("version 9"));
+    std::fs::write(&path, b"hello").unwrap();
+    assert!(Reader::open(&path).unwrap_err().reason.contains("not a recording"));
+    remove(&path);
+}
+
+#[test]
+fn a_module_that_decides_otherwise_is_noticed() {
+    let path = record("other", 50, Bounds::default());
+    // The same events recorded with actions of another seed.
+    let mut reader = Reader::open(&path).unwrap();
+    let mut bytes = b"VSFR\x01".to_vec();
+    while let Some(mut frame) = reader.next_frame().unwrap() {
+        if let violetseam_recorder::Frame::Event { actions, .. } = &mut frame
+            && let Some(Action::Send { server, .. }) = actions.first_mut()
+        {
+            *server = server.wrapping_add(1);
+        }
+        let body = postcard::to_allocvec(&frame).unwrap();
+        bytes.extend((body.len() as u32).to_le_bytes());
+        bytes.extend(crc32fast::hash(&body).to_le_bytes());
+        bytes.extend(body);
+    }
+    std::fs::write(&path, bytes).unwrap();
+    let report = replay(&path, Interest::default(), &mut |_| {}).unwrap();
+    assert!(report.difference.is_some());
+    remove(&path);
+}
--- /dev/null
+++ b/crates/settings/tests/scripts.rs
@@ -0,0 +1,116 @@
+//! Settings scripts: a sound one is taken whole, and each kind of fault is refused with file, line and reason.
+
+use std::path::PathBuf;
+use violetseam::interface::{Effect, GateMode};
+use violetseam_settings::{HalfClose, read_file, read_text};
+
+const SOUND: &str = r#"
+PORT = 7000
+fleet(name = "plant", size = 3, position = option("position", 0), site = 17)
+listen(addr = "127.0.0.1:%d" % (8000 + option("position", 0)))
+roster(addr = "127.0.0.1:7100")
+desk(addr = "127.0.0.1:7200")
+peers(listen = "127.0.0.1:7300", addrs = ["127.0.0.1:%d" % (7300 + i) for i in range(3)])
+request_class(name = "read", aim = "300ms", deadline = "1.2s", effect = "retryable", worth = 3)
+request_class(name = "log", aim = "800ms", deadline = "3s", effect = "keyed", window = "2s")
+route(method = "GET", prefix = "/status", to = "read")
+route(prefix = "/log", to = "log")
+tenant(name = "a", quota = 10)
+rollout(stage_caps = [0.16, 0.5, 1.0], counted_over = "6s", vote_ttl = "4s", guarded_stages = 1, uncounted = 2)
+contract(ask_within = "10s", cold_from = 0.31, cold_span = "4.2s", drain_grace = "2s",
+         fall_multiple = 3.0, fall_span = "3s")
+connections(half_close = "serve")
+"#;
+
+fn options(pairs: &[(&str, &str)]) -> Vec<(String, String)> {
+    pairs.iter().map(|(a, b)| ((*a).into(), (*b).into())).collect()
+}
+
+#[test]
+fn a_sound_script_gives_the_decisions_their_settings() {
+    let s = read_text("s.star", SOUND, &options(&[("position", "2")])).unwrap();
+    assert_eq!(s.listen[0].port(), 8002);
+    assert_eq!((s.decisions.position, s.decisions.fleet_size), (2, 3));
+    assert_eq!(s.decisions.classes[1].effect, Effect::Deduplicated);
+    assert_eq!(s.decisions.classes[1].dedup_window, 2_000_000);
+    assert_eq!(s.decisions.rollout.gate, GateMode::Any);
+    assert_eq!(s.connections.half_close, HalfClose::Serve);
+    assert!(s.decisions.limits.peer_messages);
+    assert_eq!((s.routes[0].class, s.routes[1].class, s.tenants["a"]), (0, 1, 0));
+}
+
+/// Replaces a piece of the sound script and expects the reason, at the line that holds the piece.
+fn refused(piece: &str, by: &str, reason: &str) {
+    let at = SOUND.find(piece).unwrap_or_else(|| panic!("{piece:?} is not in the script"));
+    let line = SOUND[..at].matches('\n').count() + 1;
+    let fault = read_text("s.star", &SOUND.replacen(piece, by, 1), &[]).expect_err(by).0;
+    assert!(fault.contains(reason), "{by}: {fault}");
+    assert!(fault.starts_with(&format!("s.star:{line}:")), "{by}: {fault}, wanted line {line}");
+}
+
+#[test]
+fn faults_are_refused_at_their_line() {
+    refused("worth = 3", "wrth = 3", "unknown field `wrth`");
+    refused("worth = 3", "worth = \"3\"", "worth: invalid type");
+    refused("aim = \"300ms\"", "aim = 300", "aim: invalid type");
+    refused("aim = \"300ms\"", "aim = \"300 ms\"", "is no span of time");
+    refused("aim = \"300ms\"", "aim = \"2s\"", "the aim is past the deadline");
+    refused(", window = \"2s\"", "", "a keyed class, and no other, has a window");
+    refused("0.5, 1.0]", "0.5, 1.5]", "a stage cap of 1.5");
+    refused("0.5, 1.0]", "0.1, 1.0]", "stage_caps fall");
+    refused("to = \"log\"", "to = \"lag\"", "no class \"lag\"");
+    refused("prefix = \"/log\"", "prefix = \"log\"", "starts with /");
+    refused("range(3)", "range(2)", "2 addresses for a fleet of 3");
+    refused("position = option(\"position\", 0)", "position = 3", "position 3 in a fleet of 3");
+    refused("cold_from = 0.31", "cold_from = 0", "cold_from is over 0");
+    refused("half_close = \"serve\"", "half_close = \"maybe\"", "unknown variant");
+    refused("half_close = \"serve\"", "keep_body = 100, max_body = 10", "keep_body is over max_body");
+    refused("tenant(name = \"a\", quota = 10)", "tenant(name = \"a\", quota = nope)", "nope");
+    refused("PORT = 7000", "PORT = 7000 +", "Parse error");
+}
+
+#[test]
+fn scripts_that_would_run_or_grow_without_end_are_stopped() {
+    let grows = SOUND.replace("PORT = 7000", "PORT = [0 for a in range(100000) for b in range(100000)]");
+    assert!(read_text("s.star", &grows, &[]).unwrap_err().0.contains("limit"));
+    let deep = SOUND.replace("PORT = 7000", "def f(n):\n    return f(n + 1)\nPORT = f(0)");
+    assert!(read_text("s.star", &deep, &[]).is_err());
+}
+
+#[test]
+fn missing_sections_unknown_options_and_routes_that_cannot_match_are_refused() {
+    let without = |piece: &str| SOUND.replacen(piece, "", 1);
+    let fault = |text: &str| read_text("s.star", text, &[]).unwrap_err().0;
+    assert!(fault(&without("desk(addr = \"127.0.0.1:7200\")")).contains("no desk(...)"));
+    assert!(fault(&without("route(prefix = \"/log\", to = \"log\")")).contains("no route leads to class"));
+    let hidden = SOUND
+        .replace("route(prefix = \"/log\"", "route(prefix = \"/\", to = \"read\")\nroute(prefix = \"/log\"");
+    assert!(fault(&hidden).contains("can never match"));
+    let unknown = read_text("s.star", SOUND, &options(&[("positon", "1")])).unwrap_err().0;
+    assert!(unknown.contains("asks for no option \"positon\""));
+    assert!(
+        read_text("s.star", SOUND, &options(&[("position", "x")])).unwrap_err().0.contains("is no number")
+    );
+}
+
+#[test]
+fn only_files_of_the_own_folder_are_loaded() {
+    let folder: PathBuf = std::env::temp_dir().join(format!("violetseam-settings-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    std::fs::write(folder.join("common.star"), "CAPS = [0.1, 1.0]\n").unwrap();
+    std::fs::write(folder.join("round.star"), "load(\"round.star\", \"X\")\n").unwrap();
+    let write = |load: &str, caps: &str| {
+        let text = format!("{load}\n{}", SOUND.replace("[0.16, 0.5, 1.0]", caps));
+        std::fs::write(folder.join("main.star"), text).unwrap();
+        read_file(&folder.join("main.star"), &[])
+    };
+    let sound = write("load(\"common.star\", \"CAPS\")", "CAPS").unwrap();
+    assert_eq!(sound.decisions.rollout.stage_cap, [0.1, 1.0]);
+    for outside in ["../common.star", "/etc/hostname", ".hidden", "sub/common.star"] {
+        let fault = write(&format!("load(\"{outside}\", \"CAPS\")"), "[1.0]").unwrap_err().0;
+        assert!(fault.contains("only plain names"), "{fault}");
+    }
+    assert!(write("load(\"round.star\", \"X\")", "[1.0]").unwrap_err().0.contains("in a circle"));
+    assert!(write("load(\"none.star\", \"X\")", "[1.0]").is_err());
+    std::fs::remove_dir_all(&folder).unwrap();
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -13,6 +13,7 @@
 
 /// What a repeat of a request does.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum Effect {
     /// Safe to repeat at any time.
     Retryable,
@@ -25,6 +26,7 @@
 
 /// Which servers share their memory of keys already seen.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum DedupGroup {
     /// Every server.
     #[default]
@@ -37,6 +39,7 @@
 
 /// One class of requests.
 #[derive(Clone, Debug, Default)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Class {
     /// Answers within this span earn their full worth.
     pub aim: Micros,
@@ -58,6 +61,7 @@
 
 /// How stages move on.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum GateMode {
     /// One vote is enough.
     #[default]
@@ -70,6 +74,7 @@
 
 /// How builds are rolled out, voted on and bounded.
 #[derive(Clone, Debug, Default)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Rollout {
     /// How stages move on.
     pub gate: GateMode,
@@ -103,6 +108,7 @@
 
 /// What the site permits.
 #[derive(Clone, Debug, Default)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Limits {
     /// Attempts for one request.
     pub max_attempts: usize,
@@ -122,6 +128,7 @@
 
 /// Figures of the rules.
 #[derive(Clone, Debug, Default)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Contract {
     /// A final answer this long after the deadline is still in time.
     pub answer_grace: Micros,
@@ -141,6 +148,7 @@
 
 /// A customer and its share of the service.
 #[derive(Clone, Debug, Default)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Tenant {
     /// Requests a second, over all balancers, within its share.
     pub quota_per_s: f64,
@@ -148,6 +156,7 @@
 
 /// All that a balancer is told when it starts.
 #[derive(Clone, Debug, Default)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Settings {
     /// Classes of requests, by index.
     pub classes: Vec<Class>,
@@ -177,6 +186,7 @@
 
 /// A server's state as listed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum Status {
     /// Takes work.
     Ready,
@@ -188,6 +198,7 @@
 
 /// One line of the server list.
 #[derive(Clone, Copy, Debug)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct ServerEntry {
     /// The server.
     pub id: ServerId,
@@ -207,6 +218,7 @@
 
 /// What a list event carries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum ListKind {
     /// Only changed lines.
     Delta,
@@ -220,6 +232,7 @@
 
 /// How an attempt, a probe or a vote ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum Outcome {
     /// Served, or accepted.
     Ok,
@@ -248,6 +261,7 @@
 
 /// Where a build stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum Phase {
     /// On trial.
     Trial,
@@ -261,6 +275,7 @@
 
 /// The platform's word on the newest build.
 #[derive(Clone, Copy, Debug, PartialEq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct StageNews {
     /// The newest build.
     pub build: Build,
@@ -274,6 +289,7 @@
 
 /// A verdict on a build.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum Verdict {
     /// Move on.
     On,
@@ -288,6 +304,7 @@
 
 /// A client's request as it arrives.
 #[derive(Clone, Copy, Debug, Default)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Request {
     /// Its identity.
     pub id: RequestId,
@@ -307,6 +324,7 @@
 
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct AttemptEnd {
     /// The request.
     pub request: RequestId,
@@ -404,6 +422,7 @@
 
 /// Something to do.
 #[derive(Clone, Debug, PartialEq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum Action {
     /// Start an attempt.
     Send {
