The proxy: an engine without I/O and its driver on calloop

The decisions need a program that hands them all that happens on real sockets and does what they decide.

violetseam-proxy: the engine keeps requests and attempts and ends each attempt exactly once in the module's eyes; the driver has clients, servers, roster, desk and peers on one loop.

--- /dev/null
+++ b/crates/proxy/src/driver/mod.rs
@@ -0,0 +1,366 @@
+//! The driver: sockets, datagrams, signals and the clock on one `calloop` loop, for one [`Engine`].
+//!
+//! - `socket.rs`: a connection as a source of the loop
+//! - `clients.rs`: listeners and client connections, up to a whole request and from an answer on
+//! - `servers.rs`: connections to servers and the attempts on them
+//! - `control.rs`: calls to the roster and the release desk
+//! - `peers.rs`: datagrams
+//! - `timers.rs`: the driver's own time-outs, all of them bounds of connections
+
+mod clients;
+mod control;
+mod peers;
+mod servers;
+pub mod socket;
+mod timers;
+
+use crate::engine::{Engine, Final, Order};
+use calloop::signals::{Signal, Signals};
+use calloop::{EventLoop, LoopHandle, RegistrationToken};
+use clients::{Client, Held};
+use control::Call;
+use rand::{Rng, RngExt, SeedableRng};
+use servers::Server;
+use slab::Slab;
+use std::collections::{BTreeMap, HashMap};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use timers::Timers;
+use violetseam::interface::*;
+use violetseam_http1::Limits as HeadLimits;
+use violetseam_recorder::{Bounds, Recorder};
+use violetseam_settings::ProxySettings;
+use violetseam_site::roster::Roster;
+
+/// One read takes at most so much.
+const READ_MOST: usize = 64 * 1024;
+/// Log lines a second of one kind; more are counted and told together.
+const LINES_PER_SECOND: u32 = 20;
+
+/// How a proxy is started beside its settings.
+#[derive(Clone, Debug, Default)]
+pub struct Options {
+    /// Records every event and action there.
+    pub record: Option<(PathBuf, Bounds)>,
+    /// Measures the time spent in the module.
+    pub time_module: bool,
+    /// Stops by itself after this span.
+    pub stop_after: Option<Duration>,
+    /// For the checker's own tests: how this proxy breaks the rules on purpose.
+    #[cfg(feature = "sabotage")]
+    pub sabotage: Option<Sabotage>,
+}
+
+/// Ways to break the rules on purpose, so that the rule checker can be seen to notice. Only in builds with
+/// the feature `sabotage`; the module and the engine are the ordinary ones.
+#[cfg(feature = "sabotage")]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sabotage {
+    /// Every twentieth request goes out twice.
+    DoubleSend,
+    /// Final answers of the proxy's own are held back until after the deadline.
+    LateAnswer,
+    /// The roster's word that a server drains is not heard.
+    IgnoreDrains,
+}
+
+/// What a proxy did, told when it stops.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Summary {
+    /// Requests and attempts.
+    pub counts: crate::engine::Counts,
+    /// Client connections and server connections left open: 0 after a drain.
+    pub left_open: usize,
+    /// Requests left in hand: 0 after a drain.
+    pub left_in_hand: usize,
+    /// Time spent in the module, if measured.
+    pub module_time: Duration,
+}
+
+/// One proxy on its loop.
+pub struct Proxy {
+    settings: Rc<ProxySettings>,
+    engine: Engine,
+    handle: LoopHandle<'static, Proxy>,
+    started: Instant,
+    listeners: Vec<(Rc<TcpListener>, Option<RegistrationToken>)>,
+    clients: Slab<Client>,
+    servers: Slab<Server>,
+    calls: Slab<Call>,
+    held: HashMap<RequestId, Held>,
+    idle: BTreeMap<ServerId, Vec<usize>>,
+    timers: Timers,
+    roster: Roster,
+    /// The lines held, with when each was heard.
+    roster_lines: BTreeMap<ServerId, (Micros, violetseam_site::roster::Line)>,
+    roster_changed: bool,
+    watch: Option<usize>,
+    desk_stream: Option<usize>,
+    udp: Option<Rc<UdpSocket>>,
+    via: String,
+    head_limits: HeadLimits,
+    scratch: Vec<u8>,
+    rng: rand_pcg::Pcg64,
+    generation: u64,
+    draining: bool,
+    stopping: bool,
+    quiet: RateLimit,
+    /// Clients whose input waits for its turn.
+    resumed: Vec<(usize, u64)>,
+    pumping: bool,
+    #[cfg(feature = "sabotage")]
+    sabotage: Option<Sabotage>,
+}
+
+/// Bounds log lines: the first few of each second are told, the rest counted.
+#[derive(Debug, Default)]
+struct RateLimit {
+    second: u64,
+    told: u32,
+    kept_back: u64,
+}
+
+impl RateLimit {
+    fn allows(&mut self, now: Micros) -> bool {
+        if now / 1_000_000 != self.second {
+            if self.kept_back > 0 {
+                tracing::warn!(lines = self.kept_back, "log lines kept back");
+            }
+            (self.second, self.told, self.kept_back) = (now / 1_000_000, 0, 0);
+        }
+        self.told += 1;
+        self.kept_back += u64::from(self.told > LINES_PER_SECOND);
+        self.told <= LINES_PER_SECOND
+    }
+}
+
+/// Binds everything and runs until told to stop; SIGTERM and SIGINT drain first. `ready` hears the
+/// addresses that clients can connect to.
+pub fn serve(
+    settings: ProxySettings,
+    options: Options,
+    ready: impl FnOnce(&[SocketAddr]),
+) -> std::io::Result<Summary> {
+    let mut event_loop: EventLoop<'static, Proxy> = EventLoop::try_new().map_err(std::io::Error::other)?;
+    let mut proxy = Proxy::bind(settings, &options, event_loop.handle())?;
+    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT]).map_err(std::io::Error::other)?;
+    event_loop
+        .handle()
+        .insert_source(signals, |_, (), proxy| proxy.drain())
+        .map_err(|e| std::io::Error::other(e.to_string()))?;
+    let addresses: Vec<SocketAddr> = proxy.listeners.iter().filter_map(|l| l.0.local_addr().ok()).collect();
+    ready(&addresses);
+    let stop_at = options.stop_after.map(|span| Instant::now() + span);
+    proxy.begin();
+    while !proxy.stopping {
+        let mut timeout = proxy.timeout();
+        if let Some(at) = stop_at {
+            timeout = timeout.min(at.saturating_duration_since(Instant::now()));
+            if at <= Instant::now() {
+                proxy.drain();
+            }
+        }
+        event_loop.dispatch(timeout, &mut proxy).map_err(std::io::Error::other)?;
+        // What came over sockets first: an answer that was there before its time-out was noticed counts.
+        proxy.on_time();
+    }
+    Ok(proxy.finish())
+}
+
+impl Proxy {
+    fn bind(
+        settings: ProxySettings,
+        options: &Options,
+        handle: LoopHandle<'static, Proxy>,
+    ) -> std::io::Result<Self> {
+        let mut rng: rand_pcg::Pcg64 = match settings.seed {
+            Some(seed) => rand_pcg::Pcg64::seed_from_u64(seed),
+            None => rand_pcg::Pcg64::seed_from_u64(fresh_seed()),
+        };
+        let seed = settings.seed.unwrap_or_else(|| rng.next_u64());
+        let recorder = match &options.record {
+            Some((path, bounds)) => Some(Recorder::start(path, *bounds, &settings.decisions, seed)?),
+            None => None,
+        };
+        let mut engine = Engine::new(settings.decisions.clone(), seed, recorder);
+        if options.time_module {
+            engine.time_module();
+        }
+        let mut proxy = Proxy {
+            engine,
+            handle,
+            started: Instant::now(),
+            listeners: Vec::new(),
+            clients: Slab::new(),
+            servers: Slab::new(),
+            calls: Slab::new(),
+            held: HashMap::new(),
+            idle: BTreeMap::new(),
+            timers: Timers::default(),
+            roster: Roster::default(),
+            roster_lines: BTreeMap::new(),
+            roster_changed: false,
+            watch: None,
+            desk_stream: None,
+            udp: None,
+            via: format!("1.1 {}-{}", settings.name, settings.decisions.position),
+            head_limits: HeadLimits {
+                head: settings.connections.max_head,
+                fields: settings.connections.max_fields,
+                body: settings.connections.max_body,
+            },
+            scratch: vec![0; READ_MOST],
+            rng,
+            generation: 0,
+            draining: false,
+            stopping: false,
+            quiet: RateLimit::default(),
+            resumed: Vec::new(),
+            pumping: false,
+            #[cfg(feature = "sabotage")]
+            sabotage: options.sabotage,
+            settings: Rc::new(settings),
+        };
+        proxy.bind_listeners()?;
+        proxy.bind_peers()?;
+        Ok(proxy)
+    }
+
+    /// First events: the list as saved before a restart, which may be stale, then the desk is called.
+    fn begin(&mut self) {
+        let now = self.now();
+        let saved = self.saved_roster();
+        let entries = saved.map(|message| self.roster.restore(now, &message)).unwrap_or_default();
+        self.engine.list(now, ListKind::Cached, &entries);
+        self.open_desk_stream();
+        self.timers.upkeep(now);
+        self.pump();
+    }
+
+    /// The loop's clock in microseconds, one second at the start.
+    fn now(&self) -> Micros {
+        1_000_000 + self.started.elapsed().as_micros() as Micros
+    }
+
+    fn next_generation(&mut self) -> u64 {
+        self.generation += 1;
+        self.generation
+    }
+
+    fn timeout(&self) -> Duration {
+        let due = self.engine.due().into_iter().chain(self.timers.due()).min().unwrap_or(Micros::MAX);
+        Duration::from_micros(due.saturating_sub(self.now()).min(1_000_000))
+    }
+
+    fn on_time(&mut self) {
+        let now = self.now();
+        self.engine.on_due(now);
+        self.pump();
+        self.own_timers(now);
+        self.pump();
+        if self.draining && self.engine.owed() == 0 && self.clients.is_empty() && self.held.is_empty() {
+            self.stopping = true;
+        }
+    }
+
+    /// Does what the engine ordered, and what comes of that, until nothing is left. Called from within, it
+    /// leaves that to the call it came from.
+    fn pump(&mut self) {
+        if std::mem::replace(&mut self.pumping, true) {
+            return;
+        }
+        loop {
+            if let Some(order) = self.engine.next_order() {
+                self.obey(order);
+            } else if let Some((key, generation)) = self.resumed.pop() {
+                self.resume_client(key, generation);
+            } else {
+                break;
+            }
+        }
+        self.pumping = false;
+    }
+
+    fn obey(&mut self, order: Order) {
+        match order {
+            Order::Start { request, attempt, server } => self.start_attempt(request, attempt, server),
+            Order::Drop { request, attempt } => self.drop_attempt(request, attempt),
+            Order::Answer { request, answer } => self.answer(request, answer),
+            Order::Forget { request } => self.forget(request),
+            Order::FollowList => self.call_roster(true),
+            Order::FetchList => self.call_roster(false),
+            Order::Vote { build, stage, verdict } => self.call_vote(build, stage, verdict),
+            Order::Tell { to, payload } => self.tell_peers(to, &payload),
+            Order::Note(text) => tracing::info!(target: "verdict", "{text}"),
+        }
+    }
+
+    /// A final answer of the proxy's own, unless sabotage holds it back.
+    fn answer(&mut self, request: RequestId, answer: Final) {
+        #[cfg(feature = "sabotage")]
+        if self.sabotage == Some(Sabotage::LateAnswer) {
+            return self.timers.late_answer(self.now() + 2_000_000, request, answer);
+        }
+        self.answer_now(request, answer);
+    }
+
+    /// Stops taking connections and requests; what was taken is answered, then the loop ends.
+    fn drain(&mut self) {
+        if std::mem::replace(&mut self.draining, true) {
+            return;
+        }
+        tracing::info!(owed = self.engine.owed(), "draining");
+        self.accept_last();
+        for (_, token) in self.listeners.drain(..) {
+            token.into_iter().for_each(|token| self.handle.remove(token));
+        }
+        self.close_idle_clients();
+        self.pump();
+    }
+
+    fn finish(mut self) -> Summary {
+        if self.roster_changed {
+            self.save_roster();
+        }
+        if let Some(recorder) = self.engine.take_recorder() {
+            if let Some(why) = recorder.ended() {
+                tracing::warn!("recording ended early: {why}");
+            }
+            if let Err(e) = recorder.finish() {
+                tracing::error!("recording: {e}");
+            }
+        }
+        let busy = self.servers.iter().filter(|(_, s)| !s.is_idle()).count();
+        let summary = Summary {
+            counts: self.engine.counts(),
+            left_open: self.clients.len() + busy,
+            left_in_hand: self.engine.owed() + self.held.len(),
+            module_time: self.engine.module_time(),
+        };
+        let c = summary.counts;
+        tracing::info!(
+            taken = c.taken,
+            served = c.served,
+            refused = c.refused,
+            failed = c.failed,
+            gone = c.gone,
+            attempts = c.attempts,
+            overdue = c.overdue,
+            "stopped"
+        );
+        summary
+    }
+
+    /// A draw for an answer's id or a wait.
+    fn draw(&mut self) -> u64 {
+        self.rng.random()
+    }
+}
+
+/// A seed that differs at each start.
+fn fresh_seed() -> u64 {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+    (now.as_nanos() as u64) ^ (u64::from(std::process::id()) << 40)
+}
--- /dev/null
+++ b/crates/proxy/src/driver/peers.rs
@@ -0,0 +1,65 @@
+//! Peers' datagrams on one UDP socket.
+
+use super::Proxy;
+use calloop::generic::Generic;
+use calloop::{Interest, Mode, PostAction};
+use std::net::UdpSocket;
+use std::rc::Rc;
+use violetseam_site::peer;
+
+/// Datagrams taken in one turn of the loop; more wait for the next, or are dropped by the kernel.
+const TURN_MOST: usize = 256;
+
+impl Proxy {
+    pub(super) fn bind_peers(&mut self) -> std::io::Result<()> {
+        let Some(addr) = self.settings.peer_listen else { return Ok(()) };
+        let socket = UdpSocket::bind(addr)?;
+        socket.set_nonblocking(true)?;
+        let socket = Rc::new(socket);
+        self.udp = Some(socket.clone());
+        let source = Generic::new(socket, Interest::READ, Mode::Level);
+        self.handle
+            .insert_source(source, |_, socket, proxy: &mut Proxy| {
+                proxy.on_datagrams(socket);
+                Ok(PostAction::Continue)
+            })
+            .map_err(|e| std::io::Error::other(e.to_string()))?;
+        Ok(())
+    }
+
+    fn on_datagrams(&mut self, socket: &UdpSocket) {
+        let mut bytes = [0; peer::DATAGRAM_MOST + 1];
+        for _ in 0..TURN_MOST {
+            let Ok((length, from)) = socket.recv_from(&mut bytes) else { return };
+            let now = self.now();
+            match peer::decode(self.settings.site, &bytes[..length]) {
+                // A number that does not come from its own address is somebody else's word.
+                Ok((number, payload)) if self.settings.peers.get(usize::from(number)) == Some(&from) => {
+                    self.engine.peer_message(now, usize::from(number), payload);
+                    self.pump();
+                }
+                Ok((number, _)) => {
+                    if self.quiet.allows(now) {
+                        tracing::warn!(number, %from, "datagram from an address that is not this peer's");
+                    }
+                }
+                Err(fault) => {
+                    if self.quiet.allows(now) {
+                        tracing::warn!(%from, "datagram dropped: {fault}");
+                    }
+                }
+            }
+        }
+    }
+
+    pub(super) fn tell_peers(&mut self, to: Option<usize>, payload: &[u8]) {
+        let own = self.settings.decisions.position;
+        let (Some(socket), Ok(from)) = (&self.udp, u16::try_from(own)) else { return };
+        let Some(datagram) = peer::encode(self.settings.site, from, payload) else { return };
+        let told = self.settings.peers.iter().enumerate();
+        for (_, addr) in told.filter(|(n, _)| *n != own && to.is_none_or(|to| to == *n)) {
+            // One that is lost is like one that the network lost: counters only grow, the next makes up.
+            let _ = socket.send_to(&datagram, addr);
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/driver/timers.rs
@@ -0,0 +1,110 @@
+//! The driver's own time-outs: bounds of connections and calls, none of requests, which the module times.
+
+#[cfg(feature = "sabotage")]
+use crate::engine::Final;
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+#[cfg(feature = "sabotage")]
+use violetseam::interface::RequestId;
+use violetseam::interface::{Micros, Outcome};
+
+/// Between two rounds of upkeep.
+const UPKEEP: Micros = 200_000;
+/// A listener that ran out of descriptors pauses so long.
+pub const ACCEPT_PAUSE: Micros = 50_000;
+
+/// What comes due. Connections are named by their place and generation, as places are used again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum What {
+    /// A client's present time-out may be over.
+    Client(usize, u64),
+    /// A server connection's present time-out may be over.
+    Server(usize, u64),
+    /// A call's time is over.
+    Call(usize, u64),
+    /// Accept again.
+    Accept,
+    /// Open the desk's stream again.
+    Desk,
+    /// Slow upkeep.
+    Upkeep,
+    /// A final answer held back on purpose.
+    #[cfg(feature = "sabotage")]
+    Late(RequestId, Option<Micros>, bool),
+}
+
+/// All of them, by time.
+#[derive(Debug, Default)]
+pub struct Timers {
+    heap: BinaryHeap<Reverse<(Micros, What)>>,
+}
+
+impl Timers {
+    /// The next one's time.
+    pub fn due(&self) -> Option<Micros> {
+        self.heap.peek().map(|Reverse((at, _))| *at)
+    }
+
+    /// Sets one.
+    pub fn set(&mut self, at: Micros, what: What) {
+        self.heap.push(Reverse((at, what)));
+    }
+
+    /// Sets the next round of upkeep.
+    pub fn upkeep(&mut self, now: Micros) {
+        self.set(now + UPKEEP, What::Upkeep);
+    }
+
+    #[cfg(feature = "sabotage")]
+    pub fn late_answer(&mut self, at: Micros, request: RequestId, answer: Final) {
+        let (come_back, timed_out) = match answer {
+            Final::Refused { come_back } => (Some(come_back), false),
+            Final::Failed { timed_out } => (None, timed_out),
+        };
+        self.set(at, What::Late(request, come_back, timed_out));
+    }
+
+    fn pop(&mut self, now: Micros) -> Option<What> {
+        self.heap.peek().filter(|Reverse((at, _))| *at <= now)?;
+        self.heap.pop().map(|Reverse((_, what))| what)
+    }
+}
+
+impl super::Proxy {
+    /// Plays the driver's time-outs that are due.
+    pub(super) fn own_timers(&mut self, now: Micros) {
+        while let Some(what) = self.timers.pop(now) {
+            match what {
+                What::Client(key, generation) => self.client_timeout(now, key, generation),
+                What::Server(key, generation) => self.server_timeout(now, key, generation),
+                What::Call(key, generation) => self.call_timeout(key, generation),
+                What::Accept => self.accept_again(),
+                What::Desk => self.open_desk_stream(),
+                What::Upkeep => self.upkeep(now),
+                #[cfg(feature = "sabotage")]
+                What::Late(request, come_back, timed_out) => {
+                    let failed = Final::Failed { timed_out };
+                    let answer = come_back.map_or(failed, |come_back| Final::Refused { come_back });
+                    self.answer_now(request, answer);
+                }
+            }
+            self.pump();
+        }
+    }
+
+    fn upkeep(&mut self, now: Micros) {
+        self.timers.upkeep(now);
+        if let Some(recorder) = self.engine.recorder() {
+            recorder.flush();
+        }
+        if std::mem::take(&mut self.roster_changed) {
+            self.save_roster();
+        }
+    }
+
+    /// An attempt's end, told to the engine; what it orders is done by the caller's `pump`.
+    pub(super) fn end_attempt(&mut self, request: u64, attempt: usize, outcome: Outcome) -> bool {
+        let now = self.now();
+        self.engine.attempt_ended(now, request, attempt, outcome)
+    }
+}
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -285,11 +285,11 @@
         return rollout
             .fault("rollout: a vote would expire before its reply is given up (call_timeout, vote_ttl)");
     }
-    if !(r.uncounted >= 0.0 && r.uncounted.is_finite()) || !(0.0..=1.0).contains(&r.flag_share) {
+    if !(r.uncounted >= 0.0 && r.uncounted.is_finite() && (0.0..=1.0).contains(&r.flag_share)) {
         return rollout.fault("rollout: uncounted is 0 or more, flag_share 0 to 1");
     }
     let votes = [r.votes_on, r.votes_back, r.vote_allowance];
-    if votes.iter().any(|v| !(*v >= 0.0)) {
+    if votes.iter().any(|v| v.is_nan() || *v < 0.0) {
         return rollout.fault("rollout: votes_on, votes_back and vote_allowance are 0 or more");
     }
     Ok(())
