--- /dev/null
+++ b/crates/audit/tests/planted.rs
@@ -0,0 +1,322 @@
+//! The checker can fail: a sound run passes, and each planted violation is named under its rule.
+
+use violetseam_audit::record::*;
+use violetseam_audit::{Arrival, End, Entry, Finish, Record, Rules, check};
+
+const MS: u64 = 1_000;
+const S: u64 = 1_000_000;
+
+fn rules() -> Rules {
+    let class = |effect| Class { effect, window: 2 * S, stream: false };
+    Rules {
+        classes: vec![class(Effect::Safe), class(Effect::Keyed(Group::Zone)), class(Effect::Unsafe)],
+        answer_grace: 20 * MS,
+        second_copies: false,
+        drain_grace: 2 * S,
+        ask_within: 10 * S,
+        fall_multiple: 3.0,
+        fall_span: 3 * S,
+        counted_over: 6 * S,
+        uncounted: 2.0,
+        per_class: false,
+        first_cap: 0.1,
+        guarded_stages: 1,
+        one_way: true,
+        slack: 30 * MS,
+    }
+}
+
+/// A run under construction: requests of one proxy, told of servers 1 (build 1) and 2 (build 2, on trial).
+struct Story {
+    entries: Vec<Entry>,
+    next: u64,
+}
+
+impl Story {
+    fn new() -> Self {
+        let mut story = Story { entries: Vec::new(), next: 0 };
+        let start = Start { capacity: 2.0 * S as f64, cold_from: 0.3, cold_span: 4 * S };
+        story.put(0, Record::Started { server: 2, start });
+        story.put(0, Record::Called { proxy: 0, call: Call::Watch });
+        for server in [1, 2] {
+            story.put(0, Record::Listed { server, state: State::Ready });
+            story.told(0, server, State::Ready);
+        }
+        story.news(0, 0, Phase::Trial, 0.1);
+        story
+    }
+
+    fn put(&mut self, at: u64, record: Record) {
+        self.entries.push(Entry { at, record });
+    }
+
+    fn told(&mut self, at: u64, server: u64, state: State) {
+        self.put(at, Record::Told { proxy: 0, server, state, started: Some(0) });
+    }
+
+    fn news(&mut self, at: u64, stage: u8, phase: Phase, cap: f64) {
+        self.put(at, Record::News { proxy: 0, build: 2, stage, phase, cap });
+    }
+
+    fn sent(&mut self, at: u64, class: usize) -> u64 {
+        self.next += 1;
+        self.put(at, Record::Sent { request: self.next, proxy: 0, class, deadline: at + S });
+        self.next
+    }
+
+    fn attempt(&mut self, at: u64, request: u64, server: u64, class: usize, key: u64, end: End) {
+        self.next += 1;
+        let (number, build) = (self.next, server as u16);
+        let place = (server as u16, 0);
+        let arrival = Arrival { number, request, proxy: 0, server, build, place, class, key, work: 50 * MS };
+        self.put(at, Record::Arrived(arrival));
+        self.put(at + 40 * MS, Record::Ended(Finish { number, end }));
+    }
+
+    fn answered(&mut self, at: u64, request: u64, answer: Answer) {
+        self.put(at, Record::Answered { request, answer });
+    }
+
+    /// A request served at once by the earlier build.
+    fn ordinary(&mut self, at: u64, class: usize) {
+        let id = self.sent(at, class);
+        self.attempt(at + MS, id, 1, class, 0, End::Ok);
+        self.answered(at + 42 * MS, id, Answer::Served);
+    }
+
+    fn kept(&self) {
+        let verdict = check(&rules(), &self.entries);
+        assert!(verdict.kept(), "{:?}", verdict.violations);
+    }
+
+    fn breaks(&self, rule: u8, what: &str) {
+        let verdict = check(&rules(), &self.entries);
+        let found = verdict.violations.iter().any(|v| v.rule == rule && v.what.contains(what));
+        assert!(found, "wanted rule {rule}, {what:?}; got {:?}", verdict.violations);
+    }
+}
+
+fn busy_story() -> Story {
+    let mut story = Story::new();
+    for n in 0..200 {
+        story.ordinary(n * 50 * MS, (n % 3) as usize);
+    }
+    story.ordinary(14 * S, 0);
+    story
+}
+
+#[test]
+fn a_sound_run_passes_and_every_rule_had_something_to_look_at() {
+    let mut story = busy_story();
+    let id = story.sent(S, 0);
+    story.attempt(S + MS, id, 2, 0, 0, End::Ok);
+    story.answered(S + 42 * MS, id, Answer::Served);
+    let verdict = check(&rules(), &story.entries);
+    assert!(verdict.kept(), "{:?}", verdict.violations);
+    assert!(verdict.looked_at.iter().all(|n| *n > 0), "{:?}", verdict.looked_at);
+}
+
+#[test]
+fn rule_1_answers_missing_late_twice_or_followed() {
+    let mut story = busy_story();
+    story.sent(S, 0);
+    story.breaks(1, "got no answer");
+
+    let mut story = busy_story();
+    let id = story.sent(S, 0);
+    story.answered(S + 1_100 * MS, id, Answer::Failed);
+    story.breaks(1, "after its deadline");
+
+    let mut story = busy_story();
+    let id = story.sent(S, 0);
+    story.answered(S + 10 * MS, id, Answer::Refused);
+    story.answered(S + 20 * MS, id, Answer::Served);
+    story.breaks(1, "2 final answers");
+
+    let mut story = busy_story();
+    let id = story.sent(S, 0);
+    story.answered(S + 10 * MS, id, Answer::Refused);
+    story.attempt(S + 100 * MS, id, 1, 0, 0, End::Ok);
+    story.breaks(1, "after its answer");
+
+    let mut story = busy_story();
+    let id = story.sent(S, 0);
+    story.answered(S + 10 * MS, id, Answer::Broken);
+    story.breaks(1, "without an answer");
+    // What a killed proxy held, and a client that left, excuse it.
+    story.put(S + 5 * MS, Record::Killed { proxy: 0 });
+    story.told(S + 6 * MS, 1, State::Ready);
+    assert!(check(&rules(), &story.entries).violations.iter().all(|v| v.rule != 1));
+}
+
+#[test]
+fn rule_2_unsafe_twice_outside_the_group_past_the_window_together_or_refused() {
+    let mut story = busy_story();
+    let id = story.sent(S, 2);
+    story.attempt(S + MS, id, 1, 2, 0, End::Error);
+    story.attempt(S + 100 * MS, id, 1, 2, 0, End::Ok);
+    story.answered(S + 142 * MS, id, Answer::Served);
+    story.breaks(2, "unsafe request");
+
+    let mut story = busy_story();
+    let id = story.sent(S, 2);
+    story.attempt(S + MS, id, 1, 2, 0, End::NotRun);
+    story.attempt(S + 100 * MS, id, 1, 2, 0, End::Ok);
+    story.answered(S + 142 * MS, id, Answer::Served);
+    story.kept();
+
+    let mut story = busy_story();
+    story.news(0, 1, Phase::Trial, 0.5);
+    let id = story.sent(S, 1);
+    story.attempt(S + MS, id, 1, 1, 0, End::Error);
+    story.attempt(S + 100 * MS, id, 2, 1, 0, End::Ok);
+    story.answered(S + 142 * MS, id, Answer::Served);
+    story.breaks(2, "outside its group");
+
+    let mut story = busy_story();
+    let id = story.sent(S, 1);
+    story.attempt(S + MS, id, 1, 1, 0, End::Error);
+    story.attempt(S + 2_100 * MS, id, 1, 1, 0, End::Ok);
+    story.answered(S + 2_142 * MS, id, Answer::Served);
+    story.breaks(2, "past its window");
+
+    let mut story = busy_story();
+    let id = story.sent(S, 0);
+    story.attempt(S + MS, id, 1, 0, 0, End::Ok);
+    story.attempt(S + 2 * MS, id, 1, 0, 0, End::Ok);
+    story.answered(S + 42 * MS, id, Answer::Served);
+    story.breaks(2, "two attempts out");
+
+    let mut story = busy_story();
+    let id = story.sent(S, 2);
+    story.attempt(S + MS, id, 1, 2, 0, End::Error);
+    story.answered(S + 42 * MS, id, Answer::Refused);
+    story.breaks(2, "refused although");
+}
+
+#[test]
+fn rule_3_sends_after_a_drain_that_was_told_or_counts_as_told() {
+    let mut story = busy_story();
+    story.told(11 * S, 1, State::Draining);
+    story.ordinary(12 * S, 0);
+    story.told(12 * S + 500 * MS, 1, State::Gone);
+    story.kept_until(13 * S);
+    story.breaks(3, "sent to server 1");
+
+    // The subscription was lost, nothing was asked since: what was listed counts as told in time.
+    let mut story = busy_story();
+    story.put(500 * MS, Record::Called { proxy: 0, call: Call::WatchLost });
+    story.put(S, Record::Listed { server: 1, state: State::Draining });
+    story.breaks(3, "sent to server 1");
+
+    // The same with the subscription alive but the line not told yet: nothing to be blamed for.
+    let mut story = busy_story();
+    story.put(S, Record::Listed { server: 1, state: State::Draining });
+    story.kept();
+}
+
+impl Story {
+    fn kept_until(&self, until: u64) {
+        let before: Vec<Entry> = self.entries.iter().filter(|e| e.at < until).cloned().collect();
+        let verdict = check(&rules(), &before);
+        assert!(verdict.kept(), "{:?}", verdict.violations);
+    }
+}
+
+#[test]
+fn rule_4_a_cold_server_sent_more_than_it_can_take() {
+    // Cold from 0.3 of two cores: about 2.6 s of work in the first three seconds of its life, so 7.8 may go.
+    let burst = |requests: u64, told: bool| {
+        let mut story = Story { entries: Vec::new(), next: 0 };
+        let start = Start { capacity: 2.0 * S as f64, cold_from: 0.3, cold_span: 4 * S };
+        story.put(0, Record::Started { server: 3, start });
+        if told {
+            story.told(100 * MS, 3, State::Ready);
+        }
+        for n in 0..requests {
+            let id = story.sent(200 * MS + n * 10 * MS, 0);
+            story.attempt(201 * MS + n * 10 * MS, id, 3, 0, 0, End::Ok);
+            story.answered(250 * MS + n * 10 * MS, id, Answer::Served);
+        }
+        story
+    };
+    burst(60, true).kept();
+    burst(250, true).breaks(4, "cold server 3");
+    burst(250, false).kept();
+
+    let mut story = burst(250, true);
+    // Half as much from a second proxy that was told as well: together they push it over.
+    story = Story { entries: story.entries.into_iter().take(2 + 4 * 90).collect(), next: 10_000 };
+    story.put(100 * MS, Record::Told { proxy: 1, server: 3, state: State::Ready, started: Some(0) });
+    for n in 0..120 {
+        let at = 300 * MS + n * 5 * MS;
+        let id = story.sent(at, 0);
+        story.attempt(at + MS, id, 3, 0, 0, End::Ok);
+        if let Some(Entry { record: Record::Arrived(a), .. }) = story.entries.iter_mut().rev().nth(1) {
+            a.proxy = 1;
+        }
+        story.answered(at + 50 * MS, id, Answer::Served);
+    }
+    story.breaks(4, "cold server 3");
+}
+
+#[test]
+fn rule_5_caps_guarded_stages_and_keys_that_go_back() {
+    // 20 requests in the first second: two and a tenth of them may go to the trial build.
+    let exposed = |attempts: u64| {
+        let mut story = Story::new();
+        for n in 0..20 {
+            story.ordinary(n * 50 * MS, 0);
+        }
+        for n in 0..attempts {
+            let id = story.sent(S + n * MS, 0);
+            story.attempt(S + n * MS + 500, id, 2, 0, 0, End::Ok);
+            story.answered(S + 100 * MS, id, Answer::Served);
+        }
+        story
+    };
+    exposed(4).kept();
+    exposed(9).breaks(5, "attempts at build 2 on trial");
+
+    // The cap falls to nothing: after the grace not one may go.
+    let mut story = busy_story();
+    story.news(2 * S, 0, Phase::RollingBack, 0.0);
+    let id = story.sent(5 * S, 0);
+    story.attempt(5 * S + MS, id, 2, 0, 0, End::Ok);
+    story.answered(5 * S + 50 * MS, id, Answer::Served);
+    story.breaks(5, "0.0 allowed");
+
+    let mut story = busy_story();
+    let id = story.sent(S, 2);
+    story.attempt(S + MS, id, 2, 2, 0, End::Ok);
+    story.answered(S + 50 * MS, id, Answer::Served);
+    story.breaks(5, "in a guarded stage");
+
+    let keyed = |phase| {
+        let mut story = busy_story();
+        let first = story.sent(S, 0);
+        story.attempt(S + MS, first, 2, 0, 77, End::Ok);
+        story.answered(S + 50 * MS, first, Answer::Served);
+        story.news(S + 500 * MS, 0, phase, 0.1);
+        let second = story.sent(2 * S, 0);
+        story.attempt(2 * S + MS, second, 1, 0, 77, End::Ok);
+        story.answered(2 * S + 50 * MS, second, Answer::Served);
+        story
+    };
+    keyed(Phase::Trial).breaks(5, "its key was answered by a newer one");
+    keyed(Phase::RollingBack).kept();
+}
+
+#[test]
+fn files_come_back_as_written_and_damage_is_refused() {
+    let story = busy_story();
+    let mut file = Vec::new();
+    write(&mut file, &rules(), &story.entries).unwrap();
+    let (rules_read, entries) = read(&mut &file[..]).unwrap();
+    assert_eq!((rules_read, entries), (rules(), story.entries));
+    assert!(read(&mut &file[..file.len() - 1]).is_err());
+    let middle = file.len() / 2;
+    file[middle] ^= 1;
+    assert!(read(&mut &file[..]).is_err());
+    assert!(read(&mut &b"else"[..]).is_err());
+}
--- a/crates/proxy/src/driver/socket.rs
+++ b/crates/loopio/src/lib.rs
@@ -1,5 +1,5 @@
-//! A TCP connection on the loop: a `calloop` source whose interest can change while it is registered, and
-//! the bytes that wait to be written.
+//! A TCP connection on a `calloop` loop: a source whose interest can change while it is registered, and the
+//! bytes that wait to be written. Used by the proxy and by the stand-ins.
 
 use calloop::generic::Generic;
 use calloop::{
--- a/crates/proxy/src/driver/clients.rs
+++ b/crates/proxy/src/driver/clients.rs
@@ -1,7 +1,6 @@
 //! Client connections: from bytes to a whole request for the engine, and from an answer to bytes.
 
 use super::Proxy;
-use super::socket::{Got, HIGH_WATER, Socket};
 use super::timers::{ACCEPT_PAUSE, What};
 use crate::engine::Final;
 use calloop::generic::Generic;
@@ -15,6 +14,7 @@
 use violetseam_http1::client::write_request_head;
 use violetseam_http1::server::{ServerConn, ServerEvent};
 use violetseam_http1::{Framing, RequestHead, ResponseHead, write_chunk, write_last_chunk};
+use violetseam_loopio::{Got, HIGH_WATER, Socket};
 use violetseam_settings::HalfClose;
 use violetseam_site::flag;
 
--- a/crates/proxy/src/driver/control.rs
+++ b/crates/proxy/src/driver/control.rs
@@ -2,12 +2,12 @@
 //! the roster and the desk's news are answers without an end, one JSON line a message.
 
 use super::Proxy;
-use super::socket::{Got, Socket, connect};
 use super::timers::What;
 use calloop::{Interest, Readiness};
 use std::net::SocketAddr;
 use violetseam::interface::{Build, ListKind, Micros, Outcome, Verdict};
 use violetseam_http1::client::{ClientConn, ClientEvent};
+use violetseam_loopio::{Got, Socket, connect};
 use violetseam_site::lines::Lines;
 use violetseam_site::{desk, roster};
 
--- a/crates/proxy/src/driver/mod.rs
+++ b/crates/proxy/src/driver/mod.rs
@@ -1,6 +1,5 @@
 //! The driver: sockets, datagrams, signals and the clock on one `calloop` loop, for one [`Engine`].
 //!
-//! - `socket.rs`: a connection as a source of the loop
 //! - `clients.rs`: listeners and client connections, up to a whole request and from an answer on
 //! - `servers.rs`: connections to servers and the attempts on them
 //! - `control.rs`: calls to the roster and the release desk
@@ -11,7 +10,6 @@
 mod control;
 mod peers;
 mod servers;
-pub mod socket;
 mod timers;
 
 use crate::engine::{Engine, Final, Order};
--- a/crates/proxy/src/driver/servers.rs
+++ b/crates/proxy/src/driver/servers.rs
@@ -5,13 +5,13 @@
 //! run, `Reset` for a connection that was lost after that, whoever closed it and why.
 
 use super::Proxy;
-use super::socket::{Got, Socket, connect};
 use super::timers::What;
 use calloop::{Interest, Readiness};
 use http::StatusCode;
 use violetseam::interface::{Micros, Outcome, RequestId, ServerId};
 use violetseam_http1::client::{ClientConn, ClientEvent};
 use violetseam_http1::{Framing, ResponseHead, write_chunk, write_last_chunk};
+use violetseam_loopio::{Got, Socket, connect};
 
 /// A connection to a server.
 pub(super) struct Server {
