--- /dev/null
+++ b/crates/cli/src/lab.rs
@@ -0,0 +1,114 @@
+//! `violetseam demo` and `violetseam lab`.
+
+use clap::{Args, Subcommand};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use violetseam_lab::{Lab, days, drawn, report};
+use violetseam_standin::day::Day;
+
+#[derive(Args)]
+pub struct DemoArgs {
+    /// Where logs and records go; a folder of the system's temporary one if not given
+    #[arg(long)]
+    out: Option<PathBuf>,
+}
+
+#[derive(Subcommand)]
+pub enum Command {
+    /// Play a day; exit 0 only if all five rules were kept
+    Day {
+        /// A day that comes with the program, or a file: a day of this program's or one the bench drew
+        day: String,
+        /// Another seed for all draws
+        #[arg(long)]
+        seed: Option<u64>,
+        /// Where logs and records go
+        #[arg(long)]
+        out: Option<PathBuf>,
+        /// Further arguments of each proxy's `serve`
+        #[arg(last = true)]
+        serve: Vec<String>,
+    },
+    /// The days that come with the program
+    List,
+    /// Check the records of a day again
+    Check {
+        /// The records, as a day wrote them
+        file: PathBuf,
+    },
+}
+
+fn play(day: &Day, out: Option<PathBuf>, extra: &[String]) -> Result<ExitCode, String> {
+    let program = std::env::current_exe().map_err(|e| e.to_string())?;
+    let out = out.unwrap_or_else(|| {
+        std::env::temp_dir().join(format!("violetseam-{}-{}", day.name, std::process::id()))
+    });
+    println!("logs and records: {}", out.display());
+    let lab = Lab { program, out, extra: extra.to_vec(), number: 0 };
+    let outcome = lab.play(day, &mut |line| println!("{line}"))?;
+    print!("{}", report::text(day, &outcome));
+    Ok(if outcome.is_good() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+/// Plays the demo.
+pub fn demo(args: &DemoArgs) -> Result<ExitCode, String> {
+    let day = days::demo();
+    println!(
+        "{} proxies, {} servers, {} requests a second for {} s; build {} is good, build {} is bad",
+        day.proxies.len(),
+        day.servers.len(),
+        day.traffic.rate,
+        day.length / 1_000_000,
+        day.rollout.first_build + 1,
+        day.rollout.first_build + 2
+    );
+    play(&day, args.out.clone(), &[])
+}
+
+/// Runs a lab command.
+pub fn run(command: &Command) -> Result<ExitCode, String> {
+    match command {
+        Command::Day { day, seed, out, serve } => {
+            let mut day = find(day)?;
+            day.seed = seed.unwrap_or(day.seed);
+            play(&day, out.clone(), serve)
+        }
+        Command::List => {
+            days::NAMES.iter().for_each(|name| println!("{name}"));
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::Check { file } => check(file),
+    }
+}
+
+fn find(name: &str) -> Result<Day, String> {
+    if let Some(day) = days::named(name) {
+        return Ok(day);
+    }
+    let text = std::fs::read(name).map_err(|e| {
+        format!(
+            "{name:?} is no day that comes with the program ({}) and no file: {e}",
+            days::NAMES.join(", ")
+        )
+    })?;
+    if let Ok(day) = serde_json::from_slice::<Day>(&text) {
+        return Ok(day);
+    }
+    let drawn = drawn::read(&text)?;
+    println!("drawn day at scale {:.2}", drawn.scale);
+    drawn.notes.iter().for_each(|note| println!("  {note}"));
+    Ok(drawn.day)
+}
+
+fn check(file: &Path) -> Result<ExitCode, String> {
+    let mut input = std::fs::File::open(file).map_err(|e| format!("{}: {e}", file.display()))?;
+    let (rules, entries) =
+        violetseam_audit::record::read(&mut input).map_err(|e| format!("{}: {e}", file.display()))?;
+    let verdict = violetseam_audit::check(&rules, &entries);
+    println!("{} records; looked at by rule: {:?}", entries.len(), verdict.looked_at);
+    for v in &verdict.violations {
+        println!("{:.3} s rule {}: {}", v.at as f64 / 1e6, v.rule, v.what);
+    }
+    println!("broken by rule: {:?}", verdict.broken);
+    Ok(if verdict.kept() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,93 @@
+//! The violetseam program. Each subcommand is a thin layer over its package.
+
+mod lab;
+mod serve;
+
+use clap::{Parser, Subcommand};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use violetseam_recorder::Interest;
+
+#[derive(Parser)]
+#[command(version, about = "Release controller and the router that moves traffic between builds")]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Play a day on a fleet of stand-ins: two proxies, one good release, one bad one; under a minute
+    Demo(lab::DemoArgs),
+    /// Run a proxy in the foreground; SIGTERM drains it
+    Serve(serve::Args),
+    /// Settings scripts
+    #[command(subcommand)]
+    Settings(SettingsCommand),
+    /// Have a fresh decision module decide a recording again, and compare
+    Replay {
+        /// The recording, as `serve --record` wrote it
+        file: PathBuf,
+        /// Print all that concerns this request
+        #[arg(long)]
+        request: Option<u64>,
+        /// Print news, votes and findings on this build
+        #[arg(long)]
+        build: Option<u16>,
+    },
+    /// Scripted days on real sockets, the rules checked from the wire
+    #[command(subcommand)]
+    Lab(lab::Command),
+}
+
+#[derive(Subcommand)]
+enum SettingsCommand {
+    /// Read a script, say what is wrong with it or that nothing is
+    Check {
+        /// The script
+        file: PathBuf,
+        /// A value for the script's option(...): NAME=VALUE
+        #[arg(long = "set", value_parser = serve::pair)]
+        set: Vec<(String, String)>,
+    },
+}
+
+fn main() -> ExitCode {
+    let result = match Cli::parse().command {
+        Command::Demo(args) => lab::demo(&args),
+        Command::Serve(args) => serve::run(&args),
+        Command::Settings(SettingsCommand::Check { file, set }) => {
+            violetseam_settings::read_file(&file, &set).map(|s| {
+                let (classes, routes) = (s.class_names.len(), s.routes.len());
+                println!("{}: {classes} classes, {routes} routes, no fault found", file.display());
+                ExitCode::SUCCESS
+            })
+        }
+        .map_err(|fault| fault.to_string()),
+        Command::Replay { file, request, build } => replay(&file, Interest { request, build }),
+        Command::Lab(command) => lab::run(&command),
+    };
+    result.unwrap_or_else(|why| {
+        eprintln!("violetseam: {why}");
+        ExitCode::from(2)
+    })
+}
+
+fn replay(file: &std::path::Path, interest: Interest) -> Result<ExitCode, String> {
+    let report = violetseam_recorder::replay(file, interest, &mut |line| println!("{line}"))
+        .map_err(|fault| fault.to_string())?;
+    println!("{} events, {} actions, {} starts", report.events, report.actions, report.starts);
+    if report.full {
+        println!("the recording ended at its bound");
+    }
+    if let Some((event, recorded, again)) = report.difference {
+        println!("different at event {event}:\n  recorded: {recorded}\n  now:      {again}");
+        return Ok(ExitCode::FAILURE);
+    }
+    if let Some(fault) = report.fault {
+        println!("stopped: {fault}; all before it is the same");
+        return Ok(ExitCode::FAILURE);
+    }
+    println!("every action is the same");
+    Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/crates/cli/src/serve.rs
@@ -0,0 +1,100 @@
+//! `violetseam serve`: one proxy in the foreground.
+
+use clap::{Args as ClapArgs, ValueEnum};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+use tracing_subscriber::EnvFilter;
+use violetseam_proxy::driver::{Options, serve};
+use violetseam_recorder::Bounds;
+
+#[derive(ClapArgs)]
+pub struct Args {
+    /// The settings script
+    #[arg(long)]
+    settings: PathBuf,
+    /// A value for the script's option(...): NAME=VALUE
+    #[arg(long = "set", value_parser = pair)]
+    set: Vec<(String, String)>,
+    /// Record every event and action there, for `replay`
+    #[arg(long)]
+    record: Option<PathBuf>,
+    /// The most bytes a recording may take; it ends there
+    #[arg(long, default_value_t = Bounds::default().total)]
+    record_most: u64,
+    /// How log lines are written, to standard error
+    #[arg(long, value_enum, default_value_t = LogFormat::Text)]
+    log_format: LogFormat,
+    /// What is logged: error, warn, info, debug, or filters such as verdict=info
+    #[arg(long, default_value = "info")]
+    log: String,
+    /// Measure the time spent in the decision module and tell it at the end
+    #[arg(long)]
+    time_module: bool,
+    /// Stop by itself after so many seconds
+    #[arg(long)]
+    stop_after: Option<u64>,
+    /// Break the rules on purpose, to see the checker notice
+    #[cfg(feature = "sabotage")]
+    #[arg(long, value_enum)]
+    sabotage: Option<SabotageName>,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum LogFormat {
+    Text,
+    Json,
+}
+
+#[cfg(feature = "sabotage")]
+#[derive(Clone, Copy, ValueEnum)]
+enum SabotageName {
+    DoubleSend,
+    LateAnswer,
+    IgnoreDrains,
+}
+
+/// Reads `NAME=VALUE`.
+pub fn pair(text: &str) -> Result<(String, String), String> {
+    let (name, value) = text.split_once('=').ok_or("NAME=VALUE is wanted")?;
+    Ok((name.to_owned(), value.to_owned()))
+}
+
+/// Runs a proxy until it is told to stop.
+pub fn run(args: &Args) -> Result<ExitCode, String> {
+    let settings = violetseam_settings::read_file(&args.settings, &args.set).map_err(|e| e.to_string())?;
+    let filter = EnvFilter::try_new(&args.log).map_err(|e| format!("--log: {e}"))?;
+    let logs =
+        tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).with_ansi(false);
+    match args.log_format {
+        LogFormat::Text => logs.init(),
+        LogFormat::Json => logs.json().init(),
+    }
+    let bounds = Bounds { total: args.record_most, ..Bounds::default() };
+    let options = Options {
+        record: args.record.clone().map(|path| (path, bounds)),
+        time_module: args.time_module,
+        stop_after: args.stop_after.map(Duration::from_secs),
+        #[cfg(feature = "sabotage")]
+        sabotage: args.sabotage.map(|s| match s {
+            SabotageName::DoubleSend => violetseam_proxy::driver::Sabotage::DoubleSend,
+            SabotageName::LateAnswer => violetseam_proxy::driver::Sabotage::LateAnswer,
+            SabotageName::IgnoreDrains => violetseam_proxy::driver::Sabotage::IgnoreDrains,
+        }),
+    };
+    let name = format!("{}-{}", settings.name, settings.decisions.position);
+    let summary = serve(settings, options, |addresses| {
+        for addr in addresses {
+            println!("{name} takes clients on {addr}");
+        }
+    })
+    .map_err(|e| e.to_string())?;
+    if args.time_module {
+        println!("module {:.3} s over {} requests", summary.module_time.as_secs_f64(), summary.counts.taken);
+    }
+    if summary.left_in_hand > 0 || summary.left_open > 0 {
+        eprintln!("left open: {} connections, {} requests", summary.left_open, summary.left_in_hand);
+        return Ok(ExitCode::FAILURE);
+    }
+    Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,11 @@
+//! Plays scripted days: proxies as processes of their own, stand-ins round them, troubles by the clock, and
+//! at the end the rules checked from what crossed the sockets.
+
+pub mod days;
+pub mod drawn;
+mod proxies;
+pub mod report;
+mod run;
+mod script;
+
+pub use run::{Lab, Outcome};
--- /dev/null
+++ b/crates/lab/src/run.rs
@@ -0,0 +1,246 @@
+//! One run of a day.
+
+use crate::proxies::{Launch, Proxies};
+use crate::{report, script};
+use std::fs::File;
+use std::io::BufWriter;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{Receiver, channel};
+use std::time::Duration;
+use violetseam_audit::{Entry, Record, Verdict};
+use violetseam_standin::Clock;
+use violetseam_standin::day::{Day, Kind, Trouble};
+use violetseam_standin::drive::clients::{ClientReport, Progress};
+use violetseam_standin::drive::site::SiteReport;
+use violetseam_standin::drive::{Net, clients, site};
+
+/// From the stand-ins' start to the first request, in microseconds.
+const PRELUDE: u64 = 2_000_000;
+/// What views from outside may be off by, in the proxy's favour, in microseconds: events of different
+/// sockets are seen in any order within a turn of a loop, and all processes share the machine's cores.
+pub const SLACK: u64 = 60_000;
+
+/// How a day is played.
+#[derive(Clone, Debug)]
+pub struct Lab {
+    /// The program that has `serve`.
+    pub program: PathBuf,
+    /// Where logs, records and the day itself go.
+    pub out: PathBuf,
+    /// Further arguments of `serve`.
+    pub extra: Vec<String>,
+    /// Distinguishes runs of one process.
+    pub number: u8,
+}
+
+/// What came of a day.
+#[derive(Debug)]
+pub struct Outcome {
+    /// The rules.
+    pub verdict: Verdict,
+    /// What clients got.
+    pub clients: ClientReport,
+    /// What the site saw.
+    pub site: SiteReport,
+    /// What else went wrong: proxies that did not drain, requests left open.
+    pub faults: Vec<String>,
+    /// Processor seconds of the proxies that were there at the end.
+    pub cpu: f64,
+    /// How many records the verdict rests on.
+    pub records: usize,
+}
+
+impl Outcome {
+    /// All rules were kept, nothing leaked, all proxies drained.
+    pub fn is_good(&self) -> bool {
+        self.verdict.kept() && self.faults.is_empty()
+    }
+}
+
+/// What happens to proxies: at a moment, kill or start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Blow {
+    Kill,
+    Start,
+}
+
+/// The blows of a day in order; a proxy hit by two troubles at once stays down until the later end.
+fn blows(day: &Day) -> Vec<(u64, Blow, usize)> {
+    let mut spells: Vec<(usize, u64, u64)> = Vec::new();
+    for t in &day.troubles {
+        match t.kind {
+            Kind::ProxyCrash => spells.extend(t.on.iter().map(|&p| (p, t.at, t.at + t.len))),
+            Kind::ProxyRoll => spells.extend(roll(t)),
+            Kind::ZoneLoss if t.size > 0.5 => {
+                let hit = day.proxies.iter().enumerate().filter(|(_, p)| usize::from(p.zone) == t.which);
+                spells.extend(hit.map(|(p, _)| (p, t.at, t.at + t.len)));
+            }
+            _ => {}
+        }
+    }
+    spells.retain(|s| s.0 < day.proxies.len());
+    spells.sort_unstable();
+    let mut merged: Vec<(usize, u64, u64)> = Vec::new();
+    for (proxy, from, to) in spells {
+        match merged.last_mut() {
+            Some(last) if last.0 == proxy && from <= last.2 => last.2 = last.2.max(to),
+            _ => merged.push((proxy, from, to)),
+        }
+    }
+    let both = |(p, from, to): (usize, u64, u64)| [(from, Blow::Kill, p), (to, Blow::Start, p)];
+    let mut blows: Vec<_> = merged.into_iter().flat_map(both).collect();
+    blows.sort_unstable();
+    blows
+}
+
+/// One batch after another, each down for `extra` seconds.
+fn roll(t: &Trouble) -> Vec<(usize, u64, u64)> {
+    let batch = (t.size.max(1.0) as usize).max(1);
+    let batches = t.on.len().div_ceil(batch).max(1) as u64;
+    let down = ((t.extra.max(0.2)) * 1e6) as u64;
+    let step = t.len / batches;
+    let of = |(i, chunk): (usize, &[usize])| {
+        let from = t.at + i as u64 * step;
+        chunk.iter().map(|&p| (p, from, from + down)).collect::<Vec<_>>()
+    };
+    t.on.chunks(batch).enumerate().flat_map(of).collect()
+}
+
+impl Lab {
+    /// Plays a day; `say` hears what happens as it happens.
+    pub fn play(&self, day: &Day, say: &mut dyn FnMut(&str)) -> Result<Outcome, String> {
+        day.check()?;
+        let io = |what: &'static str| move |e: std::io::Error| format!("{what}: {e}");
+        std::fs::create_dir_all(&self.out).map_err(io("output folder"))?;
+        let out = self.out.canonicalize().map_err(io("output folder"))?;
+        let net = Net::of_process(self.number);
+        let settings = out.join("proxies.star");
+        std::fs::write(&settings, script::settings(day, net, &out)).map_err(io("settings"))?;
+        let text = serde_json::to_vec_pretty(day).map_err(|e| e.to_string())?;
+        std::fs::write(out.join("day.json"), text).map_err(io("day"))?;
+
+        let mut shifted = day.clone();
+        shifted.troubles.iter_mut().for_each(|t| t.at += PRELUDE);
+        shifted.releases.iter_mut().for_each(|r| r.at += PRELUDE);
+        let (clock, stop) = (Clock::start(), Arc::new(AtomicBool::new(false)));
+        let (ready, is_ready) = channel();
+        let (say_site, said) = channel();
+        let site_thread = {
+            let (day, stop) = (shifted.clone(), stop.clone());
+            std::thread::spawn(move || site::run(&day, net, clock, &stop, &ready, say_site))
+        };
+        let site_up = is_ready.recv_timeout(Duration::from_secs(10));
+        if site_up.is_err() {
+            stop.store(true, Ordering::Relaxed);
+            let why = site_thread.join().map(|r| r.err().map_or_else(String::new, |e| e.to_string()));
+            return Err(format!("the stand-ins did not start: {}", why.unwrap_or_default()));
+        }
+        let launch =
+            Launch { program: self.program.clone(), settings, out: out.clone(), extra: self.extra.clone() };
+        let mut proxies = Proxies::new(launch, net, day.proxies.len());
+        let started = (0..day.proxies.len())
+            .try_for_each(|n| proxies.start(n).map_err(|e| format!("proxy {n}: {e}")))
+            .and_then(|()| {
+                (0..day.proxies.len()).try_for_each(|n| proxies.wait_ready(n, Duration::from_secs(15)))
+            });
+        if let Err(why) = started {
+            stop.store(true, Ordering::Relaxed);
+            let _ = site_thread.join();
+            return Err(why);
+        }
+        let progress = Arc::new(Progress::default());
+        let client_thread = {
+            let (day, stop, progress) = (shifted.clone(), stop.clone(), progress.clone());
+            std::thread::spawn(move || clients::run(&day, net, clock, PRELUDE, &stop, progress))
+        };
+        let mut entries = Vec::new();
+        let blows: Vec<_> = blows(&shifted);
+        let played =
+            self.orchestrate(clock, &blows, &mut proxies, &mut entries, &said, &progress, say, || {
+                client_thread.is_finished()
+            });
+        let clients =
+            client_thread.join().map_err(|_| "the clients' thread failed")?.map_err(io("clients"))?;
+        let cpu = (0..day.proxies.len()).filter_map(|n| proxies.cpu_seconds(n)).sum();
+        let mut faults = proxies.drain(Duration::from_secs(20));
+        // The site sees the proxies' connections close before it ends.
+        std::thread::sleep(Duration::from_millis(150));
+        stop.store(true, Ordering::Relaxed);
+        let site = site_thread.join().map_err(|_| "the site's thread failed")?.map_err(io("site"))?;
+        played?;
+        if site.left_open > 0 {
+            faults.push(format!("{} attempts still open after all proxies had drained", site.left_open));
+        }
+        entries.extend(site.entries.iter().cloned());
+        entries.extend(clients.entries.iter().cloned());
+        entries.sort_by_key(|e| e.at);
+        let rules = day.rules(SLACK);
+        let file = File::create(out.join("records.vsau")).map_err(io("records"))?;
+        violetseam_audit::record::write(&mut BufWriter::new(file), &rules, &entries)
+            .map_err(io("records"))?;
+        let verdict = violetseam_audit::check(&rules, &entries);
+        let outcome = Outcome { verdict, clients, site, faults, cpu, records: entries.len() };
+        let summary =
+            serde_json::to_vec_pretty(&report::summary(day, &outcome)).map_err(|e| e.to_string())?;
+        std::fs::write(out.join("summary.json"), summary).map_err(io("summary"))?;
+        Ok(outcome)
+    }
+
+    /// Plays the blows to proxies until the clients are through.
+    #[allow(clippy::too_many_arguments)]
+    fn orchestrate(
+        &self,
+        clock: Clock,
+        blows: &[(u64, Blow, usize)],
+        proxies: &mut Proxies,
+        entries: &mut Vec<Entry>,
+        said: &Receiver<String>,
+        progress: &Progress,
+        say: &mut dyn FnMut(&str),
+        over: impl Fn() -> bool,
+    ) -> Result<(), String> {
+        let mut blows = blows.iter().copied().peekable();
+        let mut told = PRELUDE;
+        loop {
+            let now = clock.now();
+            while let Some((_, blow, n)) = blows.next_if(|b| b.0 <= now) {
+                match blow {
+                    Blow::Kill => {
+                        say(&format!("{} proxy {n} is killed", at(now)));
+                        entries.push(Entry { at: clock.now(), record: Record::Killed { proxy: n as u32 } });
+                        proxies.kill(n);
+                        // What it sent in its last moment is seen a little later: its life ends here.
+                        entries.push(Entry { at: clock.now(), record: Record::Killed { proxy: n as u32 } });
+                    }
+                    Blow::Start => {
+                        say(&format!("{} proxy {n} is started again", at(now)));
+                        proxies.start(n).map_err(|e| format!("proxy {n}: {e}"))?;
+                    }
+                }
+            }
+            while let Ok(line) = said.try_recv() {
+                say(&format!("{} {line}", at(now)));
+            }
+            if now >= told + 5_000_000 {
+                told = now;
+                let [asked, in_time, refused, failed] =
+                    std::array::from_fn(|i| progress.0[i].load(Ordering::Relaxed));
+                say(&format!(
+                    "{} {asked} requests, {in_time} served in time, tries refused {refused}, failed {failed}",
+                    at(now)
+                ));
+            }
+            if over() {
+                return Ok(());
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+}
+
+/// A moment of the day, as it is told.
+fn at(now: u64) -> String {
+    format!("{:6.1} s", now.saturating_sub(PRELUDE) as f64 / 1e6)
+}
--- /dev/null
+++ b/crates/standin/src/drive/clients.rs
@@ -0,0 +1,583 @@
+//! Clients: an open loop of requests over kept connections, with deadlines, retries, early leaving and
+//! reports of wrong answers.
+
+use super::Net;
+use super::site_http::{BUILD, CLASS, KEY, REQUEST, WORK, WRONG};
+use crate::Clock;
+use crate::day::{Day, Effect};
+use crate::model::Rng;
+use crate::model::traffic::{Traffic, Wish};
+use calloop::{EventLoop, Interest, LoopHandle, Readiness};
+use http::StatusCode;
+use rand::{RngExt, SeedableRng};
+use slab::Slab;
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+use violetseam_audit::record::Answer;
+use violetseam_audit::{Entry, Record};
+use violetseam_http1::Limits;
+use violetseam_http1::client::{ClientConn, ClientEvent};
+use violetseam_loopio::{Got, Socket, connect};
+
+/// How long past its deadline a client still waits, so that a late answer is seen as late.
+const PATIENCE: u64 = 400_000;
+
+/// A request from its first try to its last.
+#[derive(Clone, Debug)]
+struct Op {
+    wish: Wish,
+    tries: u32,
+}
+
+/// A connection to a proxy, with at most one try on it.
+struct Conn {
+    generation: u64,
+    proxy: usize,
+    socket: Socket,
+    http: ClientConn,
+    work: Work,
+    connected: bool,
+}
+
+enum Work {
+    Idle,
+    Try(Box<Try>),
+    Flag,
+}
+
+struct Try {
+    request: u64,
+    op: usize,
+    started: u64,
+    deadline: u64,
+    sent: bool,
+    /// Status, outcome and flags of the answer's head.
+    head: Option<Head>,
+}
+
+#[derive(Clone, Debug)]
+struct Head {
+    status: StatusCode,
+    outcome: Option<Answer>,
+    build: u16,
+    wrong: bool,
+    id: Option<String>,
+    come_back: u64,
+}
+
+#[derive(Clone, Debug)]
+enum Later {
+    Start(usize),
+    GiveUp(usize, u64),
+    Leave(usize, u64),
+    Flag(usize, String),
+}
+
+/// What clients got, by class and all together.
+#[derive(Clone, Debug, Default)]
+pub struct Tally {
+    /// First tries.
+    pub asked: u64,
+    /// Served rightly within the aim.
+    pub in_time: u64,
+    /// Served rightly, later.
+    pub late: u64,
+    /// Served wrongly.
+    pub wrong: u64,
+    /// Never served.
+    pub unserved: u64,
+    /// Worth asked for, and worth served in time.
+    pub worth: (f64, f64),
+}
+
+/// What the clients saw, given back at the end.
+#[derive(Debug, Default)]
+pub struct ClientReport {
+    /// Records for the rule checker.
+    pub entries: Vec<Entry>,
+    /// By class.
+    pub classes: Vec<Tally>,
+    /// Tries by how they ended: served, refused, failed, broken, no connection, left.
+    pub tries: [u64; 6],
+    /// Answers by build.
+    pub builds: BTreeMap<u16, u64>,
+    /// Times of served answers, in microseconds.
+    pub times: Vec<u64>,
+    /// Reports of wrong answers that a proxy took.
+    pub flags: u64,
+}
+
+/// Numbers that whoever watches may read at any time: asked, served in time, refused, failed.
+#[derive(Debug, Default)]
+pub struct Progress(pub [AtomicU64; 4]);
+
+/// All clients.
+pub struct Clients {
+    clock: Clock,
+    day: Rc<Day>,
+    net: Net,
+    handle: LoopHandle<'static, Clients>,
+    rng: Rng,
+    traffic: std::iter::Peekable<Traffic>,
+    ops: Slab<Op>,
+    conns: Slab<Conn>,
+    idle: HashMap<usize, Vec<usize>>,
+    later: BTreeMap<(u64, u64), Later>,
+    generation: u64,
+    next_request: u64,
+    entries: Vec<Entry>,
+    report: ClientReport,
+    /// Proxies noticed dead, until when.
+    shunned: BTreeMap<usize, u64>,
+    /// When each was first found dead.
+    dead_since: BTreeMap<usize, u64>,
+    progress: Arc<Progress>,
+}
+
+/// Runs the clients until the day is over and nothing is out any more, or until told to stop.
+pub fn run(
+    day: &Day,
+    net: Net,
+    clock: Clock,
+    begin: u64,
+    stop: &Arc<AtomicBool>,
+    progress: Arc<Progress>,
+) -> std::io::Result<ClientReport> {
+    let mut event_loop: EventLoop<'static, Clients> = EventLoop::try_new().map_err(std::io::Error::other)?;
+    let mut clients = Clients {
+        clock,
+        net,
+        handle: event_loop.handle(),
+        rng: Rng::seed_from_u64(day.seed ^ 0xc1e7),
+        traffic: Traffic::new(day).peekable(),
+        ops: Slab::new(),
+        conns: Slab::new(),
+        idle: HashMap::new(),
+        later: BTreeMap::new(),
+        generation: 0,
+        next_request: 0,
+        entries: Vec::new(),
+        report: ClientReport {
+            classes: vec![Tally::default(); day.classes.len()],
+            ..ClientReport::default()
+        },
+        shunned: BTreeMap::new(),
+        dead_since: BTreeMap::new(),
+        progress,
+        day: Rc::new(day.clone()),
+    };
+    loop {
+        let now = clock.now();
+        let due = clients.due(begin).unwrap_or(now + 50_000);
+        let wait = Duration::from_micros(due.saturating_sub(now).min(50_000));
+        event_loop.dispatch(wait, &mut clients).map_err(std::io::Error::other)?;
+        clients.advance(begin);
+        if clients.is_over() || stop.load(Ordering::Relaxed) {
+            return Ok(ClientReport { entries: clients.entries, ..clients.report });
+        }
+    }
+}
+
+impl Clients {
+    fn see(&mut self, record: Record) {
+        let at = self.clock.now();
+        self.entries.push(Entry { at, record });
+    }
+
+    fn due(&mut self, begin: u64) -> Option<u64> {
+        let arrival = self.traffic.peek().map(|w| w.at + begin);
+        arrival.into_iter().chain(self.later.keys().next().map(|k| k.0)).min()
+    }
+
+    fn is_over(&mut self) -> bool {
+        self.traffic.peek().is_none() && self.ops.is_empty() && self.later.is_empty()
+    }
+
+    fn at(&mut self, at: u64, what: Later) {
+        self.generation += 1;
+        self.later.insert((at, self.generation), what);
+    }
+
+    fn advance(&mut self, begin: u64) {
+        let now = self.clock.now();
+        while let Some(wish) = self.traffic.next_if(|w| w.at + begin <= now) {
+            let class = &self.day.classes[wish.class];
+            let tally = &mut self.report.classes[wish.class];
+            tally.asked += 1;
+            tally.worth.0 += class.worth;
+            self.progress.0[0].fetch_add(1, Ordering::Relaxed);
+            let op = self.ops.insert(Op { wish: Wish { at: wish.at + begin, ..wish }, tries: 0 });
+            self.start(op);
+        }
+        while let Some((&at, _)) = self.later.first_key_value().filter(|(k, _)| k.0 <= now) {
+            match self.later.remove(&at) {
+                Some(Later::Start(op)) => self.start(op),
+                Some(Later::GiveUp(key, generation)) => self.give_up(key, generation, false),
+                Some(Later::Leave(key, generation)) => self.give_up(key, generation, true),
+                Some(Later::Flag(proxy, id)) => self.flag(proxy, &id),
+                None => {}
+            }
+        }
+    }
+
+    /// The proxy of a try. A plain front spreads over those not known to be dead.
+    fn choose(&mut self) -> usize {
+        let now = self.clock.now();
+        self.shunned.retain(|_, until| *until > now);
+        let weights: Vec<f64> = self
+            .day
+            .proxies
+            .iter()
+            .enumerate()
+            .map(|(n, p)| match (self.shunned.contains_key(&n), self.day.clients.own_proxy) {
+                (true, _) => 0.0,
+                (false, true) => p.weight,
+                (false, false) => 1.0,
+            })
+            .collect();
+        let total: f64 = weights.iter().sum();
+        if total <= 0.0 {
+            return self.rng.random_range(0..weights.len());
+        }
+        let mut left = self.rng.random::<f64>() * total;
+        for (n, w) in weights.iter().enumerate() {
+            left -= w;
+            if left < 0.0 {
+                return n;
+            }
+        }
+        weights.len() - 1
+    }
+
+    fn start(&mut self, op: usize) {
+        let now = self.clock.now();
+        let Some(o) = self.ops.get_mut(op) else { return };
+        let class = self.day.classes[o.wish.class].clone();
+        let ends = o.wish.at + class.deadline;
+        if now + 20_000 >= ends {
+            return self.over(op, None);
+        }
+        o.tries += 1;
+        let patience = (class.deadline as f64 * self.day.clients.try_share) as u64;
+        let deadline = ends.min(now + patience.max(50_000));
+        let proxy = self.choose();
+        self.next_request += 1;
+        let request = self.next_request;
+        let work = Work::Try(Box::new(Try { request, op, started: now, deadline, sent: false, head: None }));
+        let idle = self.idle.get_mut(&proxy).and_then(Vec::pop);
+        match idle {
+            Some(key) => {
+                self.conns[key].work = work;
+                self.send(key);
+            }
+            None => {
+                let to = self.net.proxy(proxy);
+                let Ok(stream) = connect(to) else { return self.unreachable(op, proxy) };
+                self.generation += 1;
+                let generation = self.generation;
+                let entry = self.conns.vacant_entry();
+                let key = entry.key();
+                let on_ready = move |readiness: Readiness, c: &mut Clients| c.on_ready(key, readiness);
+                let Ok(socket) = Socket::register(&self.handle, stream, Interest::BOTH, on_ready) else {
+                    return self.unreachable(op, proxy);
+                };
+                let http = ClientConn::new(Limits::default());
+                entry.insert(Conn { generation, proxy, socket, http, work, connected: false });
+                self.at(deadline + PATIENCE, Later::GiveUp(key, generation));
+            }
+        }
+    }
+
+    /// Writes the try's request on a connection that is up.
+    fn send(&mut self, key: usize) {
+        let now = self.clock.now();
+        let generation = self.conns[key].generation;
+        let conn = &mut self.conns[key];
+        let Work::Try(t) = &mut conn.work else { return };
+        let (op, deadline, request) = (&self.ops[t.op], t.deadline, t.request);
+        t.sent = true;
+        let (wish, retried) = (op.wish, op.tries > 1);
+        let class = &self.day.classes[wish.class];
+        let method = if class.effect == Effect::Safe { "GET" } else { "POST" };
+        let tenant = self.day.tenants.get(wish.tenant).map_or("", |t| t.0.as_str());
+        let left = deadline.saturating_sub(now) / 1_000;
+        let mut text = format!(
+            "{method} /c{}/{} HTTP/1.1\r\nhost: lab\r\n{REQUEST}: {request}\r\n{CLASS}: {}\r\n{WORK}: {}\r\n\
+             x-tenant: {tenant}\r\nrequest-timeout-ms: {left}\r\n",
+            wish.class, wish.key, wish.class, wish.work
+        );
+        if wish.key != 0 {
+            text += &format!("{KEY}: {}\r\n", wish.key);
+        }
+        if let Some(hint) = wish.hint {
+            text += &format!("x-cost-us: {hint}\r\n");
+        }
+        if retried {
+            text += "x-retry: 1\r\n";
+        }
+        text += if method == "POST" { "content-length: 4\r\n\r\nwork" } else { "\r\n" };
+        conn.socket.out().extend_from_slice(text.as_bytes());
+        conn.http.expect_answer(false);
+        // The deadline as told: what the milliseconds cut off is not the proxy's to lose.
+        let (proxy, class_index) = (conn.proxy as u32, wish.class);
+        self.see(Record::Sent { request, proxy, class: class_index, deadline: now + left * 1_000 });
+        self.at(deadline + PATIENCE, Later::GiveUp(key, generation));
+        if self.rng.random::<f64>() < self.day.clients.impatient {
+            let at = now + (self.rng.random::<f64>() * (deadline - now) as f64 * 0.8) as u64;
+            self.at(at, Later::Leave(key, generation));
+        }
+        self.flush(key);
+    }
+
+    fn flush(&mut self, key: usize) {
+        let Some(conn) = self.conns.get_mut(key) else { return };
+        if conn.socket.flush().is_err() {
+            return self.lost(key);
+        }
+        conn.socket.want(&self.handle, true);
+    }
+
+    fn on_ready(&mut self, key: usize, readiness: Readiness) {
+        let Some(conn) = self.conns.get_mut(key) else { return };
+        if !conn.connected {
+            if conn.socket.connect_error().is_some() {
+                return self.lost(key);
+            }
+            if !readiness.writable {
+                return;
+            }
+            conn.connected = true;
+            self.dead_since.remove(&conn.proxy);
+            let conn = &mut self.conns[key];
+            match &conn.work {
+                Work::Try(_) => self.send(key),
+                Work::Flag => self.flush(key),
+                Work::Idle => {}
+            }
+            return;
+        }
+        if readiness.writable {
+            self.flush(key);
+        }
+        if readiness.readable || readiness.error {
+            self.read(key);
+        }
+    }
+
+    fn read(&mut self, key: usize) {
+        let mut bytes = [0; 16 * 1024];
+        let Some(conn) = self.conns.get_mut(key) else { return };
+        match conn.socket.read(&mut bytes) {
+            Got::Bytes(n) => {
+                if matches!(conn.work, Work::Idle) {
+                    let proxy = conn.proxy as u32;
+                    self.see(Record::Surplus { proxy });
+                    return self.close(key);
+                }
+                conn.http.feed(&bytes[..n]);
+                self.events(key);
+            }
+            Got::Nothing => {}
+            Got::Closed | Got::Broken => self.lost(key),
+        }
+    }
+
+    fn events(&mut self, key: usize) {
+        while let Some(conn) = self.conns.get_mut(key) {
+            match conn.http.next_event() {
+                None => return,
+                Some(ClientEvent::Head(head)) => {
+                    let text = |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok());
+                    let outcome = match text("violetseam-answer") {
+                        Some("served") => Some(Answer::Served),
+                        Some("refused") => Some(Answer::Refused),
+                        Some("failed") => Some(Answer::Failed),
+                        _ => None,
+                    };
+                    let read = Head {
+                        status: head.status,
+                        outcome,
+                        build: text(BUILD).and_then(|b| b.parse().ok()).unwrap_or(0),
+                        wrong: text(WRONG).is_some(),
+                        id: text("answer-id").map(str::to_owned),
+                        come_back: text("retry-after").and_then(|s| s.parse().ok()).unwrap_or(0),
+                    };
+                    if let Work::Try(t) = &mut conn.work {
+                        t.head = Some(read);
+                    } else {
+                        self.report.flags += u64::from(read.status == StatusCode::ACCEPTED);
+                    }
+                }
+                Some(ClientEvent::Body(_)) => {}
+                Some(ClientEvent::End { reusable }) => {
+                    self.complete(key, reusable);
+                    return;
+                }
+                Some(ClientEvent::Fault(_)) => return self.lost(key),
+            }
+        }
+    }
+
+    /// An answer has come whole.
+    fn complete(&mut self, key: usize, reusable: bool) {
+        let conn = &mut self.conns[key];
+        let work = std::mem::replace(&mut conn.work, Work::Idle);
+        let (proxy, surplus) = (conn.proxy, conn.http.held() > 0);
+        // Its time-outs are of the try before: a new generation makes them void.
+        self.generation += 1;
+        self.conns[key].generation = self.generation;
+        if surplus {
+            self.see(Record::Surplus { proxy: proxy as u32 });
+        }
+        if reusable {
+            self.idle.entry(proxy).or_default().push(key);
+        } else {
+            self.close(key);
+        }
+        if let Work::Try(t) = work
+            && let Some(head) = t.head.clone()
+        {
+            self.answered(proxy, &t, &head);
+        }
+    }
+
+    fn answered(&mut self, proxy: usize, t: &Try, head: &Head) {
+        let now = self.clock.now();
+        // An answer of the proxy's own that is neither refused nor failed: a fault of the request.
+        let answer = head.outcome.unwrap_or(Answer::Failed);
+        self.see(Record::Answered { request: t.request, answer });
+        if answer == Answer::Served {
+            self.report.tries[0] += 1;
+            *self.report.builds.entry(head.build).or_default() += 1;
+            self.report.times.push(now - t.started);
+            let flags = self.day.rollout.clone();
+            let chance = if head.wrong { flags.flag_share } else { flags.false_flags };
+            if let Some(id) = head.id.clone().filter(|_| self.rng.random::<f64>() < chance) {
+                self.at(now + flags.flag_late, Later::Flag(proxy, id));
+            }
+            return self.over(t.op, Some((now, head.wrong)));
+        }
+        let refused = answer == Answer::Refused;
+        self.report.tries[if refused { 1 } else { 2 }] += 1;
+        self.progress.0[if refused { 2 } else { 3 }].fetch_add(1, Ordering::Relaxed);
+        let advised = refused && self.rng.random::<f64>() < self.day.clients.honour;
+        let advice = if advised { head.come_back * 1_000_000 } else { 0 };
+        self.again(t.op, refused, advice);
+    }
+
+    /// After a try that was not served: another one, where its class allows.
+    fn again(&mut self, op: usize, harmless: bool, advice: u64) {
+        let now = self.clock.now();
+        let Some(o) = self.ops.get(op) else { return };
+        let class = &self.day.classes[o.wish.class];
+        let keyed = class.effect == Effect::KeyedAll && now < o.wish.at + class.window;
+        let allowed = harmless || class.effect == Effect::Safe || keyed;
+        if allowed && o.tries <= self.day.clients.retries {
+            let wait = self.day.clients.backoff.max(advice);
+            self.at(now + wait, Later::Start(op));
+        } else {
+            self.over(op, None);
+        }
+    }
+
+    /// The request is over: served at a moment, rightly or not, or not at all.
+    fn over(&mut self, op: usize, served: Option<(u64, bool)>) {
+        let Some(o) = self.ops.try_remove(op) else { return };
+        let class = &self.day.classes[o.wish.class];
+        let tally = &mut self.report.classes[o.wish.class];
+        match served {
+            Some((_, true)) => tally.wrong += 1,
+            Some((at, false)) if at <= o.wish.at + class.aim => {
+                tally.in_time += 1;
+                tally.worth.1 += class.worth;
+                self.progress.0[1].fetch_add(1, Ordering::Relaxed);
+            }
+            Some(_) => {
+                tally.late += 1;
+                tally.worth.1 += class.worth * class.late_worth;
+            }
+            None => tally.unserved += 1,
+        }
+    }
+
+    /// No connection: clients notice after a while and stay away from that proxy.
+    fn unreachable(&mut self, op: usize, proxy: usize) {
+        let now = self.clock.now();
+        self.report.tries[4] += 1;
+        let since = *self.dead_since.entry(proxy).or_insert(now);
+        if now >= since + self.day.clients.notice {
+            self.shunned.insert(proxy, now + 500_000);
+        }
+        self.again(op, true, 0);
+    }
+
+    /// The connection is gone.
+    fn lost(&mut self, key: usize) {
+        let Some(conn) = self.conns.get_mut(key) else { return };
+        let (proxy, connected) = (conn.proxy, conn.connected);
+        // An answer that ends with the connection is whole now.
+        if let Some(ClientEvent::End { .. }) = conn.http.close() {
+            return self.complete(key, false);
+        }
+        let work = std::mem::replace(&mut conn.work, Work::Idle);
+        self.close(key);
+        let Work::Try(t) = work else { return };
+        if !connected || !t.sent {
+            return self.unreachable(t.op, proxy);
+        }
+        self.see(Record::Answered { request: t.request, answer: Answer::Broken });
+        self.report.tries[3] += 1;
+        self.again(t.op, false, 0);
+    }
+
+    fn close(&mut self, key: usize) {
+        let conn = self.conns.remove(key);
+        conn.socket.remove(&self.handle);
+        if let Some(idle) = self.idle.get_mut(&conn.proxy) {
+            idle.retain(|k| *k != key);
+        }
+    }
+
+    /// The client closes without an answer: early of its own will, or long past its deadline.
+    fn give_up(&mut self, key: usize, generation: u64, early: bool) {
+        let Some(conn) = self.conns.get_mut(key).filter(|c| c.generation == generation) else { return };
+        let work = std::mem::replace(&mut conn.work, Work::Idle);
+        let proxy = conn.proxy;
+        self.close(key);
+        let Work::Try(t) = work else { return };
+        if !t.sent {
+            return self.unreachable(t.op, proxy);
+        }
+        self.see(Record::Left { request: t.request });
+        self.report.tries[5] += 1;
+        if early {
+            self.over(t.op, None);
+        } else {
+            self.again(t.op, false, 0);
+        }
+    }
+
+    /// Reports an answer wrong to the proxy that passed it on.
+    fn flag(&mut self, proxy: usize, id: &str) {
+        let Ok(stream) = connect(self.net.proxy(proxy)) else { return };
+        self.generation += 1;
+        let generation = self.generation;
+        let entry = self.conns.vacant_entry();
+        let key = entry.key();
+        let on_ready = move |readiness: Readiness, c: &mut Clients| c.on_ready(key, readiness);
+        let Ok(mut socket) = Socket::register(&self.handle, stream, Interest::BOTH, on_ready) else { return };
+        let body = format!("{{\"answer\":\"{id}\"}}");
+        let text = format!(
+            "POST /.well-known/wrong-answer HTTP/1.1\r\nhost: lab\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        socket.out().extend_from_slice(text.as_bytes());
+        let mut http = ClientConn::new(Limits::default());
+        http.expect_answer(false);
+        entry.insert(Conn { generation, proxy, socket, http, work: Work::Flag, connected: false });
+        self.at(self.clock.now() + 1_000_000, Later::GiveUp(key, generation));
+    }
+}
--- /dev/null
+++ b/crates/standin/src/drive/relay.rs
@@ -0,0 +1,94 @@
+//! The network between peers: forwards their datagrams, or loses, repeats, delays and reorders them.
+
+use super::Net;
+use super::site::Site;
+use crate::day::Kind;
+use calloop::generic::Generic;
+use calloop::{Interest, LoopHandle, Mode, PostAction};
+use rand::RngExt;
+use std::collections::BTreeMap;
+use std::net::UdpSocket;
+use std::rc::Rc;
+
+/// Ordinary delay of a datagram, in microseconds, from and to.
+const DELAY: (u64, u64) = (1_000, 8_000);
+
+/// Sockets by sender and receiver.
+pub struct Relay {
+    sockets: BTreeMap<(usize, usize), Rc<UdpSocket>>,
+    /// Datagrams on their way: when, order, sender, receiver.
+    flying: BTreeMap<(u64, u64), (usize, usize, Vec<u8>)>,
+    next: u64,
+    net: Net,
+}
+
+impl Relay {
+    /// Binds a socket for each pair of peers.
+    pub fn bind(on: &LoopHandle<'static, Site>, net: Net, proxies: usize) -> std::io::Result<Relay> {
+        let mut sockets = BTreeMap::new();
+        for from in 0..proxies {
+            for to in (0..proxies).filter(|to| *to != from) {
+                let socket = UdpSocket::bind(net.relay(from, to))?;
+                socket.set_nonblocking(true)?;
+                let socket = Rc::new(socket);
+                let source = Generic::new(socket.clone(), Interest::READ, Mode::Level);
+                on.insert_source(source, move |_, socket, site: &mut Site| {
+                    site.on_datagrams(from, to, socket);
+                    Ok(PostAction::Continue)
+                })
+                .map_err(|e| std::io::Error::other(e.to_string()))?;
+                sockets.insert((from, to), socket);
+            }
+        }
+        Ok(Relay { sockets, flying: BTreeMap::new(), next: 0, net })
+    }
+
+    fn fly(&mut self, at: u64, from: usize, to: usize, bytes: Vec<u8>) {
+        self.next += 1;
+        self.flying.insert((at, self.next), (from, to, bytes));
+    }
+
+    /// When a datagram arrives next.
+    pub fn due(&self) -> Option<u64> {
+        self.flying.keys().next().map(|k| k.0)
+    }
+
+    /// Delivers what is due. It leaves from the socket by which the receiver knows the sender.
+    pub fn advance(&mut self, now: u64) {
+        while let Some((&key, _)) = self.flying.first_key_value().filter(|(k, _)| k.0 <= now) {
+            if let Some((from, to, bytes)) = self.flying.remove(&key)
+                && let Some(socket) = self.sockets.get(&(to, from))
+            {
+                // A receiver that is down loses it, as on any network.
+                let _ = socket.send_to(&bytes, self.net.peer(to));
+            }
+        }
+    }
+}
+
+impl Site {
+    fn on_datagrams(&mut self, from: usize, to: usize, socket: &UdpSocket) {
+        let mut bytes = [0; 2048];
+        for _ in 0..64 {
+            let Ok((length, source)) = socket.recv_from(&mut bytes) else { return };
+            if source != self.net.peer(from) || self.active(Kind::PeersLost).is_some() {
+                continue;
+            }
+            let now = self.clock.now();
+            let datagram = bytes[..length].to_vec();
+            let disordered = self.active(Kind::PeersDisordered).is_some();
+            let copies = if disordered { 2 } else { 1 };
+            for _ in 0..copies {
+                let longest = if disordered { 400_000 } else { DELAY.1 };
+                let delay = self.rng.random_range(DELAY.0..longest);
+                self.relay.fly(now + delay, from, to, datagram.clone());
+            }
+            if disordered {
+                // Another version, and damage: both must be dropped.
+                let mut other = datagram.clone();
+                other[2 % length.max(1)] ^= 7;
+                self.relay.fly(now + DELAY.0, from, to, other);
+            }
+        }
+    }
+}
