--- a/crates/standin/src/drive/site_http.rs
+++ b/crates/standin/src/drive/site_http.rs
@@ -244,15 +244,35 @@
         keys.into_iter().for_each(|key| self.close(key));
     }
 
-    /// A machine stops answering without closing anything, or goes on.
+    /// A machine is cut off: it answers nobody, and nobody hears that it is gone. What it held ends there
+    /// for the records, as from then on it cannot see a cancel. When it is back, nothing that was sent to it
+    /// meanwhile has arrived: old connections close unread.
     pub(super) fn set_silent(&mut self, machine: u64, silent: bool) {
+        let now = self.clock.now();
         let Some(m) = self.machines.get_mut(&machine) else { return };
         m.silent = silent;
-        if let Some((_, token)) = &m.listener {
-            let _ = if silent { self.handle.disable(token) } else { self.handle.enable(token) };
+        let listener = m.listener.clone();
+        if !silent {
+            if let Some((listener, token)) = listener {
+                while listener.accept().is_ok() {}
+                let _ = self.handle.enable(&token);
+            }
+            return self.close_connections_of(machine);
+        }
+        if let Some((_, token)) = &listener {
+            let _ = self.handle.disable(token);
+        }
+        let mut jobs = Vec::new();
+        for (_, conn) in self.conns.iter_mut().filter(|(_, c)| c.role == Role::Server(machine)) {
+            conn.socket.want(&self.handle, false);
+            jobs.extend(conn.job.take());
         }
-        for (_, conn) in self.conns.iter().filter(|(_, c)| c.role == Role::Server(machine)) {
-            conn.socket.want(&self.handle, !silent);
+        for job in jobs {
+            self.kept.jobs.remove(&job);
+            self.see_end(job, End::Lost);
+            if let Some(m) = self.machines.get_mut(&machine) {
+                m.server.cancel(now, job);
+            }
         }
     }
 
