Hard cases on sockets: servers and clients that misbehave, each leaves nothing open

Each failure that the proxy is built for is caused on real sockets: a server that never reads, dies mid-way, hangs on connect, trickles, closes idle; a client that half-closes, leaves, trickles, pipelines thousands. After each, a drain must find no open connection and no request in hand, and one final answer for each request taken.

--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -75,6 +75,7 @@
         record: args.record.clone().map(|path| (path, bounds)),
         time_module: args.time_module,
         stop_after: args.stop_after.map(Duration::from_secs),
+        stop: None,
         #[cfg(feature = "sabotage")]
         sabotage: args.sabotage.map(|s| match s {
             SabotageName::DoubleSend => violetseam_proxy::driver::Sabotage::DoubleSend,
--- a/crates/proxy/src/driver/mod.rs
+++ b/crates/proxy/src/driver/mod.rs
@@ -24,6 +24,8 @@
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 use timers::Timers;
 use violetseam::interface::*;
@@ -46,6 +48,8 @@
     pub time_module: bool,
     /// Stops by itself after this span.
     pub stop_after: Option<Duration>,
+    /// Drains once this is set, for proxies that share a process with others and its signals.
+    pub stop: Option<Arc<AtomicBool>>,
     /// For the checker's own tests: how this proxy breaks the rules on purpose.
     #[cfg(feature = "sabotage")]
     pub sabotage: Option<Sabotage>,
@@ -160,6 +164,12 @@
                 proxy.drain();
             }
         }
+        if let Some(stop) = &options.stop {
+            timeout = timeout.min(Duration::from_millis(20));
+            if stop.load(Ordering::Relaxed) {
+                proxy.drain();
+            }
+        }
         event_loop.dispatch(timeout, &mut proxy).map_err(std::io::Error::other)?;
         // What came over sockets first: an answer that was there before its time-out was noticed counts.
         proxy.on_time();
--- /dev/null
+++ b/crates/proxy/tests/common/mod.rs
@@ -0,0 +1,251 @@
+//! A proxy on its own thread, scripted servers, and a site that lists them; all on loopback.
+#![allow(dead_code)]
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+use violetseam_proxy::driver::{Options, Summary, serve};
+use violetseam_settings::read_text;
+
+/// Waits for a condition, not for a time; fails loudly when it does not come.
+pub fn wait_for(what: &str, mut is: impl FnMut() -> bool) {
+    let until = Instant::now() + Duration::from_secs(20);
+    while !is() {
+        assert!(Instant::now() < until, "waited in vain for: {what}");
+        std::thread::sleep(Duration::from_millis(2));
+    }
+}
+
+/// A server that plays `script` on each connection, on a thread of its own.
+pub struct Scripted {
+    pub addr: SocketAddr,
+    /// Connections accepted so far.
+    pub accepted: Arc<AtomicUsize>,
+}
+
+pub fn scripted(script: impl Fn(usize, TcpStream) + Send + Sync + 'static) -> Scripted {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let addr = listener.local_addr().unwrap();
+    let accepted = Arc::new(AtomicUsize::new(0));
+    let (count, script) = (accepted.clone(), Arc::new(script));
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let n = count.fetch_add(1, Ordering::SeqCst);
+            let script = script.clone();
+            std::thread::spawn(move || script(n, stream));
+        }
+    });
+    Scripted { addr, accepted }
+}
+
+/// Reads one request head and its body of a stated length; the head's text, none at the end.
+pub fn read_request(stream: &TcpStream) -> Option<String> {
+    let mut reader = BufReader::with_capacity(1, stream);
+    let (mut head, mut length) = (String::new(), 0);
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        if line == "\r\n" {
+            break;
+        }
+        if let Some(n) = line.to_ascii_lowercase().strip_prefix("content-length: ") {
+            length = n.trim().parse().unwrap();
+        }
+        head += &line;
+    }
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).ok()?;
+    Some(head + &String::from_utf8_lossy(&body))
+}
+
+pub fn answer(stream: &mut TcpStream, status: &str, fields: &str, body: &str) {
+    let text = format!("HTTP/1.1 {status}\r\n{fields}content-length: {}\r\n\r\n{body}", body.len());
+    let _ = stream.write_all(text.as_bytes());
+}
+
+/// A server that answers every request well, and tells each to whoever listens.
+pub fn well(seen: Sender<String>) -> Scripted {
+    let seen = Mutex::new(seen);
+    scripted(move |_, mut stream| {
+        while let Some(request) = read_request(&stream) {
+            let _ = seen.lock().unwrap().send(request);
+            answer(&mut stream, "200 OK", "", "fine");
+        }
+    })
+}
+
+/// A roster and a release desk: the list is told when asked, and what `push` sends after that.
+pub struct Site {
+    pub roster: Scripted,
+    pub desk: Scripted,
+    pushes: Arc<Mutex<Vec<Sender<String>>>>,
+    /// Lists told in whole.
+    pub told: Arc<AtomicUsize>,
+    /// Votes as posted.
+    pub votes: Receiver<String>,
+}
+
+fn stream_of_lines(stream: &mut TcpStream, lines: &Receiver<String>) {
+    let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    let mut text = head.to_owned();
+    loop {
+        if stream.write_all(text.as_bytes()).is_err() {
+            return;
+        }
+        let Ok(line) = lines.recv() else { return };
+        text = format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
+    }
+}
+
+impl Site {
+    pub fn start(list: String) -> Site {
+        let pushes: Arc<Mutex<Vec<Sender<String>>>> = Arc::default();
+        let told = Arc::new(AtomicUsize::new(0));
+        let (to, count) = (pushes.clone(), told.clone());
+        let roster = scripted(move |_, mut stream| {
+            if read_request(&stream).is_some() {
+                let (push, lines) = channel();
+                push.send(list.clone()).unwrap();
+                to.lock().unwrap().push(push);
+                count.fetch_add(1, Ordering::SeqCst);
+                stream_of_lines(&mut stream, &lines);
+            }
+        });
+        let (vote, votes) = channel();
+        let vote = Mutex::new(vote);
+        let desk = scripted(move |_, mut stream| {
+            let Some(request) = read_request(&stream) else { return };
+            if request.starts_with("POST") {
+                let _ = vote.lock().unwrap().send(request);
+                return answer(&mut stream, "200 OK", "", "{\"outcome\":\"ok\"}");
+            }
+            let (push, lines) = channel();
+            push.send("{\"build\":1,\"stage\":0,\"phase\":\"released\",\"cap\":1.0}".into()).unwrap();
+            stream_of_lines(&mut stream, &lines);
+            drop(push);
+        });
+        Site { roster, desk, pushes, told, votes }
+    }
+
+    /// Sends a line to all who watch the roster.
+    pub fn push(&self, line: &str) {
+        self.pushes.lock().unwrap().iter().for_each(|to| drop(to.send(line.to_owned())));
+    }
+}
+
+pub fn line(id: u64, addr: SocketAddr, state: &str) -> String {
+    format!("{{\"id\":{id},\"addr\":\"{addr}\",\"build\":1,\"state\":\"{state}\"}}")
+}
+
+/// A whole list of ready servers, version 1.
+pub fn list(servers: &[SocketAddr]) -> String {
+    let lines: Vec<String> =
+        servers.iter().enumerate().map(|(i, a)| line(i as u64 + 1, *a, "ready")).collect();
+    format!("{{\"kind\":\"full\",\"version\":5,\"servers\":[{}]}}", lines.join(","))
+}
+
+/// A proxy under test, with classes read (safe), log (keyed, 500 ms window) and pay (unsafe).
+pub struct Proxy {
+    pub addr: SocketAddr,
+    stop: Arc<AtomicBool>,
+    thread: Option<JoinHandle<std::io::Result<Summary>>>,
+    pub site: Site,
+}
+
+pub fn settings(site: &Site, more: &str) -> String {
+    format!(
+        r#"
+fleet(name = "test", size = 1, position = 0, seed = 3)
+listen(addr = "127.0.0.1:0")
+roster(addr = "{}", timeout = "300ms")
+desk(addr = "{}", reconnect = "50ms")
+request_class(name = "read", aim = "200ms", deadline = "600ms", effect = "retryable")
+request_class(name = "log", aim = "200ms", deadline = "600ms", effect = "keyed", window = "500ms")
+request_class(name = "pay", aim = "200ms", deadline = "600ms", effect = "fragile")
+route(prefix = "/read", to = "read")
+route(prefix = "/log", to = "log")
+route(prefix = "/pay", to = "pay")
+rollout(stage_caps = [0.5, 1.0], counted_over = "2s", vote_ttl = "4s")
+contract(ask_within = "10s", cold_from = 0.5, cold_span = "1s", drain_grace = "200ms", fall_multiple = 3.0, fall_span = "1s")
+{more}
+"#,
+        site.roster.addr, site.desk.addr
+    )
+}
+
+impl Proxy {
+    /// Starts one over these servers and waits until it has heard of them.
+    pub fn over(servers: &[SocketAddr], more: &str) -> Proxy {
+        let site = Site::start(list(servers));
+        let text = settings(&site, more);
+        let settings = read_text("test.star", &text, &[]).unwrap();
+        let stop = Arc::new(AtomicBool::new(false));
+        let options = Options { stop: Some(stop.clone()), ..Options::default() };
+        let (ready, is_ready) = channel();
+        let thread = std::thread::spawn(move || serve(settings, options, |a| ready.send(a[0]).unwrap()));
+        let addr = is_ready.recv().unwrap();
+        wait_for("the list to be told", || site.told.load(Ordering::SeqCst) > 0);
+        // The line may still be on its way; a request held by the decisions waits for it.
+        std::thread::sleep(Duration::from_millis(60));
+        Proxy { addr, stop, thread: Some(thread), site }
+    }
+
+    pub fn connect(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.addr).unwrap();
+        stream.set_read_timeout(Some(Duration::from_secs(15))).unwrap();
+        stream
+    }
+
+    /// One request on a connection of its own; the whole answer.
+    pub fn ask(&self, head: &str, body: &str) -> String {
+        let mut stream = self.connect();
+        send(&mut stream, head, body);
+        read_answer(&mut stream)
+    }
+
+    /// Drains it: nothing may be left open or in hand.
+    pub fn drain(mut self) -> Summary {
+        self.stop.store(true, Ordering::Relaxed);
+        let summary = self.thread.take().unwrap().join().unwrap().unwrap();
+        assert_eq!((summary.left_open, summary.left_in_hand), (0, 0), "leaked: {summary:?}");
+        assert_eq!(summary.counts.overdue, 0, "the module owed an answer");
+        let c = summary.counts;
+        assert_eq!(c.taken, c.served + c.refused + c.failed + c.gone, "one final answer each: {c:?}");
+        summary
+    }
+}
+
+pub fn send(stream: &mut TcpStream, head: &str, body: &str) {
+    let length = if body.is_empty() { String::new() } else { format!("content-length: {}\r\n", body.len()) };
+    stream.write_all(format!("{head}\r\nhost: t\r\n{length}\r\n{body}").as_bytes()).unwrap();
+}
+
+/// Reads one answer of a stated length; its text, or what came until the connection closed.
+pub fn read_answer(stream: &mut TcpStream) -> String {
+    let (mut text, mut byte) = (Vec::new(), [0]);
+    loop {
+        if let Some(head_end) = text.windows(4).position(|w| w == b"\r\n\r\n") {
+            let head = String::from_utf8_lossy(&text[..head_end]).to_ascii_lowercase();
+            let length = head.lines().find_map(|l| l.strip_prefix("content-length: ")?.trim().parse().ok());
+            if text.len() >= head_end + 4 + length.unwrap_or(0usize) {
+                return String::from_utf8_lossy(&text).into_owned();
+            }
+        }
+        match stream.read(&mut byte) {
+            Ok(1) => text.push(byte[0]),
+            _ => return String::from_utf8_lossy(&text).into_owned(),
+        }
+    }
+}
+
+/// What an answer says of itself: served, refused or failed.
+pub fn outcome(answer: &str) -> &str {
+    let field = answer.lines().find_map(|l| l.strip_prefix("violetseam-answer: "));
+    field.unwrap_or("none")
+}
--- a/crates/standin/src/drive/mod.rs
+++ b/crates/standin/src/drive/mod.rs
@@ -21,7 +21,7 @@
     #[must_use]
     pub fn of_process(n: u8) -> Self {
         let id = std::process::id();
-        Net { a: 16 + (id % 64) as u8 + 64 * (n % 3), b: (id / 64 % 250) as u8 + 1 }
+        Net { a: 16 + (id % 32) as u8 + 32 * (n % 7), b: (id / 32 % 250) as u8 + 1 }
     }
 
     fn at(self, host: u8, port: u16) -> SocketAddr {
