--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -25,7 +25,7 @@
         /// Where logs and records go
         #[arg(long)]
         out: Option<PathBuf>,
-        /// Further arguments of each proxy's `serve`
+        /// Further arguments of each proxy's `serve`; {position} stands for its number
         #[arg(last = true)]
         serve: Vec<String>,
     },
--- /dev/null
+++ b/crates/cli/tests/days.rs
@@ -0,0 +1,96 @@
+//! Whole days through the program itself: the short bad day keeps all rules, and proxies that break them on
+//! purpose are caught by what crossed the sockets.
+
+use std::path::PathBuf;
+use violetseam_lab::{Lab, Outcome, days, report};
+use violetseam_recorder::{Interest, replay};
+use violetseam_standin::day::Day;
+
+fn folder(number: u8, day: &Day) -> PathBuf {
+    PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-{number}", day.name))
+}
+
+fn play(number: u8, day: &Day, extra: &[&str]) -> Outcome {
+    let out = folder(number, day);
+    let _ = std::fs::remove_dir_all(&out);
+    let extra = extra.iter().map(|s| (*s).to_owned()).collect();
+    let lab = Lab { program: env!("CARGO_BIN_EXE_violetseam").into(), out, extra, number };
+    let outcome = lab.play(day, &mut |_| {}).unwrap();
+    println!("{}", report::text(day, &outcome));
+    outcome
+}
+
+#[test]
+fn the_short_bad_day_keeps_every_rule_and_sends_the_bad_build_back() {
+    let day = days::bad_day_short();
+    let flight = folder(0, &day).join("flight-{position}").display().to_string();
+    let outcome = play(0, &day, &["--record", &flight]);
+    assert!(outcome.is_good(), "{:?} {:?}", outcome.verdict.violations, outcome.faults);
+    assert!(outcome.verdict.looked_at.iter().all(|n| *n > 0), "{:?}", outcome.verdict.looked_at);
+    let (fate, bad) = &outcome.site.fates[0];
+    assert!(*bad && fate.released.is_none(), "a bad build was released: {fate:?}");
+    assert!(report::served_worth(&outcome) > 0.6, "{}", report::served_worth(&outcome));
+    // What the proxies decided on the way can be decided again, action by action.
+    for position in 0..day.proxies.len() {
+        let path = folder(0, &day).join(format!("flight-{position}"));
+        let replayed = replay(&path, Interest::default(), &mut |_| {}).unwrap();
+        assert!(replayed.difference.is_none() && replayed.fault.is_none(), "{replayed:?}");
+        assert!(replayed.events > 1_000, "{replayed:?}");
+    }
+}
+
+/// A day for the saboteurs: servers fail, builds come, drains happen.
+#[cfg(feature = "sabotage")]
+fn rough() -> Day {
+    use violetseam_standin::day::{Kind, Release, Trouble};
+    let mut day = days::quiet();
+    day.name = "rough".into();
+    day.length = 14_000_000;
+    day.traffic.rate = 300.0;
+    day.rollout.vote_life = 2_000_000;
+    day.releases = vec![Release { at: 500_000, fault: None, strength: 0.0, speed: 1.0 }];
+    day.troubles = vec![Trouble {
+        kind: Kind::FastErrors,
+        at: 1_000_000,
+        len: 6_000_000,
+        size: 0.9,
+        extra: 0.0,
+        on: vec![0, 2, 5],
+        which: 0,
+    }];
+    day
+}
+
+#[cfg(feature = "sabotage")]
+#[test]
+fn a_proxy_that_sends_twice_is_caught() {
+    let outcome = play(1, &rough(), &["--sabotage", "double-send"]);
+    assert!(outcome.verdict.broken[1] > 0, "{:?}", outcome.verdict.broken);
+    assert!(outcome.verdict.violations.iter().any(|v| v.what.contains("unsafe request")));
+}
+
+#[cfg(feature = "sabotage")]
+#[test]
+fn a_proxy_that_holds_its_answers_back_is_caught() {
+    let outcome = play(2, &rough(), &["--sabotage", "late-answer"]);
+    assert!(outcome.verdict.broken[0] > 0, "{:?}", outcome.verdict.broken);
+}
+
+#[cfg(feature = "sabotage")]
+#[test]
+fn a_proxy_that_sends_on_to_draining_servers_is_caught() {
+    // The grace is shortened, as the machines that drain are soon gone.
+    let mut day = rough();
+    day.contract.drain_grace = 100_000;
+    day.rollout.drain = 4_000_000;
+    day.rollout.bake = 500_000;
+    let outcome = play(3, &day, &["--sabotage", "ignore-drains"]);
+    assert!(outcome.verdict.broken[2] > 0, "{:?}", outcome.verdict.broken);
+}
+
+#[cfg(feature = "sabotage")]
+#[test]
+fn the_saboteurs_day_is_kept_by_an_honest_proxy() {
+    let outcome = play(4, &rough(), &[]);
+    assert!(outcome.is_good(), "{:?} {:?}", outcome.verdict.violations, outcome.faults);
+}
--- a/crates/lab/src/proxies.rs
+++ b/crates/lab/src/proxies.rs
@@ -40,7 +40,7 @@
             .arg("--settings")
             .arg(&self.launch.settings)
             .args(["--set", &format!("position={n}")])
-            .args(&self.launch.extra)
+            .args(self.launch.extra.iter().map(|arg| arg.replace("{position}", &n.to_string())))
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
             .stderr(log)
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -29,7 +29,7 @@
     pub program: PathBuf,
     /// Where logs, records and the day itself go.
     pub out: PathBuf,
-    /// Further arguments of `serve`.
+    /// Further arguments of `serve`; `{position}` in them stands for the proxy's.
     pub extra: Vec<String>,
     /// Distinguishes runs of one process.
     pub number: u8,
--- a/crates/proxy/src/driver/mod.rs
+++ b/crates/proxy/src/driver/mod.rs
@@ -37,7 +37,7 @@
 /// One read takes at most so much.
 const READ_MOST: usize = 64 * 1024;
 /// Log lines a second of one kind; more are counted and told together.
-const LINES_PER_SECOND: u32 = 20;
+const LINES_PER_SECOND: u32 = 5;
 
 /// How a proxy is started beside its settings.
 #[derive(Clone, Debug, Default)]
@@ -146,8 +146,10 @@
     ready: impl FnOnce(&[SocketAddr]),
 ) -> std::io::Result<Summary> {
     let mut event_loop: EventLoop<'static, Proxy> = EventLoop::try_new().map_err(std::io::Error::other)?;
-    let mut proxy = Proxy::bind(settings, &options, event_loop.handle())?;
+    // Before any thread is started: one that did not block the signals would take them, and the process
+    // would end with all it holds. Seen with the flight recorder's thread.
     let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT]).map_err(std::io::Error::other)?;
+    let mut proxy = Proxy::bind(settings, &options, event_loop.handle())?;
     event_loop
         .handle()
         .insert_source(signals, |_, (), proxy| proxy.drain())
--- a/crates/proxy/src/engine.rs
+++ b/crates/proxy/src/engine.rs
@@ -455,7 +455,9 @@
                 self.answer(request, Final::Refused { come_back });
             }
             Action::Fail { request } => {
-                let timed_out = self.requests.get(&request).is_some_and(|r| r.timed_out);
+                // The module gives up shortly before the deadline, with the last attempt still out.
+                let out = |r: &InHand| r.attempts.iter().any(|a| !a.over);
+                let timed_out = self.requests.get(&request).is_some_and(|r| r.timed_out || out(r));
                 self.answer(request, Final::Failed { timed_out });
             }
             Action::SetTimer { after, token } => self.schedule(now + after, Due::Timer(token)),
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -184,16 +184,21 @@
     pub fn over(servers: &[SocketAddr], more: &str) -> Proxy {
         let site = Site::start(list(servers));
         let text = settings(&site, more);
-        let settings = read_text("test.star", &text, &[]).unwrap();
+        let proxy = Proxy::with(site, &text);
+        wait_for("the list to be told", || proxy.site.told.load(Ordering::SeqCst) > 0);
+        // The line may still be on its way; a request held by the decisions waits for it.
+        std::thread::sleep(Duration::from_millis(60));
+        proxy
+    }
+
+    /// Starts one with these settings.
+    pub fn with(site: Site, text: &str) -> Proxy {
+        let settings = read_text("test.star", text, &[]).unwrap();
         let stop = Arc::new(AtomicBool::new(false));
         let options = Options { stop: Some(stop.clone()), ..Options::default() };
         let (ready, is_ready) = channel();
         let thread = std::thread::spawn(move || serve(settings, options, |a| ready.send(a[0]).unwrap()));
-        let addr = is_ready.recv().unwrap();
-        wait_for("the list to be told", || site.told.load(Ordering::SeqCst) > 0);
-        // The line may still be on its way; a request held by the decisions waits for it.
-        std::thread::sleep(Duration::from_millis(60));
-        Proxy { addr, stop, thread: Some(thread), site }
+        Proxy { addr: is_ready.recv().unwrap(), stop, thread: Some(thread), site }
     }
 
     pub fn connect(&self) -> TcpStream {
--- /dev/null
+++ b/crates/proxy/tests/engine.rs
@@ -0,0 +1,145 @@
+//! The engine without sockets: a loop that stood still, and what it guarantees whatever the module does.
+
+use std::collections::BTreeMap;
+use violetseam::interface::*;
+use violetseam_proxy::engine::{Engine, Final, Order};
+
+const MS: Micros = 1_000;
+
+fn settings() -> Settings {
+    let class = |effect| Class {
+        aim: 300 * MS,
+        deadline: 1_000 * MS,
+        effect,
+        dedup_window: 500 * MS,
+        ..Class::default()
+    };
+    Settings {
+        classes: vec![class(Effect::Retryable), class(Effect::Fragile)],
+        limits: Limits {
+            max_attempts: 3,
+            cancel: true,
+            retry_after: true,
+            max_retry_after: 1_000 * MS,
+            ..Limits::default()
+        },
+        contract: Contract {
+            answer_grace: 20 * MS,
+            ask_within: 10_000 * MS,
+            cold_from: 1.0,
+            ..Contract::default()
+        },
+        fleet_size: 1,
+        tick: 5 * MS,
+        list_on_request: true,
+        ..Settings::default()
+    }
+}
+
+fn engine(servers: u64) -> Engine {
+    let mut engine = Engine::new(settings(), 5, None);
+    let entry =
+        |id| ServerEntry { id, zone: 0, build: 1, cell: 0, status: Status::Ready, size: 1.0, started_at: 0 };
+    let entries: Vec<ServerEntry> = (1..=servers).map(entry).collect();
+    engine.list(1_000 * MS, ListKind::Full, &entries);
+    engine
+}
+
+fn request(now: Micros, class: usize) -> Request {
+    Request { deadline: now + 1_000 * MS, class, ..Request::default() }
+}
+
+fn orders(engine: &mut Engine) -> Vec<Order> {
+    std::iter::from_fn(|| engine.next_order()).collect()
+}
+
+#[test]
+fn a_thousand_requests_due_in_one_tick_after_a_standstill_each_get_one_answer() {
+    let mut engine = engine(20);
+    // None of the servers answers; then the loop stands still for 700 ms past all that was due.
+    for n in 0..1_000 {
+        let now = 1_100 * MS + n * 100;
+        engine.request(now, request(now, (n % 2) as usize), true);
+    }
+    orders(&mut engine);
+    let now = 1_100 * MS + 1_700 * MS;
+    engine.on_due(now);
+    let mut answers: BTreeMap<RequestId, usize> = BTreeMap::new();
+    let mut answered_then_sent = 0;
+    for order in orders(&mut engine) {
+        match order {
+            Order::Answer { request, .. } => *answers.entry(request).or_default() += 1,
+            Order::Start { request, .. } if answers.contains_key(&request) => answered_then_sent += 1,
+            _ => {}
+        }
+    }
+    assert_eq!((answers.len(), answers.values().all(|n| *n == 1), answered_then_sent), (1_000, true, 0));
+    assert_eq!((engine.in_hand(), engine.owed()), (0, 0));
+}
+
+#[test]
+fn what_came_due_is_told_in_its_order() {
+    let mut engine = engine(1);
+    let first = engine.request(1_100 * MS, Request { deadline: 1_400 * MS, ..request(0, 1) }, true);
+    let second = engine.request(1_101 * MS, Request { deadline: 1_300 * MS, ..request(0, 1) }, true);
+    orders(&mut engine);
+    engine.on_due(3_000 * MS);
+    let answered = orders(&mut engine).into_iter().filter_map(|o| match o {
+        Order::Answer { request, .. } => Some(request),
+        _ => None,
+    });
+    assert_eq!(answered.collect::<Vec<_>>(), [second, first]);
+}
+
+#[test]
+fn an_attempt_ends_once_and_a_late_answer_goes_to_nobody() {
+    let mut engine = engine(2);
+    let id = engine.request(1_100 * MS, request(1_100 * MS, 1), true);
+    assert!(
+        orders(&mut engine).contains(&Order::Start { request: id, attempt: 0, server: 1 })
+            || engine.awaits(id, 0)
+    );
+    engine.on_due(2_200 * MS);
+    assert!(matches!(
+        orders(&mut engine).iter().find(|o| matches!(o, Order::Answer { .. })),
+        Some(Order::Answer { answer: Final::Failed { timed_out: true }, .. })
+    ));
+    assert!(!engine.attempt_ended(2_201 * MS, id, 0, Outcome::Ok));
+    assert_eq!((engine.counts().failed, engine.counts().served), (1, 0));
+}
+
+#[test]
+fn a_body_that_is_gone_gets_no_second_attempt_and_its_answer_at_once() {
+    let mut engine = engine(3);
+    let id = engine.request(1_100 * MS, request(1_100 * MS, 0), true);
+    engine.not_repeatable(id);
+    orders(&mut engine);
+    engine.attempt_ended(1_150 * MS, id, 0, Outcome::Reset);
+    let after = orders(&mut engine);
+    assert!(!after.iter().any(|o| matches!(o, Order::Start { .. })), "{after:?}");
+    assert!(after.iter().any(|o| matches!(o, Order::Answer { .. })), "{after:?}");
+    assert_eq!(engine.in_hand(), 0);
+}
+
+#[test]
+fn a_stream_is_the_clients_from_its_first_byte_and_its_break_ends_the_request() {
+    let mut engine = engine(3);
+    let id = engine.request(1_100 * MS, request(1_100 * MS, 0), true);
+    orders(&mut engine);
+    assert!(engine.stream_started(1_110 * MS, id, 0));
+    engine.on_due(5_000 * MS);
+    assert!(!orders(&mut engine).iter().any(|o| matches!(o, Order::Drop { .. } | Order::Answer { .. })));
+    assert!(!engine.attempt_ended(5_001 * MS, id, 0, Outcome::Reset), "nothing of it can be passed on");
+    assert_eq!((engine.in_hand(), engine.counts().failed), (0, 1));
+}
+
+#[test]
+fn answers_are_reported_wrong_once_and_only_those_passed_on() {
+    let mut engine = engine(1);
+    let id = engine.request(1_100 * MS, request(1_100 * MS, 0), true);
+    engine.passed_on(id, 0, 77);
+    assert!(engine.attempt_ended(1_120 * MS, id, 0, Outcome::Ok));
+    engine.passed_on(id, 0, 78);
+    assert!(engine.flagged(1_200 * MS, 77));
+    assert!(!engine.flagged(1_200 * MS, 77) && !engine.flagged(1_200 * MS, 78));
+}
--- /dev/null
+++ b/crates/proxy/tests/site.rs
@@ -0,0 +1,158 @@
+//! The roster, the release desk and peers failing, lying or silent.
+
+mod common;
+
+use common::*;
+use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::sync::atomic::Ordering;
+use std::sync::mpsc::channel;
+use std::time::Duration;
+use violetseam_site::peer;
+
+const READ: &str = "GET /read/1 HTTP/1.1";
+
+fn delta(version: u64, base: u64, lines: &[String]) -> String {
+    format!("{{\"kind\":\"delta\",\"version\":{version},\"base\":{base},\"servers\":[{}]}}", lines.join(","))
+}
+
+/// A server that answers with its name.
+fn named(name: &'static str) -> Scripted {
+    scripted(move |_, mut stream| {
+        while read_request(&stream).is_some() {
+            answer(&mut stream, "200 OK", "", name);
+        }
+    })
+}
+
+#[test]
+fn drains_and_new_servers_are_followed() {
+    let (old, new) = (named("old"), named("new"));
+    let proxy = Proxy::over(&[old.addr], "");
+    assert!(proxy.ask(READ, "").ends_with("old"));
+    proxy.site.push(&delta(6, 5, &[line(1, old.addr, "draining"), line(2, new.addr, "ready")]));
+    wait_for("requests to move", || proxy.ask(READ, "").ends_with("new"));
+    for _ in 0..30 {
+        assert!(proxy.ask(READ, "").ends_with("new"), "sent to a draining server");
+    }
+    proxy.drain();
+}
+
+#[test]
+fn garbage_gaps_and_versions_that_go_back_change_nothing_and_the_list_is_asked_for_again() {
+    let (server, other) = (named("right"), named("wrong"));
+    let proxy = Proxy::over(&[server.addr], "");
+    let stale = format!("{{\"kind\":\"full\",\"version\":2,\"servers\":[{}]}}", line(9, other.addr, "ready"));
+    let lines = [
+        "not json at all".to_owned(),
+        "{\"kind\":\"full\",\"version\":9,\"servers\":7}".to_owned(),
+        stale,
+        delta(12, 11, &[line(9, other.addr, "ready")]),
+        format!("{{\"kind\":\"full\",\"version\":9,\"servers\":[{}]}}", line(9, other.addr, "gone")),
+        "x".repeat(5 << 20),
+    ];
+    for bad in lines {
+        let told = proxy.site.told.load(Ordering::SeqCst);
+        proxy.site.push(&bad);
+        wait_for("the roster to be asked again", || proxy.site.told.load(Ordering::SeqCst) > told);
+        for _ in 0..5 {
+            assert!(proxy.ask(READ, "").ends_with("right"), "after {:.40}", bad);
+        }
+    }
+    assert_eq!(other.accepted.load(Ordering::SeqCst), 0);
+    proxy.drain();
+}
+
+#[test]
+fn a_restart_goes_on_with_the_list_saved_and_without_the_roster() {
+    let server = named("saved");
+    let folder = std::env::temp_dir().join(format!("violetseam-saved-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let more = format!("STATE = \"{}\"", folder.display());
+    let with_state =
+        |site: &Site, more: &str| settings(site, more).replace("seed = 3", "seed = 3, state_dir = STATE");
+    // The script is read top down: the folder's name comes before the section that uses it.
+    let start = |site: Site| {
+        let text = format!("{more}\n{}", with_state(&site, ""));
+        Proxy::with(site, &text)
+    };
+    let first = start(Site::start(list(&[server.addr])));
+    wait_for("the list to be known", || first.ask(READ, "").ends_with("saved"));
+    first.drain();
+    // A roster that never answers: the list of before must do.
+    let mut site = Site::start(String::new());
+    site.roster = scripted(|_, stream| {
+        std::thread::sleep(Duration::from_secs(5));
+        drop(stream);
+    });
+    let second = start(site);
+    assert!(second.ask(READ, "").ends_with("saved"));
+    second.drain();
+    // What was saved is damaged: it is ignored, requests are refused until a list comes.
+    std::fs::write(folder.join("roster-0.json"), "17\n{\"kind\"").unwrap();
+    let third = start(Site::start(list(&[server.addr])));
+    wait_for("the list to be known", || third.ask(READ, "").ends_with("saved"));
+    third.drain();
+    std::fs::remove_dir_all(&folder).unwrap();
+}
+
+#[test]
+fn a_silent_or_rude_desk_disturbs_no_request() {
+    let server = named("fine");
+    for rude in [false, true] {
+        let mut site = Site::start(list(&[server.addr]));
+        site.desk = scripted(move |_, mut stream| {
+            if rude {
+                answer(&mut stream, "200 OK", "", "{\"build\":-1}\n");
+            } else {
+                std::thread::sleep(Duration::from_secs(2));
+            }
+        });
+        let text = settings(&site, "");
+        let proxy = Proxy::with(site, &text);
+        wait_for("the list to be known", || proxy.ask(READ, "").ends_with("fine"));
+        for _ in 0..20 {
+            assert!(proxy.ask(READ, "").ends_with("fine"));
+        }
+        if rude {
+            let asked = proxy.site.desk.accepted.load(Ordering::SeqCst);
+            wait_for("the desk to be called again", || {
+                proxy.site.desk.accepted.load(Ordering::SeqCst) > asked + 2
+            });
+        }
+        proxy.drain();
+    }
+}
+
+#[test]
+fn datagrams_from_strangers_other_versions_and_garbage_are_dropped() {
+    let (seen, _requests) = channel();
+    let server = well(seen);
+    let peer_socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let free = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let own: SocketAddr = free.local_addr().unwrap();
+    drop(free);
+    let peers =
+        format!("peers(listen = \"{own}\", addrs = [\"{own}\", \"{}\"])", peer_socket.local_addr().unwrap());
+    let site = Site::start(list(&[server.addr]));
+    let text = settings(&site, &peers).replace("size = 1", "size = 2, site = 4");
+    let proxy = Proxy::with(site, &text);
+    wait_for("the list to be known", || outcome(&proxy.ask(READ, "")) == "served");
+    let stranger = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let sound = peer::encode(4, 1, &[0; 64]).unwrap();
+    for n in 0..2_000u32 {
+        let mut bytes = sound.clone();
+        match n % 5 {
+            0 => bytes[2] = 9,
+            1 => bytes.truncate((n % 60) as usize),
+            2 => bytes[12 + (n % 60) as usize] ^= 0xff,
+            3 => bytes = peer::encode(4, n as u16, &[n as u8; 200]).unwrap(),
+            _ => {}
+        }
+        stranger.send_to(&bytes, own).unwrap();
+        peer_socket.send_to(&bytes, own).unwrap();
+    }
+    for _ in 0..20 {
+        assert_eq!(outcome(&proxy.ask(READ, "")), "served");
+    }
+    proxy.drain();
+}
