--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -3,7 +3,8 @@
 use clap::{Args, Subcommand};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use violetseam_lab::{Lab, days, drawn, report};
+use std::time::Duration;
+use violetseam_lab::{Lab, days, drawn, measure, report};
 use violetseam_standin::day::Day;
 
 #[derive(Args)]
@@ -31,6 +32,21 @@
     },
     /// The days that come with the program
     List,
+    /// Measure the proxy against direct connections to the same servers, in one run
+    Measure {
+        /// Rounds; medians are told
+        #[arg(long, default_value_t = 5)]
+        rounds: usize,
+        /// Seconds of each part of a round
+        #[arg(long, default_value_t = 4.0)]
+        seconds: f64,
+        /// Requests a second where times are measured
+        #[arg(long, default_value_t = 4_000.0)]
+        pace: f64,
+        /// Measure what recording costs instead
+        #[arg(long)]
+        recording: bool,
+    },
     /// Check the records of a day again
     Check {
         /// The records, as a day wrote them
@@ -77,6 +93,25 @@
             days::NAMES.iter().for_each(|name| println!("{name}"));
             Ok(ExitCode::SUCCESS)
         }
+        Command::Measure { rounds, seconds, pace, recording } => {
+            let plan = measure::Plan {
+                program: std::env::current_exe().map_err(|e| e.to_string())?,
+                rounds: (*rounds).max(1),
+                span: Duration::from_secs_f64(seconds.clamp(0.2, 60.0)),
+                pace: pace.clamp(1.0, 1e6),
+                out: std::env::temp_dir().join(format!("violetseam-measure-{}", std::process::id())),
+                extra: Vec::new(),
+            };
+            let mut say = |line: &str| eprintln!("{line}");
+            if *recording {
+                let [plain, recorded, ratio] = measure::recording(&plan, &mut say)?;
+                println!("plain {plain:.0}, recorded {recorded:.0} requests/s, median ratio {ratio:.3}");
+            } else {
+                print!("{}", measure::measure(&plan, &mut say)?);
+            }
+            let _ = std::fs::remove_dir_all(&plan.out);
+            Ok(ExitCode::SUCCESS)
+        }
         Command::Check { file } => check(file),
     }
 }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod days;
 pub mod drawn;
+pub mod measure;
 mod proxies;
 pub mod report;
 mod run;
