--- /dev/null
+++ b/crates/cli/src/fleet.rs
@@ -0,0 +1,204 @@
+//! `violetseam fleet`: asks every daemon of a fleet, or tells them all.
+
+use crate::serve::pair;
+use clap::{Args as ClapArgs, Subcommand};
+use std::io::{IsTerminal, Write};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+use violetseam_control::wire::{Act, Answer, Ask};
+use violetseam_fleet::{Fleet, pick, report, wall_clock};
+
+#[derive(ClapArgs)]
+pub struct Args {
+    /// The fleet file: a Starlark script of member(name, control, groups)
+    #[arg(long)]
+    fleet: PathBuf,
+    /// A value for the script's option(...): NAME=VALUE
+    #[arg(long = "set", value_parser = pair)]
+    set: Vec<(String, String)>,
+    /// Only this member or group; may be given again
+    #[arg(long)]
+    only: Vec<String>,
+    /// Seconds that a daemon may take for each answer
+    #[arg(long, default_value_t = 2.0)]
+    timeout: f64,
+    /// Daemons that are spoken to at once
+    #[arg(long, default_value_t = 64)]
+    parallel: usize,
+    /// Do not ask before something is changed
+    #[arg(long)]
+    yes: bool,
+    /// Print JSON
+    #[arg(long)]
+    json: bool,
+    /// Apply it on all or on none: prepare first, commit only if all are ready
+    #[arg(long)]
+    all_or_none: bool,
+    /// Seconds in which the command may still be applied
+    #[arg(long, default_value_t = 30.0)]
+    valid: f64,
+    /// Who issues it, for the audit log; the user's name if not given
+    #[arg(long)]
+    issuer: Option<String>,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Show the state of each
+    State,
+    /// Show the state of each, again and again
+    Watch {
+        /// Seconds between two readings
+        #[arg(long, default_value_t = 1.0)]
+        every: f64,
+        /// How often; without end if not given
+        #[arg(long)]
+        count: Option<u64>,
+    },
+    /// Show name, boot number and version of each
+    Whoami,
+    /// Withhold votes on the present stage, or hold its clock
+    Pause {
+        /// Seconds until the pause ends by itself
+        #[arg(long = "for")]
+        span: f64,
+    },
+    /// End a pause
+    Resume,
+    /// Vote the present build back
+    Back,
+    /// Answer what was taken and take nothing new
+    Drain,
+    /// Take requests again
+    Undrain,
+    /// Set another log filter
+    LogLevel {
+        /// Such as info or verdict=debug
+        filter: String,
+    },
+    /// Read the settings again
+    Reload,
+}
+
+fn act(command: &Command) -> Option<Act> {
+    Some(match command {
+        Command::State | Command::Watch { .. } | Command::Whoami => return None,
+        Command::Pause { span } => {
+            Act::Pause { until_us: wall_clock() + (span.clamp(0.0, 86_400.0) * 1e6) as u64 }
+        }
+        Command::Resume => Act::Resume,
+        Command::Back => Act::Back,
+        Command::Drain => Act::Drain,
+        Command::Undrain => Act::Undrain,
+        Command::LogLevel { filter } => Act::LogLevel { filter: filter.clone() },
+        Command::Reload => Act::Reload,
+    })
+}
+
+/// Runs a fleet command.
+pub fn run(args: &Args) -> Result<ExitCode, String> {
+    let members = violetseam_settings::read_fleet(&args.fleet, &args.set).map_err(|e| e.to_string())?;
+    let members = pick(members, &args.only)?;
+    let names: Vec<String> = members.iter().map(|m| m.name.clone()).collect();
+    let timeout = Duration::from_secs_f64(args.timeout.clamp(0.05, 600.0));
+    let fleet = Fleet { members, timeout, parallel: args.parallel };
+    let terminal = std::io::stderr().is_terminal();
+    let all = names.len();
+    let mut heard = |done: usize| {
+        if terminal {
+            eprint!("\r{done} of {all} ");
+            let _ = std::io::stderr().flush();
+        }
+    };
+    match &args.command {
+        Command::Watch { every, count } => {
+            let every = Duration::from_secs_f64(every.clamp(0.1, 3_600.0));
+            let mut left = count.unwrap_or(u64::MAX);
+            while left > 0 {
+                show_state(args, &fleet, &names, &mut |_| {})?;
+                left -= 1;
+                if left > 0 {
+                    std::thread::sleep(every);
+                }
+            }
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::State => show_state(args, &fleet, &names, &mut heard),
+        Command::Whoami => whoami(args, &fleet, &names, &mut heard),
+        command => {
+            let Some(act) = act(command) else { return Err("nothing to do".into()) };
+            if !args.yes && !confirmed(act.name(), all)? {
+                return Err("not confirmed, nothing was sent".into());
+            }
+            let issuer = args.issuer.clone().or_else(|| std::env::var("USER").ok());
+            let issuer = issuer.unwrap_or_else(|| "unknown".into());
+            let valid = Duration::from_secs_f64(args.valid.clamp(0.1, 3_600.0));
+            let told = fleet.tell(&act, &issuer, valid, args.all_or_none, &mut heard);
+            if args.json {
+                println!("{}", report::told_json(&told));
+            } else {
+                print!("{}", report::told_table(&told));
+            }
+            Ok(ExitCode::from(report::exit_status(&told)))
+        }
+    }
+}
+
+fn show_state(
+    args: &Args,
+    fleet: &Fleet,
+    names: &[String],
+    heard: &mut dyn FnMut(usize),
+) -> Result<ExitCode, String> {
+    let readings = fleet.state(heard);
+    if args.json {
+        println!("{}", report::state_json(names, &readings));
+    } else {
+        print!("{}", report::state_table(names, &readings));
+    }
+    let silent = readings.iter().any(Result::is_err);
+    Ok(ExitCode::from(if silent { report::status::SILENT } else { report::status::AGREED }))
+}
+
+fn whoami(
+    args: &Args,
+    fleet: &Fleet,
+    names: &[String],
+    heard: &mut dyn FnMut(usize),
+) -> Result<ExitCode, String> {
+    let answers = fleet.ask(&|_| Some(Ask::Whoami), heard);
+    let mut silent = false;
+    for (member, answer) in names.iter().zip(answers) {
+        match answer {
+            Ok(Answer::Whoami { name, boot, version }) if args.json => {
+                println!(
+                    "{}",
+                    serde_json::json!({"daemon": member, "name": name, "boot": boot, "version": version})
+                );
+            }
+            Ok(Answer::Whoami { name, boot, version }) => {
+                println!("{member}: {name}, boot {boot}, version {version}");
+            }
+            Ok(other) => println!("{member}: answered something else: {other:?}"),
+            Err(why) => {
+                silent = true;
+                println!("{member}: SILENT: {}", why.0);
+            }
+        }
+    }
+    Ok(ExitCode::from(if silent { report::status::SILENT } else { report::status::AGREED }))
+}
+
+fn confirmed(what: &str, count: usize) -> Result<bool, String> {
+    if !std::io::stdin().is_terminal() {
+        return Err("give --yes to change something without being asked".into());
+    }
+    eprint!("{what} on {count} daemons? [y/N] ");
+    let _ = std::io::stderr().flush();
+    let mut line = String::new();
+    std::io::stdin().read_line(&mut line).map_err(|e| e.to_string())?;
+    Ok(matches!(line.trim(), "y" | "yes"))
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,5 +1,6 @@
 //! The violetseam program. Each subcommand is a thin layer over its package.
 
+mod fleet;
 mod lab;
 mod serve;
 
@@ -21,6 +22,8 @@
     Demo(lab::DemoArgs),
     /// Run a proxy in the foreground; SIGTERM drains it
     Serve(serve::Args),
+    /// Ask every daemon of a fleet, or tell them all
+    Fleet(fleet::Args),
     /// Settings scripts
     #[command(subcommand)]
     Settings(SettingsCommand),
@@ -56,6 +59,7 @@
     let result = match Cli::parse().command {
         Command::Demo(args) => lab::demo(&args),
         Command::Serve(args) => serve::run(&args),
+        Command::Fleet(args) => fleet::run(&args),
         Command::Settings(SettingsCommand::Check { file, set }) => {
             violetseam_settings::read_file(&file, &set).map(|s| {
                 let (classes, routes) = (s.class_names.len(), s.routes.len());
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -5,8 +5,13 @@
 use std::process::ExitCode;
 use std::time::Duration;
 use tracing_subscriber::EnvFilter;
-use violetseam_proxy::driver::{Options, serve};
+use tracing_subscriber::layer::SubscriberExt;
+use tracing_subscriber::util::SubscriberInitExt;
+use tracing_subscriber::{Layer, Registry, reload};
+use violetseam_daemon::Store;
+use violetseam_proxy::driver::{Operators, Options, Reloaded, SetLog, serve_operated};
 use violetseam_recorder::Bounds;
+use violetseam_settings::{ProxySettings, read_file};
 
 #[derive(ClapArgs)]
 pub struct Args {
@@ -62,14 +67,8 @@
 
 /// Runs a proxy until it is told to stop.
 pub fn run(args: &Args) -> Result<ExitCode, String> {
-    let settings = violetseam_settings::read_file(&args.settings, &args.set).map_err(|e| e.to_string())?;
-    let filter = EnvFilter::try_new(&args.log).map_err(|e| format!("--log: {e}"))?;
-    let logs =
-        tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).with_ansi(false);
-    match args.log_format {
-        LogFormat::Text => logs.init(),
-        LogFormat::Json => logs.json().init(),
-    }
+    let settings = read_file(&args.settings, &args.set).map_err(|e| e.to_string())?;
+    let set_log = start_logs(args)?;
     let bounds = Bounds { total: args.record_most, ..Bounds::default() };
     let options = Options {
         record: args.record.clone().map(|path| (path, bounds)),
@@ -84,7 +83,8 @@
         }),
     };
     let name = format!("{}-{}", settings.name, settings.decisions.position);
-    let summary = serve(settings, options, |addresses| {
+    let operators = operators(args, &settings, set_log)?;
+    let summary = serve_operated(settings, options, operators, |addresses| {
         for addr in addresses {
             println!("{name} takes clients on {addr}");
         }
@@ -99,3 +99,38 @@
     }
     Ok(ExitCode::SUCCESS)
 }
+
+/// Starts the logs; what sets another filter later.
+fn start_logs(args: &Args) -> Result<SetLog, String> {
+    let filter = EnvFilter::try_new(&args.log).map_err(|e| format!("--log: {e}"))?;
+    let (filter, handle) = reload::Layer::<EnvFilter, Registry>::new(filter);
+    let lines = tracing_subscriber::fmt::layer().with_writer(std::io::stderr).with_ansi(false);
+    let lines = match args.log_format {
+        LogFormat::Text => lines.boxed(),
+        LogFormat::Json => lines.json().boxed(),
+    };
+    tracing_subscriber::registry().with(filter).with(lines).init();
+    Ok(Box::new(move |text| {
+        let filter = EnvFilter::try_new(text).map_err(|e| format!("no log filter: {e}"))?;
+        handle.reload(filter).map_err(|e| e.to_string())
+    }))
+}
+
+/// What makes the proxy a daemon, where its settings name a control socket.
+fn operators(args: &Args, settings: &ProxySettings, set_log: SetLog) -> Result<Option<Operators>, String> {
+    let (Some(socket), Some(folder)) = (settings.control.clone(), &settings.state_dir) else {
+        return Ok(None);
+    };
+    let now = violetseam_fleet::wall_clock();
+    let opened = Store::open(folder, settings.decisions.position, now).map_err(|e| e.to_string())?;
+    let (file, set) = (args.settings.clone(), args.set.clone());
+    let reload = move || read_file(&file, &set).map(Reloaded).map_err(|e| e.to_string());
+    Ok(Some(Operators {
+        socket,
+        boot: opened.boot,
+        durable: opened.durable,
+        keeper: Box::new(opened.store),
+        reload: Box::new(reload),
+        set_log,
+    }))
+}
--- /dev/null
+++ b/crates/cli/tests/fleet.rs
@@ -0,0 +1,232 @@
+//! The fleet tool against local daemons: frozen, killed, restarted, doubled, flooded.
+
+mod common;
+
+use common::{PROGRAM, Proxy, start_over, world};
+use rustix::process::{Signal, kill_process};
+use std::io::{Read, Write};
+use std::os::unix::net::UnixStream;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+use std::time::{Duration, Instant};
+
+struct Fleet {
+    folder: PathBuf,
+    daemons: Vec<Proxy>,
+    world: std::net::SocketAddr,
+}
+
+fn more(folder: &Path, n: usize) -> String {
+    let folder = folder.join(n.to_string());
+    std::fs::create_dir_all(&folder).unwrap();
+    format!(", state_dir = \"{0}\", control = \"{0}/control\"", folder.display())
+}
+
+impl Fleet {
+    fn start(name: &str, count: usize) -> Fleet {
+        // Control sockets have short paths by nature: 108 bytes at most.
+        let folder = std::env::temp_dir().join(format!("vs-{name}-{}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&folder);
+        std::fs::create_dir_all(&folder).unwrap();
+        let world = world();
+        let daemons = (0..count).map(|n| start_over(world, &format!("{name}-{n}"), "", &more(&folder, n)));
+        let fleet = Fleet { daemons: daemons.collect(), folder, world };
+        let member = |n: usize| {
+            let groups = if n < count / 2 { "[\"early\"]" } else { "[]" };
+            format!(
+                "member(name = \"d{n}\", control = \"{}/{n}/control\", groups = {groups})\n",
+                fleet.folder.display()
+            )
+        };
+        let text: String = (0..count).map(member).collect();
+        std::fs::write(fleet.folder.join("fleet.star"), text).unwrap();
+        fleet
+    }
+
+    fn tool(&self, args: &[&str]) -> (i32, serde_json::Value, String) {
+        let file = self.folder.join("fleet.star");
+        let Output { status, stdout, stderr } = Command::new(PROGRAM)
+            .args(["fleet", "--json", "--yes", "--issuer", "test", "--fleet"])
+            .arg(file)
+            .args(args)
+            .output()
+            .unwrap();
+        let text = String::from_utf8_lossy(&stderr).into_owned();
+        let value = serde_json::from_slice(&stdout).unwrap_or(serde_json::Value::Null);
+        (status.code().unwrap_or(-1), value, text)
+    }
+
+    fn restart(&mut self, name: &str, n: usize) {
+        self.daemons[n].child.kill().unwrap();
+        self.daemons[n].child.wait().unwrap();
+        self.daemons[n] = start_over(self.world, &format!("{name}-{n}"), "", &more(&self.folder, n));
+    }
+
+    fn end(self) {
+        self.daemons.into_iter().for_each(Proxy::end);
+        std::fs::remove_dir_all(&self.folder).unwrap();
+    }
+}
+
+fn count(told: &serde_json::Value, outcome: &str) -> usize {
+    let daemons = told["daemons"].as_array().map(Vec::as_slice).unwrap_or_default();
+    daemons.iter().filter(|d| d["outcome"] == outcome).count()
+}
+
+fn states(value: &serde_json::Value) -> Vec<serde_json::Value> {
+    value.as_array().unwrap().iter().map(|d| d["state"].clone()).collect()
+}
+
+#[test]
+fn twenty_daemons_one_frozen_nineteen_agree_and_the_report_does_not_wait_longer_than_its_own_time() {
+    let fleet = Fleet::start("twenty", 20);
+    kill_process(fleet.daemons[7].pid(), Signal::STOP).unwrap();
+    let began = Instant::now();
+    let (code, told, _) = fleet.tool(&["--timeout", "1", "pause", "--for", "60"]);
+    let took = began.elapsed();
+    assert_eq!((code, count(&told, "agreed"), count(&told, "silent")), (4, 19, 1), "{told}");
+    assert_eq!((told["build"].as_u64(), told["stage"].as_u64()), (Some(2), Some(1)));
+    assert!(took < Duration::from_millis(2_500), "one frozen daemon held the report up: {took:?}");
+    kill_process(fleet.daemons[7].pid(), Signal::CONT).unwrap();
+    let (code, state, _) = fleet.tool(&["state"]);
+    let paused = states(&state).iter().filter(|s| !s["paused"].is_null()).count();
+    assert_eq!((code, paused), (0, 19), "a command that it was never sent took effect on the frozen one");
+    let (code, told, _) = fleet.tool(&["--only", "d7", "pause", "--for", "60"]);
+    assert_eq!((code, count(&told, "agreed")), (0, 1));
+    let (code, told, _) = fleet.tool(&["--only", "early", "resume"]);
+    assert_eq!((code, count(&told, "agreed")), (0, 10));
+    fleet.end();
+}
+
+#[test]
+fn a_pause_outlives_a_kill_and_the_boot_number_counts_on() {
+    let mut fleet = Fleet::start("kill", 1);
+    assert_eq!(fleet.tool(&["pause", "--for", "60"]).0, 0);
+    let before = states(&fleet.tool(&["state"]).1)[0].clone();
+    fleet.restart("kill", 0);
+    let after = states(&fleet.tool(&["state"]).1)[0].clone();
+    assert_eq!(after["paused"], before["paused"]);
+    assert_eq!(after["boot"].as_u64(), before["boot"].as_u64().map(|b| b + 1));
+    assert_eq!(fleet.tool(&["resume"]).0, 0);
+    fleet.restart("kill", 0);
+    assert!(states(&fleet.tool(&["state"]).1)[0]["paused"].is_null());
+    // Two daemons on one identity: the second says so and leaves the first alone.
+    let settings = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("kill-0.star");
+    let second = Command::new(PROGRAM).args(["serve", "--settings"]).arg(settings).output().unwrap();
+    let text = String::from_utf8_lossy(&second.stderr).into_owned();
+    assert!(!second.status.success() && text.contains("another daemon runs under this identity"), "{text}");
+    assert_eq!(fleet.tool(&["state"]).0, 0);
+    fleet.end();
+}
+
+#[test]
+fn a_damaged_state_file_starts_paused() {
+    let mut fleet = Fleet::start("damage", 1);
+    fleet.daemons[0].child.kill().unwrap();
+    fleet.daemons[0].child.wait().unwrap();
+    std::fs::write(fleet.folder.join("0/daemon-0.redb"), [0x5a; 9_000]).unwrap();
+    fleet.daemons[0] = start_over(fleet.world, "damage-0", "", &more(&fleet.folder, 0));
+    let state = states(&fleet.tool(&["state"]).1)[0].clone();
+    assert!(state["paused"][1].as_str().unwrap().contains("damaged"), "{state}");
+    assert_eq!(fleet.tool(&["resume"]).0, 0);
+    fleet.end();
+}
+
+#[test]
+fn all_or_none_changes_nothing_when_one_is_frozen() {
+    let fleet = Fleet::start("none", 4);
+    kill_process(fleet.daemons[3].pid(), Signal::STOP).unwrap();
+    let (code, told, _) = fleet.tool(&["--timeout", "0.5", "--all-or-none", "pause", "--for", "60"]);
+    assert_eq!(
+        (code, count(&told, "agreed"), count(&told, "refused"), count(&told, "silent")),
+        (5, 0, 3, 1),
+        "{told}"
+    );
+    kill_process(fleet.daemons[3].pid(), Signal::CONT).unwrap();
+    assert!(states(&fleet.tool(&["state"]).1).iter().all(|s| s["paused"].is_null()));
+    let (code, told, _) = fleet.tool(&["--all-or-none", "pause", "--for", "60"]);
+    assert_eq!((code, count(&told, "agreed")), (0, 4));
+    fleet.end();
+}
+
+#[test]
+fn a_drained_daemon_takes_nothing_and_takes_again_when_told() {
+    let fleet = Fleet::start("drain", 1);
+    let addr = fleet.daemons[0].addr;
+    assert_eq!(fleet.tool(&["drain"]).0, 0);
+    assert!(std::net::TcpStream::connect(addr).is_err());
+    assert_eq!(states(&fleet.tool(&["state"]).1)[0]["draining"], true);
+    assert_eq!(fleet.tool(&["undrain"]).0, 0);
+    assert_eq!(states(&fleet.tool(&["state"]).1)[0]["draining"], false);
+    fleet.end();
+}
+
+#[test]
+fn a_flood_of_control_connections_and_nonsense_disturbs_no_request() {
+    let fleet = Fleet::start("flood", 1);
+    let path = fleet.folder.join("0/control");
+    let mut open = Vec::new();
+    let mut answered = 0;
+    for n in 0..1_000 {
+        if let Ok(mut stream) = UnixStream::connect(&path) {
+            let line: &[u8] = match n % 4 {
+                0 => b"{\"state\"",
+                1 => b"nonsense\n",
+                2 => b"\"state\"\n\"state\"\n",
+                _ => b"",
+            };
+            let _ = stream.write_all(line);
+            open.push(stream);
+        }
+        if n % 50 == 0 {
+            answered +=
+                usize::from(fleet.daemons[0].ask(Duration::from_secs(1)).is_some_and(|a| a.ends_with("ok")));
+        }
+    }
+    assert_eq!(answered, 20, "requests were not served during the flood");
+    drop(open);
+    let until = Instant::now() + Duration::from_secs(10);
+    while fleet.tool(&["state"]).0 != 0 {
+        assert!(Instant::now() < until, "the control socket does not recover");
+    }
+    // Mode 0600 from the start.
+    use std::os::unix::fs::PermissionsExt;
+    assert_eq!(std::fs::metadata(&path).unwrap().permissions().mode() & 0o777, 0o600);
+    let mut stream = UnixStream::connect(&path).unwrap();
+    stream.write_all(b"nonsense\n").unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(2))).unwrap();
+    let mut bytes = [0; 256];
+    let n = stream.read(&mut bytes).unwrap();
+    assert!(String::from_utf8_lossy(&bytes[..n]).contains("malformed"));
+    fleet.end();
+}
+
+#[test]
+fn reload_takes_what_it_can_whole_and_refuses_the_rest_with_the_reason() {
+    let fleet = Fleet::start("reload", 1);
+    let settings = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("reload-0.star");
+    let sound = std::fs::read_to_string(&settings).unwrap();
+    let told = |text: &str| {
+        std::fs::write(&settings, text).unwrap();
+        let (code, told, _) = fleet.tool(&["reload"]);
+        (code, told["daemons"][0]["why"].as_str().unwrap_or("").to_owned())
+    };
+    assert_eq!(told(&format!("{sound}connections(max_head = 300)\n")).0, 0);
+    let mut stream = fleet.daemons[0].open();
+    stream
+        .write_all(format!("GET /x HTTP/1.1\r\nhost: t\r\nx: {}\r\n\r\n", "a".repeat(400)).as_bytes())
+        .unwrap();
+    let mut text = String::new();
+    stream.read_to_string(&mut text).unwrap();
+    assert!(text.starts_with("HTTP/1.1 431"), "{text}");
+    drop(stream);
+    let (code, why) = told(&sound.replace("aim = \"500ms\"", "aim = \"400ms\""));
+    assert!(code == 3 && why.contains("decisions need a new process"), "{why}");
+    let (code, why) = told(&sound.replace("aim = \"500ms\"", "aim = 5"));
+    assert!(code == 3 && why.contains("aim: invalid type"), "{why}");
+    std::fs::write(&settings, &sound).unwrap();
+    let (code, told, _) = fleet.tool(&["log-level", "no=such=filter"]);
+    assert!(code == 3, "{told}");
+    assert_eq!(fleet.tool(&["log-level", "warn"]).0, 0);
+    fleet.end();
+}
--- /dev/null
+++ b/crates/control/src/state.rs
@@ -0,0 +1,69 @@
+//! The one reading of a daemon's state: taken in one turn of its loop, so that its parts fit together. Every
+//! way of showing state (the fleet tool, later SNMP) shows this type.
+
+use serde::{Deserialize, Serialize};
+
+/// A daemon's state at one moment.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Reading {
+    /// Its name: fleet and position.
+    pub name: String,
+    /// Its boot number: one more at each start.
+    pub boot: u64,
+    /// Microseconds since this start.
+    pub up_us: u64,
+    /// It drains: takes nothing new.
+    pub draining: bool,
+    /// The newest build, its stage, phase and cap, as last told by the desk; none before the first news.
+    pub release: Option<Release>,
+    /// Attempts by build in the last window.
+    pub attempts: Vec<(u16, u64)>,
+    /// The vote that stands, in the desk's words, with build and stage.
+    pub vote: Option<String>,
+    /// The module's latest finding, in its words.
+    pub finding: Option<String>,
+    /// A pause that is in force: until when (microseconds since 1970) and who asked for it.
+    pub paused: Option<(u64, String)>,
+    /// Requests taken, and what became of them.
+    pub counts: Counts,
+    /// Open client and server connections.
+    pub connections: (u64, u64),
+    /// Requests whose final answer is owed.
+    pub owed: u64,
+    /// Peers heard from in the last 10 s.
+    pub peers: u64,
+    /// Microseconds since the server list was last heard of; none before the first.
+    pub list_age_us: Option<u64>,
+    /// Servers on the list.
+    pub servers: u64,
+}
+
+/// Where the newest build stands.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Release {
+    /// Its number.
+    pub build: u16,
+    /// Its stage, from 0.
+    pub stage: u8,
+    /// `trial`, `rolling_back`, `released` or `withdrawn`.
+    pub phase: String,
+    /// Its exposure cap, 0 to 1.
+    pub cap: f64,
+}
+
+/// Requests and attempts since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counts {
+    /// Requests taken.
+    pub taken: u64,
+    /// Answered by a server.
+    pub served: u64,
+    /// Refused.
+    pub refused: u64,
+    /// Failed.
+    pub failed: u64,
+    /// Whose client left.
+    pub gone: u64,
+    /// Attempts started.
+    pub attempts: u64,
+}
--- /dev/null
+++ b/crates/fleet/src/report.rs
@@ -0,0 +1,125 @@
+//! What a fleet said, as tables and as JSON.
+
+use crate::call::Silence;
+use crate::{Outcome, Told};
+use comfy_table::{Table, presets};
+use serde_json::{Value, json};
+use violetseam_control::Reading;
+
+/// Exit statuses of the tool.
+pub mod status {
+    /// All agreed.
+    pub const AGREED: u8 = 0;
+    /// Some refused, all answered.
+    pub const REFUSED: u8 = 3;
+    /// Some never answered, none refused.
+    pub const SILENT: u8 = 4;
+    /// Some refused and some never answered.
+    pub const BOTH: u8 = 5;
+}
+
+/// The exit status for a command.
+pub fn exit_status(told: &Told) -> u8 {
+    let refused = told.outcomes.iter().any(|o| matches!(o.1, Outcome::Refused(_)));
+    let silent = told.outcomes.iter().any(|o| matches!(o.1, Outcome::Silent(_)));
+    match (refused, silent) {
+        (false, false) => status::AGREED,
+        (true, false) => status::REFUSED,
+        (false, true) => status::SILENT,
+        (true, true) => status::BOTH,
+    }
+}
+
+fn table(head: &[&str]) -> Table {
+    let mut table = Table::new();
+    table.load_preset(presets::NOTHING).set_header(head.to_vec());
+    table
+}
+
+/// A command's outcomes as a table, those that did not agree first.
+pub fn told_table(told: &Told) -> String {
+    let mut rows = table(&["daemon", "outcome", "why"]);
+    let rank = |o: &Outcome| match o {
+        Outcome::Silent(_) => 0,
+        Outcome::Refused(_) => 1,
+        Outcome::Agreed { .. } => 2,
+    };
+    let mut outcomes: Vec<_> = told.outcomes.iter().collect();
+    outcomes.sort_by_key(|o| rank(&o.1));
+    for (name, outcome) in outcomes {
+        match outcome {
+            Outcome::Agreed { again: false } => rows.add_row([name.as_str(), "agreed", ""]),
+            Outcome::Agreed { again: true } => rows.add_row([name.as_str(), "agreed", "had before"]),
+            Outcome::Refused(why) => rows.add_row([name.as_str(), "REFUSED", why]),
+            Outcome::Silent(why) => rows.add_row([name.as_str(), "SILENT", why]),
+        };
+    }
+    let count = |r| told.outcomes.iter().filter(|o| rank(&o.1) == r).count();
+    let about = told.about.map_or(String::new(), |(b, s)| format!(" about build {b}, stage {s}"));
+    format!(
+        "{rows}\ncommand {}{about}: {} agreed, {} refused, {} never answered\n",
+        told.id,
+        count(2),
+        count(1),
+        count(0)
+    )
+}
+
+/// A command's outcomes as data.
+pub fn told_json(told: &Told) -> Value {
+    let row = |(name, outcome): &(String, Outcome)| match outcome {
+        Outcome::Agreed { again } => json!({"daemon": name, "outcome": "agreed", "again": again}),
+        Outcome::Refused(why) => json!({"daemon": name, "outcome": "refused", "why": why}),
+        Outcome::Silent(why) => json!({"daemon": name, "outcome": "silent", "why": why}),
+    };
+    let outcomes: Vec<Value> = told.outcomes.iter().map(row).collect();
+    json!({"id": told.id, "build": told.about.map(|a| a.0), "stage": told.about.map(|a| a.1), "daemons": outcomes})
+}
+
+/// States as a table.
+pub fn state_table(names: &[String], readings: &[Result<Reading, Silence>]) -> String {
+    let mut rows = table(&[
+        "daemon", "boot", "build", "stage", "phase", "cap", "vote", "paused", "served", "refused", "failed",
+        "owed", "servers", "peers", "list age",
+    ]);
+    for (name, reading) in names.iter().zip(readings) {
+        match reading {
+            Ok(r) => {
+                let release = r.release.clone().unwrap_or_default();
+                let paused = r.paused.as_ref().map_or("-", |_| "paused").to_owned();
+                let age = r.list_age_us.map_or("never".into(), |us| format!("{:.1} s", us as f64 / 1e6));
+                rows.add_row([
+                    name.clone(),
+                    r.boot.to_string(),
+                    release.build.to_string(),
+                    release.stage.to_string(),
+                    if r.draining { "draining".into() } else { release.phase },
+                    format!("{:.2}", release.cap),
+                    r.vote.clone().unwrap_or_else(|| "-".into()),
+                    paused,
+                    r.counts.served.to_string(),
+                    r.counts.refused.to_string(),
+                    r.counts.failed.to_string(),
+                    r.owed.to_string(),
+                    r.servers.to_string(),
+                    r.peers.to_string(),
+                    age,
+                ]);
+            }
+            Err(Silence(why)) => {
+                rows.add_row([name.clone(), format!("SILENT: {why}")]);
+            }
+        }
+    }
+    let silent = readings.iter().filter(|r| r.is_err()).count();
+    format!("{rows}\n{} answered, {silent} never did\n", readings.len() - silent)
+}
+
+/// States as data.
+pub fn state_json(names: &[String], readings: &[Result<Reading, Silence>]) -> Value {
+    let row = |(name, reading): (&String, &Result<Reading, Silence>)| match reading {
+        Ok(reading) => json!({"daemon": name, "state": reading}),
+        Err(Silence(why)) => json!({"daemon": name, "silent": why}),
+    };
+    Value::Array(names.iter().zip(readings).map(row).collect())
+}
--- /dev/null
+++ b/crates/fleet/tests/calls.rs
@@ -0,0 +1,136 @@
+//! Daemons that accept and never answer, answer half a line, close, or answer nonsense.
+
+use std::io::{Read, Write};
+use std::os::unix::net::{UnixListener, UnixStream};
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+use violetseam_control::Reading;
+use violetseam_control::wire::{Act, Answer, Ask, Reply, write};
+use violetseam_fleet::{Fleet, Outcome, pick, report};
+use violetseam_settings::Member;
+
+fn daemon(name: &str, play: impl Fn(UnixStream, usize) + Send + 'static) -> Member {
+    let path: PathBuf = std::env::temp_dir().join(format!("vs-call-{name}-{}", std::process::id()));
+    let _ = std::fs::remove_file(&path);
+    let listener = UnixListener::bind(&path).unwrap();
+    std::thread::spawn(move || {
+        for (n, stream) in listener.incoming().flatten().enumerate() {
+            play(stream, n);
+        }
+    });
+    Member { name: name.into(), control: path.display().to_string(), groups: vec!["all".into()] }
+}
+
+fn read_line(stream: &mut UnixStream) -> String {
+    let (mut line, mut byte) = (Vec::new(), [0]);
+    while stream.read(&mut byte).unwrap_or(0) == 1 && byte[0] != b'\n' {
+        line.push(byte[0]);
+    }
+    String::from_utf8(line).unwrap()
+}
+
+/// A daemon that reports a build and answers commands with `reply`.
+fn sound(name: &str, release: (u16, u8), reply: impl Fn(&str) -> Reply + Send + 'static) -> Member {
+    daemon(name, move |mut stream, _| {
+        let line = read_line(&mut stream);
+        let answer = if line.contains("state") && !line.contains("command") {
+            let release = violetseam_control::state::Release {
+                build: release.0,
+                stage: release.1,
+                ..Default::default()
+            };
+            Answer::State(Box::new(Reading { boot: 4, release: Some(release), ..Reading::default() }))
+        } else {
+            Answer::Command(reply(&line))
+        };
+        let _ = stream.write_all(&write(&answer));
+    })
+}
+
+fn agreed(_: &str) -> Reply {
+    Reply::Agreed { again: false }
+}
+
+#[test]
+fn each_kind_of_silence_is_told_and_none_takes_longer_than_its_time() {
+    let members = vec![
+        sound("sound", (2, 1), agreed),
+        daemon("mute", |stream, _| {
+            std::thread::sleep(Duration::from_secs(3));
+            drop(stream);
+        }),
+        daemon("half", |mut stream, _| {
+            let _ = stream.write_all(b"{\"state\":{\"na");
+            std::thread::sleep(Duration::from_secs(3));
+        }),
+        daemon("closes", |stream, _| drop(stream)),
+        daemon("nonsense", |mut stream, _| drop(stream.write_all(b"what?\n"))),
+        daemon("endless", |mut stream, _| while stream.write_all(&[b'x'; 4096]).is_ok() {}),
+        Member { name: "absent".into(), control: "/nonexistent/socket".into(), groups: Vec::new() },
+    ];
+    let fleet = Fleet { members, timeout: Duration::from_millis(500), parallel: 16 };
+    let began = Instant::now();
+    let told = fleet.tell(&Act::Resume, "test", Duration::from_secs(5), false, &mut |_| {});
+    assert!(began.elapsed() < Duration::from_millis(1_500), "{:?}", began.elapsed());
+    assert_eq!(told.outcomes[0].1, Outcome::Agreed { again: false });
+    let whys = [
+        "no answer in time",
+        "half an answer",
+        "closed",
+        "cannot be read",
+        "without an end",
+        "no connection",
+    ];
+    for ((name, outcome), why) in told.outcomes[1..].iter().zip(whys) {
+        assert!(matches!(outcome, Outcome::Silent(w) if w.contains(why)), "{name}: {outcome:?}");
+    }
+    assert_eq!(report::exit_status(&told), report::status::SILENT);
+    assert!(report::told_table(&told).contains("1 agreed, 0 refused, 6 never answered"));
+}
+
+#[test]
+fn commands_carry_the_fence_that_most_report_and_the_boot_number_of_each() {
+    let fenced = |line: &str| {
+        let ok = line.contains("\"boot\":4") && line.contains("\"build\":9") && line.contains("\"stage\":2");
+        if ok { agreed("") } else { Reply::Refused { reason: line.to_owned() } }
+    };
+    let members = vec![sound("a", (9, 2), fenced), sound("b", (9, 2), fenced), sound("c", (8, 3), fenced)];
+    let fleet = Fleet { members, timeout: Duration::from_secs(1), parallel: 2 };
+    let told = fleet.tell(&Act::Back, "test", Duration::from_secs(5), false, &mut |_| {});
+    assert_eq!(told.about, Some((9, 2)));
+    assert!(told.outcomes.iter().all(|o| o.1 == Outcome::Agreed { again: false }), "{:?}", told.outcomes);
+}
+
+#[test]
+fn all_or_none_releases_the_ready_ones_when_one_refuses() {
+    let steps = |line: &str| match line {
+        l if l.contains("prepare") => Reply::Prepared,
+        l if l.contains("abort") => Reply::Released,
+        _ => panic!("committed although one refused: {line}"),
+    };
+    let refuses = |_: &str| Reply::Refused { reason: "not me".into() };
+    let members = vec![sound("ready", (2, 1), steps), sound("refuses", (2, 1), refuses)];
+    let fleet = Fleet { members, timeout: Duration::from_secs(1), parallel: 2 };
+    let told = fleet.tell(&Act::Resume, "test", Duration::from_secs(5), true, &mut |_| {});
+    assert!(matches!(&told.outcomes[0].1, Outcome::Refused(w) if w.contains("not all were ready")));
+    assert_eq!(told.outcomes[1].1, Outcome::Refused("not me".into()));
+    assert_eq!(report::exit_status(&told), report::status::REFUSED);
+}
+
+#[test]
+fn members_are_picked_by_name_or_group() {
+    let member = |name: &str, group: &str| Member {
+        name: name.into(),
+        control: name.into(),
+        groups: vec![group.into()],
+    };
+    let all = vec![member("a", "x"), member("b", "y"), member("c", "x")];
+    let names = |only: &[&str]| {
+        let only: Vec<String> = only.iter().map(|s| (*s).to_owned()).collect();
+        pick(all.clone(), &only).map(|p| p.into_iter().map(|m| m.name).collect::<Vec<_>>())
+    };
+    assert_eq!(names(&["x"]).unwrap(), ["a", "c"]);
+    assert_eq!(names(&["b", "c"]).unwrap(), ["b", "c"]);
+    assert!(names(&["z"]).is_err());
+    let _ = Ask::Whoami;
+}
--- a/crates/loopio/src/lib.rs
+++ b/crates/loopio/src/lib.rs
@@ -1,4 +1,4 @@
-//! A TCP connection on a `calloop` loop: a source whose interest can change while it is registered, and the
+//! A connection (TCP or a Unix-domain stream) on a `calloop` loop: a source whose interest can change while it is registered, and the
 //! bytes that wait to be written. Used by the proxy and by the stand-ins.
 
 use calloop::generic::Generic;
@@ -9,18 +9,19 @@
 use std::cell::Cell;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::os::fd::AsFd;
 use std::rc::Rc;
 
 /// Above so many bytes waiting to be written, nothing more is read that would add to them.
 pub const HIGH_WATER: usize = 256 * 1024;
 
 /// The source: `Generic` with an interest that the connection's owner sets.
-struct Watched {
-    inner: Generic<Rc<TcpStream>>,
+struct Watched<S: AsFd> {
+    inner: Generic<Rc<S>>,
     wanted: Rc<Cell<Interest>>,
 }
 
-impl EventSource for Watched {
+impl<S: AsFd> EventSource for Watched<S> {
     type Event = Readiness;
     type Metadata = ();
     type Ret = ();
@@ -70,22 +71,26 @@
 }
 
 /// A connection: its stream, its registration and its unwritten bytes.
-pub struct Socket {
-    stream: Rc<TcpStream>,
+pub struct Socket<S = TcpStream> {
+    stream: Rc<S>,
     token: RegistrationToken,
     wanted: Rc<Cell<Interest>>,
     out: Vec<u8>,
     written: usize,
 }
 
-impl Socket {
+impl<S> Socket<S>
+where
+    S: AsFd + 'static,
+    for<'a> &'a S: Read + Write,
+{
     /// Puts a non-blocking stream on the loop. `call` gets its readiness.
     pub fn register<D: 'static>(
         on: &LoopHandle<'static, D>,
-        stream: TcpStream,
+        stream: S,
         interest: Interest,
         mut call: impl FnMut(Readiness, &mut D) + 'static,
-    ) -> std::io::Result<Socket> {
+    ) -> std::io::Result<Self> {
         let (stream, wanted) = (Rc::new(stream), Rc::new(Cell::new(interest)));
         let inner = Generic::new(stream.clone(), interest, Mode::Level);
         let source = Watched { inner, wanted: wanted.clone() };
@@ -174,6 +179,13 @@
         }
     }
 
+    /// The connection itself.
+    pub fn stream(&self) -> &S {
+        &self.stream
+    }
+}
+
+impl Socket<TcpStream> {
     /// Says that nothing more will be written.
     pub fn close_write(&self) {
         // Fails only for a connection that is gone, which the next read tells.
--- a/crates/proxy/src/driver/control.rs
+++ b/crates/proxy/src/driver/control.rs
@@ -2,6 +2,7 @@
 //! the roster and the desk's news are answers without an end, one JSON line a message.
 
 use super::Proxy;
+use super::operators::wall_clock;
 use super::timers::What;
 use calloop::{Interest, Readiness};
 use std::net::SocketAddr;
@@ -262,6 +263,7 @@
             }
         }
         self.roster_changed = true;
+        self.list_heard = Some(now);
         self.engine.list(now, kind, &entries);
         Ok(())
     }
@@ -403,9 +405,3 @@
         }
     }
 }
-
-/// Microseconds since 1970.
-fn wall_clock() -> u64 {
-    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
-    since.as_micros() as u64
-}
--- a/crates/proxy/src/driver/mod.rs
+++ b/crates/proxy/src/driver/mod.rs
@@ -3,11 +3,13 @@
 //! - `clients.rs`: listeners and client connections, up to a whole request and from an answer on
 //! - `servers.rs`: connections to servers and the attempts on them
 //! - `control.rs`: calls to the roster and the release desk
+//! - `operators.rs`: the control socket, commands and the reading of the state
 //! - `peers.rs`: datagrams
 //! - `timers.rs`: the driver's own time-outs, all of them bounds of connections
 
 mod clients;
 mod control;
+mod operators;
 mod peers;
 mod servers;
 mod timers;
@@ -17,6 +19,7 @@
 use calloop::{EventLoop, LoopHandle, RegistrationToken};
 use clients::{Client, Held};
 use control::Call;
+pub use operators::{Keeper, Operators, Reload, Reloaded, SetLog};
 use rand::{Rng, RngExt, SeedableRng};
 use servers::Server;
 use slab::Slab;
@@ -83,6 +86,7 @@
 
 /// One proxy on its loop.
 pub struct Proxy {
+    pub(crate) operators: Option<operators::Desk>,
     settings: Rc<ProxySettings>,
     engine: Engine,
     handle: LoopHandle<'static, Proxy>,
@@ -106,12 +110,22 @@
     scratch: Vec<u8>,
     rng: rand_pcg::Pcg64,
     generation: u64,
+    /// Takes nothing new.
     draining: bool,
+    /// Ends once nothing is left in hand.
+    ending: bool,
     stopping: bool,
     quiet: RateLimit,
     /// Clients whose input waits for its turn.
     resumed: Vec<(usize, u64)>,
     pumping: bool,
+    last_vote: Option<String>,
+    finding: Option<String>,
+    list_heard: Option<Micros>,
+    peers_heard: BTreeMap<usize, Micros>,
+    /// Attempts by build, of the present and the last span of ten seconds.
+    by_build: [BTreeMap<Build, u64>; 2],
+    by_build_since: Micros,
     #[cfg(feature = "sabotage")]
     sabotage: Option<Sabotage>,
 }
@@ -144,16 +158,34 @@
     settings: ProxySettings,
     options: Options,
     ready: impl FnOnce(&[SocketAddr]),
+) -> std::io::Result<Summary> {
+    serve_operated(settings, options, None, ready)
+}
+
+/// The same with a control socket for operators.
+pub fn serve_operated(
+    settings: ProxySettings,
+    options: Options,
+    operators: Option<Operators>,
+    ready: impl FnOnce(&[SocketAddr]),
 ) -> std::io::Result<Summary> {
     let mut event_loop: EventLoop<'static, Proxy> = EventLoop::try_new().map_err(std::io::Error::other)?;
     // Before any thread is started: one that did not block the signals would take them, and the process
     // would end with all it holds. Seen with the flight recorder's thread.
-    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT]).map_err(std::io::Error::other)?;
+    let mut heard = vec![Signal::SIGTERM, Signal::SIGINT];
+    heard.extend(operators.is_some().then_some(Signal::SIGHUP));
+    let signals = Signals::new(&heard).map_err(std::io::Error::other)?;
     let mut proxy = Proxy::bind(settings, &options, event_loop.handle())?;
     event_loop
         .handle()
-        .insert_source(signals, |_, (), proxy| proxy.drain())
+        .insert_source(signals, |event, (), proxy| match event.signal() {
+            Signal::SIGHUP => proxy.reload_on_signal(),
+            _ => proxy.drain(),
+        })
         .map_err(|e| std::io::Error::other(e.to_string()))?;
+    if let Some(operators) = operators {
+        proxy.open_control(operators)?;
+    }
     let addresses: Vec<SocketAddr> = proxy.listeners.iter().filter_map(|l| l.0.local_addr().ok()).collect();
     ready(&addresses);
     let stop_at = options.stop_after.map(|span| Instant::now() + span);
@@ -199,6 +231,7 @@
             engine.time_module();
         }
         let mut proxy = Proxy {
+            operators: None,
             engine,
             handle,
             started: Instant::now(),
@@ -225,10 +258,17 @@
             rng,
             generation: 0,
             draining: false,
+            ending: false,
             stopping: false,
             quiet: RateLimit::default(),
             resumed: Vec::new(),
             pumping: false,
+            last_vote: None,
+            finding: None,
+            list_heard: None,
+            peers_heard: BTreeMap::new(),
+            by_build: Default::default(),
+            by_build_since: 0,
             #[cfg(feature = "sabotage")]
             sabotage: options.sabotage,
             settings: Rc::new(settings),
@@ -244,6 +284,7 @@
         let saved = self.saved_roster();
         let entries = saved.map(|message| self.roster.restore(now, &message)).unwrap_or_default();
         self.engine.list(now, ListKind::Cached, &entries);
+        self.pause_standing();
         self.open_desk_stream();
         self.timers.upkeep(now);
         self.pump();
@@ -270,7 +311,7 @@
         self.pump();
         self.own_timers(now);
         self.pump();
-        if self.draining && self.engine.owed() == 0 && self.clients.is_empty() && self.held.is_empty() {
+        if self.ending && self.engine.owed() == 0 && self.clients.is_empty() && self.held.is_empty() {
             self.stopping = true;
         }
     }
@@ -301,9 +342,15 @@
             Order::Forget { request } => self.forget(request),
             Order::FollowList => self.call_roster(true),
             Order::FetchList => self.call_roster(false),
-            Order::Vote { build, stage, verdict } => self.call_vote(build, stage, verdict),
+            Order::Vote { build, stage, verdict } => {
+                self.note_vote(build, stage, verdict);
+                self.call_vote(build, stage, verdict);
+            }
             Order::Tell { to, payload } => self.tell_peers(to, &payload),
-            Order::Note(text) => tracing::info!(target: "verdict", "{text}"),
+            Order::Note(text) => {
+                tracing::info!(target: "verdict", "{text}");
+                self.note_finding(text);
+            }
         }
     }
 
@@ -318,6 +365,13 @@
 
     /// Stops taking connections and requests; what was taken is answered, then the loop ends.
     fn drain(&mut self) {
+        self.ending = true;
+        self.stop_taking();
+    }
+
+    /// Stops taking connections and requests. Listeners close: a connection that waited in the kernel's
+    /// queue would be neither taken nor free to go elsewhere.
+    fn stop_taking(&mut self) {
         if std::mem::replace(&mut self.draining, true) {
             return;
         }
@@ -330,6 +384,18 @@
         self.pump();
     }
 
+    /// Takes connections again after an operator's drain.
+    fn take_again(&mut self) -> Result<(), String> {
+        if self.ending {
+            return Err("this daemon is on its way out".into());
+        }
+        if self.draining {
+            self.bind_listeners().map_err(|e| e.to_string())?;
+            self.draining = false;
+        }
+        Ok(())
+    }
+
     fn finish(mut self) -> Summary {
         if self.roster_changed {
             self.save_roster();
--- /dev/null
+++ b/crates/proxy/src/driver/operators.rs
@@ -0,0 +1,472 @@
+//! The control socket: operators' questions and commands, and the one reading of the state.
+//!
+//! What becomes of a command is the book's (`violetseam-control`). A command is kept durably before it is
+//! done and answered: the keeper writes on a thread of its own, as a slow disk must not hold up traffic, and
+//! commands wait for each other meanwhile. A command that cannot be kept is refused and changes nothing.
+
+use super::Proxy;
+use super::timers::What;
+use calloop::channel::{Event, Sender, channel};
+use calloop::generic::Generic;
+use calloop::{Interest, Mode, PostAction, Readiness};
+use slab::Slab;
+use std::collections::VecDeque;
+use std::os::unix::fs::PermissionsExt;
+use std::os::unix::net::{UnixListener, UnixStream};
+use std::path::PathBuf;
+use std::rc::Rc;
+use violetseam::interface::{Build, Micros, Operator, Phase, ServerId, Verdict};
+use violetseam_control::book::{Book, Change, Durable, Present};
+use violetseam_control::state::{Counts, Reading, Release};
+use violetseam_control::wire::{self, Answer, Ask, Command, Reply};
+use violetseam_loopio::{Got, Socket};
+use violetseam_settings::ProxySettings;
+
+/// Operators' connections at once; further ones are closed unread.
+const CONNECTIONS_MOST: usize = 64;
+/// Connections taken in one turn, so that a flood of them leaves time for traffic.
+const ACCEPTS_MOST: usize = 8;
+/// A connection that asks nothing for so long is closed.
+const QUIET: Micros = 30_000_000;
+/// Commands that wait for the keeper.
+const WAITING_MOST: usize = 256;
+/// Peers heard so recently count as heard.
+const PEERS_RECENT: Micros = 10_000_000;
+/// The span over which attempts by build are told.
+const BUILDS_SPAN: Micros = 10_000_000;
+
+/// Keeps what must outlive the process. Called on a thread of its own.
+pub trait Keeper: Send {
+    /// Keeps the state and appends a line to the audit log; done only when both would survive a crash.
+    fn keep(&mut self, durable: &Durable, line: &str) -> Result<(), String>;
+}
+
+/// What a reload may change while the proxy runs.
+#[derive(Debug)]
+pub struct Reloaded(pub ProxySettings);
+
+/// Reads the settings again.
+pub type Reload = Box<dyn FnMut() -> Result<Reloaded, String>>;
+/// Sets another log filter.
+pub type SetLog = Box<dyn FnMut(&str) -> Result<(), String>>;
+
+/// What a daemon gives its proxy.
+pub struct Operators {
+    /// Where the control socket is made, with mode 0600.
+    pub socket: PathBuf,
+    /// The boot number.
+    pub boot: u64,
+    /// What outlived the process before.
+    pub durable: Durable,
+    /// Keeps what must outlive this one.
+    pub keeper: Box<dyn Keeper>,
+    /// Reads the settings again.
+    pub reload: Reload,
+    /// Sets another log filter.
+    pub set_log: SetLog,
+}
+
+struct Conn {
+    generation: u64,
+    socket: Socket<UnixStream>,
+    input: Vec<u8>,
+    asked_at: Micros,
+    armed: bool,
+}
+
+/// A command on its way to the keeper, with the book as it will be.
+struct Waiting {
+    conn: usize,
+    generation: u64,
+    command: Command,
+}
+
+struct Kept {
+    result: Result<(), String>,
+}
+
+/// The operators' desk of one proxy.
+pub struct Desk {
+    path: PathBuf,
+    boot: u64,
+    book: Book,
+    conns: Slab<Conn>,
+    waiting: VecDeque<Waiting>,
+    /// The command that the keeper has, the book after it, its reply and what to do.
+    keeping: Option<(Waiting, Book, Reply, Option<Change>)>,
+    to_keeper: std::sync::mpsc::Sender<(Durable, String)>,
+    reload: Reload,
+    set_log: SetLog,
+    turned_away: u64,
+}
+
+impl Drop for Desk {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.path);
+    }
+}
+
+/// Microseconds since 1970.
+pub(super) fn wall_clock() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+    since.as_micros() as u64
+}
+
+impl Proxy {
+    pub(super) fn open_control(&mut self, operators: Operators) -> std::io::Result<()> {
+        let Operators { socket: path, boot, durable, mut keeper, reload, set_log } = operators;
+        // One that a killed process left behind; two daemons on one identity are kept apart by their lock.
+        let _ = std::fs::remove_file(&path);
+        // Made under another name and moved, so that it is never there with a wider mode.
+        let aside = path.with_extension("new");
+        let _ = std::fs::remove_file(&aside);
+        let listener = UnixListener::bind(&aside)?;
+        std::fs::set_permissions(&aside, std::fs::Permissions::from_mode(0o600))?;
+        std::fs::rename(&aside, &path)?;
+        listener.set_nonblocking(true)?;
+        let source = Generic::new(Rc::new(listener), Interest::READ, Mode::Level);
+        let failed = |e: String| std::io::Error::other(e);
+        self.handle
+            .insert_source(source, |_, listener, proxy: &mut Proxy| {
+                proxy.accept_operators(listener);
+                Ok(PostAction::Continue)
+            })
+            .map_err(|e| failed(e.to_string()))?;
+        let (to_keeper, jobs) = std::sync::mpsc::channel::<(Durable, String)>();
+        let (done, is_done): (Sender<Kept>, _) = channel();
+        std::thread::Builder::new().name("keeper".into()).spawn(move || {
+            while let Ok((durable, line)) = jobs.recv() {
+                if done.send(Kept { result: keeper.keep(&durable, &line) }).is_err() {
+                    return;
+                }
+            }
+        })?;
+        self.handle
+            .insert_source(is_done, |event, (), proxy: &mut Proxy| {
+                if let Event::Msg(kept) = event {
+                    proxy.kept(kept);
+                    proxy.pump();
+                }
+            })
+            .map_err(|e| failed(e.to_string()))?;
+        self.operators = Some(Desk {
+            path,
+            boot,
+            book: Book::new(durable),
+            conns: Slab::new(),
+            waiting: VecDeque::new(),
+            keeping: None,
+            to_keeper,
+            reload,
+            set_log,
+            turned_away: 0,
+        });
+        Ok(())
+    }
+
+    /// A pause that outlived the process before binds this one from its first event on.
+    pub(super) fn pause_standing(&mut self) {
+        let now = self.now();
+        if self.operators.as_ref().is_some_and(|d| d.book.pause().is_some()) {
+            tracing::warn!("a pause from before this start stands");
+            self.engine.operator(now, Operator::Pause);
+        }
+    }
+
+    fn accept_operators(&mut self, listener: &UnixListener) {
+        for _ in 0..ACCEPTS_MOST {
+            let Ok((stream, _)) = listener.accept() else { return };
+            let generation = self.next_generation();
+            let now = self.now();
+            let Some(desk) = &mut self.operators else { return };
+            if desk.conns.len() >= CONNECTIONS_MOST || stream.set_nonblocking(true).is_err() {
+                desk.turned_away += 1;
+                continue;
+            }
+            let entry = desk.conns.vacant_entry();
+            let key = entry.key();
+            let on_ready = move |readiness: Readiness, proxy: &mut Proxy| proxy.on_operator(key, readiness);
+            let Ok(socket) = Socket::register(&self.handle, stream, Interest::READ, on_ready) else {
+                continue;
+            };
+            entry.insert(Conn { generation, socket, input: Vec::new(), asked_at: now, armed: true });
+            self.timers.set(now + QUIET, What::Operator(key, generation));
+        }
+    }
+
+    pub(super) fn operator_timeout(&mut self, key: usize, generation: u64) {
+        let now = self.now();
+        let Some(desk) = &mut self.operators else { return };
+        let Some(conn) = desk.conns.get_mut(key).filter(|c| c.generation == generation && c.armed) else {
+            return;
+        };
+        let due = conn.asked_at + QUIET;
+        if due > now {
+            self.timers.set(due, What::Operator(key, generation));
+        } else {
+            self.close_operator(key);
+        }
+    }
+
+    fn close_operator(&mut self, key: usize) {
+        if let Some(conn) = self.operators.as_mut().and_then(|d| d.conns.try_remove(key)) {
+            conn.socket.remove(&self.handle);
+        }
+    }
+
+    fn on_operator(&mut self, key: usize, readiness: Readiness) {
+        let mut bytes = [0; 4096];
+        let now = self.now();
+        let Some(conn) = self.operators.as_mut().and_then(|d| d.conns.get_mut(key)) else { return };
+        if readiness.writable && conn.socket.flush().is_err() {
+            return self.close_operator(key);
+        }
+        if readiness.readable || readiness.error {
+            match conn.socket.read(&mut bytes) {
+                Got::Bytes(n) => conn.input.extend_from_slice(&bytes[..n]),
+                Got::Nothing => {}
+                Got::Closed | Got::Broken => return self.close_operator(key),
+            }
+            conn.asked_at = now;
+        }
+        self.operator_lines(key);
+        self.pump();
+    }
+
+    fn operator_lines(&mut self, key: usize) {
+        while let Some(conn) = self.operators.as_mut().and_then(|d| d.conns.get_mut(key)) {
+            let Some(end) = conn.input.iter().position(|b| *b == b'\n') else {
+                if conn.input.len() > wire::LINE_MOST {
+                    self.tell_operator(key, &Answer::Malformed { reason: "line too long".into() });
+                    return self.close_operator(key);
+                }
+                return conn.socket.want(&self.handle, true);
+            };
+            let line: Vec<u8> = conn.input.drain(..=end).collect();
+            let generation = conn.generation;
+            match wire::read_ask(line.trim_ascii_end()) {
+                Ok(Ask::Whoami) => {
+                    let (name, boot) = (self.own_name(), self.operators.as_ref().map_or(0, |d| d.boot));
+                    let version = env!("CARGO_PKG_VERSION").to_owned();
+                    self.tell_operator(key, &Answer::Whoami { name, boot, version });
+                }
+                Ok(Ask::State) => {
+                    let reading = self.reading();
+                    self.tell_operator(key, &Answer::State(Box::new(reading)));
+                }
+                Ok(Ask::Command(command)) => self.queue_command(Waiting { conn: key, generation, command }),
+                Err(reason) => self.tell_operator(key, &Answer::Malformed { reason }),
+            }
+        }
+    }
+
+    fn tell_operator(&mut self, key: usize, answer: &Answer) {
+        let Some(conn) = self.operators.as_mut().and_then(|d| d.conns.get_mut(key)) else { return };
+        conn.socket.out().extend(wire::write(answer));
+        // An operator who asks and never reads is not waited for.
+        if conn.socket.flush().is_err() || conn.socket.unwritten() > 4 * wire::LINE_MOST {
+            return self.close_operator(key);
+        }
+        conn.socket.want(&self.handle, true);
+    }
+
+    fn queue_command(&mut self, waiting: Waiting) {
+        let Some(desk) = &mut self.operators else { return };
+        if desk.waiting.len() >= WAITING_MOST {
+            let reason = "too many commands wait".to_owned();
+            let key = waiting.conn;
+            return self.tell_operator(key, &Answer::Command(Reply::Refused { reason }));
+        }
+        desk.waiting.push_back(waiting);
+        self.next_command();
+    }
+
+    fn present(&self) -> Present {
+        let boot = self.operators.as_ref().map_or(0, |d| d.boot);
+        Present { boot, release: self.engine.news().map(|n| (n.build, n.stage)) }
+    }
+
+    /// Takes the next command, unless one is being kept: commands have one order.
+    fn next_command(&mut self) {
+        let present = self.present();
+        let Some(desk) = self.operators.as_mut().filter(|d| d.keeping.is_none()) else { return };
+        let Some(waiting) = desk.waiting.pop_front() else { return };
+        let now = wall_clock();
+        let mut book = desk.book.clone();
+        let (reply, change) = book.take(now, present, &waiting.command);
+        let line = audit_line(now, &waiting.command, &reply);
+        if desk.to_keeper.send((book.durable().clone(), line)).is_err() {
+            let reason = "the keeper of the state has failed".to_owned();
+            let key = waiting.conn;
+            return self.tell_operator(key, &Answer::Command(Reply::Refused { reason }));
+        }
+        desk.keeping = Some((waiting, book, reply, change));
+    }
+
+    /// The keeper is done with a command: now it is in force, or refused and nothing has changed.
+    fn kept(&mut self, kept: Kept) {
+        let Some((waiting, book, reply, change)) = self.operators.as_mut().and_then(|d| d.keeping.take())
+        else {
+            return;
+        };
+        let reply = match kept.result {
+            Ok(()) => {
+                if let Some(desk) = &mut self.operators {
+                    desk.book = book;
+                }
+                match change.map(|change| self.change(change)) {
+                    Some(Err(reason)) => Reply::Refused { reason },
+                    Some(Ok(())) | None => reply,
+                }
+            }
+            Err(why) => Reply::Refused { reason: format!("the daemon's state cannot be kept: {why}") },
+        };
+        let Command { id, issuer, act, .. } = &waiting.command;
+        tracing::info!(target: "operator", id, issuer, act = act.name(), ?reply, "command");
+        let live = self.operators.as_ref().and_then(|d| d.conns.get(waiting.conn));
+        if live.is_some_and(|c| c.generation == waiting.generation) {
+            self.tell_operator(waiting.conn, &Answer::Command(reply));
+        }
+        self.next_command();
+    }
+
+    fn change(&mut self, change: Change) -> Result<(), String> {
+        let now = self.now();
+        match change {
+            Change::Pause => self.engine.operator(now, Operator::Pause),
+            Change::Resume => self.engine.operator(now, Operator::Resume),
+            Change::Back => self.engine.operator(now, Operator::Back),
+            Change::Drain => self.stop_taking(),
+            Change::Undrain => return self.take_again(),
+            Change::LogLevel(filter) => {
+                return self.operators.as_mut().map_or(Ok(()), |d| (d.set_log)(&filter));
+            }
+            Change::Reload => return self.reload(),
+        }
+        Ok(())
+    }
+
+    pub(super) fn reload_on_signal(&mut self) {
+        match self.reload() {
+            Ok(()) => tracing::info!("settings read again"),
+            Err(why) => tracing::error!("settings stay as they were: {why}"),
+        }
+    }
+
+    /// Reads the settings again. Whole or not at all: what the decisions run by, and what is bound, needs a
+    /// new process and refuses the rest with it.
+    fn reload(&mut self) -> Result<(), String> {
+        let Some(desk) = &mut self.operators else { return Err("no settings to read again".into()) };
+        let Reloaded(new) = (desk.reload)()?;
+        let old = &self.settings;
+        let same = |what: &str, is: bool| if is { Ok(()) } else { Err(format!("{what} need a new process")) };
+        same("decisions", format!("{:?}", old.decisions) == format!("{:?}", new.decisions))?;
+        same(
+            "name, site and classes",
+            (&old.name, old.site, &old.class_names) == (&new.name, new.site, &new.class_names),
+        )?;
+        same("addresses that are bound", (&old.listen, old.peer_listen) == (&new.listen, new.peer_listen))?;
+        same("tenants", old.tenants == new.tenants)?;
+        self.head_limits = violetseam_http1::Limits {
+            head: new.connections.max_head,
+            fields: new.connections.max_fields,
+            body: new.connections.max_body,
+        };
+        self.settings = Rc::new(new);
+        Ok(())
+    }
+
+    /// A pause that ends by itself, promises that are released.
+    pub(super) fn operators_upkeep(&mut self) {
+        let present = self.present();
+        let Some(desk) = self.operators.as_mut().filter(|d| d.keeping.is_none()) else { return };
+        if desk.turned_away > 0 {
+            tracing::warn!(connections = desk.turned_away, "operators' connections turned away");
+            desk.turned_away = 0;
+        }
+        if desk.book.expire(wall_clock(), present).is_some() {
+            // Kept with the next command; until then a restart finds the pause expired, too.
+            tracing::info!(target: "operator", "the pause has ended");
+            let now = self.now();
+            self.engine.operator(now, Operator::Resume);
+        }
+    }
+
+    fn own_name(&self) -> String {
+        format!("{}-{}", self.settings.name, self.settings.decisions.position)
+    }
+
+    pub(super) fn note_vote(&mut self, build: Build, stage: u8, verdict: Verdict) {
+        self.last_vote = Some(format!("{verdict:?} on build {build}, stage {stage}").to_lowercase());
+    }
+
+    pub(super) fn note_finding(&mut self, text: String) {
+        self.finding = Some(text);
+    }
+
+    /// Counts an attempt for the reading, by the build that its server is listed with.
+    pub(super) fn count_attempt(&mut self, server: ServerId) {
+        let now = self.now();
+        if now >= self.by_build_since + BUILDS_SPAN {
+            self.by_build.swap(0, 1);
+            self.by_build[0].clear();
+            self.by_build_since = now;
+        }
+        if let Some((_, line)) = self.roster_lines.get(&server) {
+            *self.by_build[0].entry(line.build).or_default() += 1;
+        }
+    }
+
+    /// The state at this moment: all of it from one turn of the loop.
+    pub(super) fn reading(&self) -> Reading {
+        let now = self.now();
+        let counts = self.engine.counts();
+        let phase = |phase| match phase {
+            Phase::Trial => "trial",
+            Phase::RollingBack => "rolling_back",
+            Phase::Released => "released",
+            Phase::Withdrawn => "withdrawn",
+        };
+        let release = self.engine.news().map(|n| Release {
+            build: n.build,
+            stage: n.stage,
+            phase: phase(n.phase).to_owned(),
+            cap: n.cap,
+        });
+        let mut attempts = self.by_build[1].clone();
+        for (build, n) in &self.by_build[0] {
+            *attempts.entry(*build).or_default() += n;
+        }
+        let pause = self.operators.as_ref().and_then(|d| d.book.pause());
+        Reading {
+            name: self.own_name(),
+            boot: self.operators.as_ref().map_or(0, |d| d.boot),
+            up_us: self.started.elapsed().as_micros() as u64,
+            draining: self.draining,
+            release,
+            attempts: attempts.into_iter().collect(),
+            vote: self.last_vote.clone(),
+            finding: self.finding.clone(),
+            paused: pause.map(|p| (p.until_us, p.issuer.clone())),
+            counts: Counts {
+                taken: counts.taken,
+                served: counts.served,
+                refused: counts.refused,
+                failed: counts.failed,
+                gone: counts.gone,
+                attempts: counts.attempts,
+            },
+            connections: (self.clients.len() as u64, self.servers.len() as u64),
+            owed: self.engine.owed() as u64,
+            peers: self.peers_heard.values().filter(|at| **at + PEERS_RECENT > now).count() as u64,
+            list_age_us: self.list_heard.map(|at| now.saturating_sub(at)),
+            servers: self.roster_lines.len() as u64,
+        }
+    }
+}
+
+/// A line of the audit log.
+fn audit_line(now: u64, command: &Command, reply: &Reply) -> String {
+    let value = serde_json::json!({"at_us": now, "command": command, "reply": reply});
+    value.to_string()
+}
--- a/crates/proxy/src/driver/peers.rs
+++ b/crates/proxy/src/driver/peers.rs
@@ -35,6 +35,7 @@
             match peer::decode(self.settings.site, &bytes[..length]) {
                 // A number that does not come from its own address is somebody else's word.
                 Ok((number, payload)) if self.settings.peers.get(usize::from(number)) == Some(&from) => {
+                    self.peers_heard.insert(usize::from(number), now);
                     self.engine.peer_message(now, usize::from(number), payload);
                     self.pump();
                 }
--- a/crates/proxy/src/driver/servers.rs
+++ b/crates/proxy/src/driver/servers.rs
@@ -96,6 +96,7 @@
         if !self.engine.awaits(request, attempt) {
             return;
         }
+        self.count_attempt(id);
         let Some(held) = self.held.get_mut(&request) else { return };
         held.attempts.resize(attempt + 1, None);
         let job = Job { request, attempt, written: false, answer: Answer::Awaited };
--- a/crates/proxy/src/driver/timers.rs
+++ b/crates/proxy/src/driver/timers.rs
@@ -26,6 +26,8 @@
     Accept,
     /// Open the desk's stream again.
     Desk,
+    /// An operator's connection has been quiet for long.
+    Operator(usize, u64),
     /// Slow upkeep.
     Upkeep,
     /// A final answer held back on purpose.
@@ -80,6 +82,7 @@
                 What::Call(key, generation) => self.call_timeout(key, generation),
                 What::Accept => self.accept_again(),
                 What::Desk => self.open_desk_stream(),
+                What::Operator(key, generation) => self.operator_timeout(key, generation),
                 What::Upkeep => self.upkeep(now),
                 #[cfg(feature = "sabotage")]
                 What::Late(request, come_back, timed_out) => {
@@ -94,6 +97,7 @@
 
     fn upkeep(&mut self, now: Micros) {
         self.timers.upkeep(now);
+        self.operators_upkeep();
         if let Some(recorder) = self.engine.recorder() {
             recorder.flush();
         }
--- a/crates/proxy/src/engine.rs
+++ b/crates/proxy/src/engine.rs
@@ -354,6 +354,11 @@
         self.feed(now, Event::VoteReply { outcome, news });
     }
 
+    /// An operator's word on the present stage.
+    pub fn operator(&mut self, now: Micros, word: Operator) {
+        self.feed(now, Event::Operator(word));
+    }
+
     /// A peer's message.
     pub fn peer_message(&mut self, now: Micros, from: usize, payload: &[u8]) {
         self.feed(now, Event::PeerMessage { from, payload });
--- a/crates/recorder/src/frame.rs
+++ b/crates/recorder/src/frame.rs
@@ -70,6 +70,8 @@
     Probed(ServerId, Outcome),
     /// See [`Event::PlatformCount`]: build, class, attempts, failed, mean, age.
     PlatformCount(Build, usize, u32, u32, Micros, Micros),
+    /// See [`Event::Operator`].
+    Operator(Operator),
 }
 
 impl PartialEq for OwnedEvent {
@@ -92,6 +94,7 @@
             Event::Stage(news) => OwnedEvent::Stage(news),
             Event::VoteReply { outcome, news } => OwnedEvent::VoteReply(outcome, news),
             Event::PeerMessage { from, payload } => OwnedEvent::PeerMessage(from, payload.to_vec()),
+            Event::Operator(word) => OwnedEvent::Operator(word),
             Event::Probed { server, outcome } => OwnedEvent::Probed(server, outcome),
             Event::PlatformCount { build, class, attempts, failed, mean, age } => {
                 OwnedEvent::PlatformCount(build, class, attempts, failed, mean, age)
@@ -112,6 +115,7 @@
             OwnedEvent::Stage(news) => Event::Stage(news),
             OwnedEvent::VoteReply(outcome, news) => Event::VoteReply { outcome, news },
             OwnedEvent::PeerMessage(from, ref payload) => Event::PeerMessage { from, payload },
+            OwnedEvent::Operator(word) => Event::Operator(word),
             OwnedEvent::Probed(server, outcome) => Event::Probed { server, outcome },
             OwnedEvent::PlatformCount(build, class, attempts, failed, mean, age) => {
                 Event::PlatformCount { build, class, attempts, failed, mean, age }
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -107,8 +107,10 @@
     pub connections: Connections,
     /// A fixed seed for the decisions' draws; else drawn at each start.
     pub seed: Option<u64>,
-    /// Where the last list is kept over restarts.
+    /// Where the last list and the daemon's state are kept over restarts.
     pub state_dir: Option<PathBuf>,
+    /// The path of the control socket.
+    pub control: Option<PathBuf>,
     /// What the decisions run by.
     pub decisions: v::Settings,
 }
@@ -173,10 +175,32 @@
         connections: check_connections(connections)?,
         seed: fleet.is.seed,
         state_dir: fleet.is.state_dir.as_ref().map(PathBuf::from),
+        control: fleet.is.control.as_ref().map(PathBuf::from),
         decisions: decisions(s, &fleet.is, &rollout.is, &contract.is, limits, peers.is_some()),
     })
 }
 
+/// The daemons of a fleet file.
+pub(crate) fn members(script: &str, s: &Sections) -> Result<Vec<Member>, Fault> {
+    let mut members: Vec<Member> = Vec::new();
+    for placed in &s.members {
+        let m = &placed.is;
+        let plain =
+            |text: &String| !text.is_empty() && text.len() <= 128 && !text.contains(char::is_whitespace);
+        if !plain(&m.name) || !m.groups.iter().all(plain) || m.control.is_empty() {
+            return placed.fault("member: names and groups are 1 to 128 characters without spaces");
+        }
+        if members.iter().any(|other| other.name == m.name || other.control == m.control) {
+            return placed.fault(format!("member: {:?} or its control socket twice", m.name));
+        }
+        members.push(m.clone());
+    }
+    if members.is_empty() {
+        return Err(Fault(format!("{script}: no member(...)")));
+    }
+    Ok(members)
+}
+
 fn check_fleet(fleet: &Placed<Fleet>, peers: Option<&Placed<Peers>>) -> Result<(), Fault> {
     let Fleet { name, size, position, .. } = &fleet.is;
     let plain = !name.is_empty() && name.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(&b));
@@ -189,6 +213,9 @@
     if position >= size {
         return fleet.fault(format!("fleet: position {position} in a fleet of {size}"));
     }
+    if fleet.is.control.is_some() && fleet.is.state_dir.is_none() {
+        return fleet.fault("fleet: a control socket needs a state_dir: commands outlive the process");
+    }
     match peers {
         Some(p) if p.is.addrs.len() != *size => {
             p.fault(format!("peers: {} addresses for a fleet of {size}", p.is.addrs.len()))
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -11,5 +11,5 @@
 mod span;
 
 pub use check::{Connections, Headers, ProxySettings, Route};
-pub use script::{Fault, read_file, read_text};
-pub use sections::HalfClose;
+pub use script::{Fault, read_file, read_fleet, read_text};
+pub use sections::{HalfClose, Member};
--- a/crates/settings/src/script.rs
+++ b/crates/settings/src/script.rs
@@ -64,6 +64,7 @@
     pub limits: Vec<Placed<Limits>>,
     pub contract: Vec<Placed<Contract>>,
     pub connections: Vec<Placed<ConnectionLimits>>,
+    pub members: Vec<Placed<Member>>,
 }
 
 #[derive(Default)]
@@ -184,6 +185,13 @@
         keep(eval, "connections", args, |s| &mut s.connections)
     }
 
+    fn member<'v>(
+        #[starlark(kwargs)] args: SmallMap<String, Value<'v>>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<NoneType> {
+        keep(eval, "member", args, |s| &mut s.members)
+    }
+
     /// The value given on the command line (`--set name=value`), else the default, which also says
     /// whether a number or a text is wanted.
     fn option<'v>(
@@ -268,6 +276,14 @@
     read(&path.display().to_string(), text, folder, options)
 }
 
+/// Reads and checks a fleet file: the daemons that it lists.
+pub fn read_fleet(path: &Path, options: &[(String, String)]) -> Result<Vec<Member>, Fault> {
+    let text = read_bounded(path).map_err(|e| Fault(format!("{}: {e}", path.display())))?;
+    let folder = path.parent().map(|p| if p.as_os_str().is_empty() { PathBuf::from(".") } else { p.into() });
+    let name = path.display().to_string();
+    check::members(&name, &evaluate(&name, text, folder, options)?)
+}
+
 /// Reads and checks settings from a text, which can load no files.
 pub fn read_text(name: &str, text: &str, options: &[(String, String)]) -> Result<ProxySettings, Fault> {
     read(name, text.to_owned(), None, options)
@@ -279,6 +295,15 @@
     folder: Option<PathBuf>,
     options: &[(String, String)],
 ) -> Result<ProxySettings, Fault> {
+    check::check(name, &evaluate(name, text, folder, options)?)
+}
+
+fn evaluate(
+    name: &str,
+    text: String,
+    folder: Option<PathBuf>,
+    options: &[(String, String)],
+) -> Result<Sections, Fault> {
     let globals = GlobalsBuilder::standard().with(sections).build();
     STORE.set(Store { options: options.iter().cloned().collect(), ..Store::default() });
     let loader = Loader { folder, globals: &globals, depth: 0 };
@@ -304,5 +329,5 @@
     if let Some((unknown, _)) = options.iter().find(|(name, _)| !store.asked.contains(name)) {
         return Err(Fault(format!("{name}: asks for no option {unknown:?}")));
     }
-    check::check(name, &store.sections)
+    Ok(store.sections)
 }
--- a/crates/settings/src/sections.rs
+++ b/crates/settings/src/sections.rs
@@ -21,6 +21,21 @@
     pub seed: Option<u64>,
     #[serde(default)]
     pub state_dir: Option<String>,
+    #[serde(default)]
+    pub control: Option<String>,
+}
+
+/// A daemon of a fleet file.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Member {
+    /// Its name.
+    pub name: String,
+    /// The path of its control socket.
+    pub control: String,
+    /// Groups it can be addressed by.
+    #[serde(default)]
+    pub groups: Vec<String>,
 }
 
 #[derive(Clone, Debug, Deserialize)]
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -102,6 +102,7 @@
             Event::Stage(news) => self.on_news(now, news),
             Event::VoteReply { outcome, news } => self.on_vote_reply(now, outcome, news),
             Event::PeerMessage { from, payload } => self.on_peer_message(from, payload),
+            Event::Operator(word) => self.on_operator(now, word, out),
             Event::Probed { .. } | Event::PlatformCount { .. } => {}
         }
         // One timer, for what comes next: hundreds of idle balancers cost next to nothing.
@@ -701,7 +702,10 @@
         self.m.pending = self.m.pending.filter(|p| age(p) <= 2 * self.set.rollout.call_timeout);
         let held = self.m.standing.filter(|s| age(s) < ttl);
         let aged = held.is_some_and(|s| age(&s) as f64 >= ttl as f64 * RENEW_SHARE);
-        let (build, stage, verdict) = (news.build, news.stage, self.m.verdict);
+        let (build, stage) = (news.build, news.stage);
+        let timer = self.set.rollout.gate == GateMode::Timer && news.phase == Phase::Trial;
+        let withheld = if timer { Verdict::Hold } else { Verdict::Withdraw };
+        let verdict = if self.m.paused { withheld } else { self.m.verdict };
         let same = held.map_or(Verdict::Withdraw, |s| s.verdict) == verdict && !aged;
         if self.m.pending.is_none() && now >= self.m.vote_at && !same {
             self.m.pending = Some(Cast { build, stage, verdict, at: now });
@@ -709,6 +713,15 @@
         }
     }
 
+    /// An operator's word: a pause withholds votes and goes on judging, 'back' stands as a conviction does.
+    fn on_operator(&mut self, now: Micros, word: Operator, out: &mut Vec<Action>) {
+        self.m.paused = word == Operator::Pause;
+        if word == Operator::Back && self.subject().is_some() {
+            self.m.verdict = Verdict::Back;
+        }
+        self.vote(now, out);
+    }
+
     fn on_vote_reply(&mut self, now: Micros, outcome: Outcome, news: Option<StageNews>) {
         // The reply to a vote on another stage says nothing of this one.
         let current = self.m.news.map(|n| (n.build, n.stage));
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -340,6 +340,18 @@
     pub settled: bool,
 }
 
+/// An operator's word on the newest build's present stage.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
+pub enum Operator {
+    /// Withhold votes; where stages move by the clock, hold it.
+    Pause,
+    /// Vote again.
+    Resume,
+    /// Vote it back.
+    Back,
+}
+
 /// Something that happened.
 #[derive(Clone, Copy, Debug)]
 pub enum Event<'a> {
@@ -396,6 +408,8 @@
         /// The bytes.
         payload: &'a [u8],
     },
+    /// An operator overrides this balancer's vote.
+    Operator(Operator),
     /// A probe's result.
     Probed {
         /// The server.
--- a/src/state.rs
+++ b/src/state.rs
@@ -333,6 +333,8 @@
     pub breaches: f64,
     /// The verdict that stands.
     pub verdict: Verdict,
+    /// An operator has votes withheld.
+    pub paused: bool,
     /// The build on trial has been compared with an earlier one.
     pub compared: bool,
     /// The vote that the platform holds.
--- /dev/null
+++ b/tests/operator.rs
@@ -0,0 +1,69 @@
+//! An operator's word: votes withheld, given back, or cast against the module's own finding.
+
+mod common;
+use common::*;
+use violetseam::interface::*;
+
+const OK: (Outcome, Micros) = (Outcome::Ok, 50 * MS);
+
+fn rig(gate: GateMode, phase: Phase) -> Rig {
+    let mut set = settings();
+    set.rollout.gate = gate;
+    Rig::new(set, &fleet(6, 4), news(2, 2, phase, 1.0))
+}
+
+fn say(rig: &mut Rig, word: Operator) -> Vec<Verdict> {
+    votes(&rig.feed(Event::Operator(word)))
+}
+
+fn accept(rig: &mut Rig) -> Vec<Verdict> {
+    votes(&rig.feed(Event::VoteReply { outcome: Outcome::Ok, news: None }))
+}
+
+#[test]
+fn a_pause_withdraws_the_vote_that_stands_and_a_resume_gives_it_back() {
+    let mut rig = rig(GateMode::Any, Phase::Trial);
+    assert_eq!(votes(&rig.traffic(&[SAFE, KEYED, FRAGILE], 700, |_, _| OK)).first(), Some(&Verdict::On));
+    accept(&mut rig);
+    rig.run(200 * MS);
+    accept(&mut rig);
+    assert_eq!(say(&mut rig, Operator::Pause), [Verdict::Withdraw]);
+    accept(&mut rig);
+    assert!(!votes(&rig.traffic(&[SAFE, KEYED, FRAGILE], 900, |_, _| OK)).contains(&Verdict::On));
+    // The module went on judging meanwhile.
+    rig.run(2_000 * MS);
+    accept(&mut rig);
+    assert_eq!(say(&mut rig, Operator::Resume), [Verdict::On]);
+}
+
+#[test]
+fn under_the_clock_a_pause_holds_it() {
+    let mut rig = rig(GateMode::Timer, Phase::Trial);
+    rig.traffic(&[SAFE, KEYED, FRAGILE], 300, |_, _| OK);
+    assert_eq!(say(&mut rig, Operator::Pause), [Verdict::Hold]);
+    accept(&mut rig);
+    // Held on, renewed before it expires.
+    assert!(votes(&rig.traffic(&[SAFE, KEYED, FRAGILE], 900, |_, _| OK)).iter().all(|v| *v == Verdict::Hold));
+}
+
+#[test]
+fn back_is_cast_over_a_clean_finding_and_ends_a_pause() {
+    let mut rig = rig(GateMode::Any, Phase::Trial);
+    rig.traffic(&[SAFE, KEYED, FRAGILE], 700, |_, _| OK);
+    accept(&mut rig);
+    say(&mut rig, Operator::Pause);
+    accept(&mut rig);
+    assert_eq!(say(&mut rig, Operator::Back), [Verdict::Back]);
+    accept(&mut rig);
+    // It stands as a conviction does: clean windows do not take it back.
+    let after = votes(&rig.traffic(&[SAFE, KEYED, FRAGILE], 900, |_, _| OK));
+    assert!(after.iter().all(|v| *v == Verdict::Back), "{after:?}");
+}
+
+#[test]
+fn there_is_nothing_to_vote_back_once_a_build_is_withdrawn() {
+    let mut rig = rig(GateMode::Any, Phase::Withdrawn);
+    assert_eq!(say(&mut rig, Operator::Back), []);
+    rig.feed(Event::Stage(news(3, 0, Phase::Trial, 0.16)));
+    assert!(!votes(&rig.run(3 * S)).contains(&Verdict::Back), "a word outlived the build it was about");
+}
