--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -81,6 +81,9 @@
     let report = violetseam_recorder::replay(file, interest, &mut |line| println!("{line}"))
         .map_err(|fault| fault.to_string())?;
     println!("{} events, {} actions, {} starts", report.events, report.actions, report.starts);
+    for (kind, count) in &report.kinds {
+        println!("  {kind}: {count}");
+    }
     if report.full {
         println!("the recording ended at its bound");
     }
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -1,15 +1,16 @@
 //! `violetseam serve`: one proxy in the foreground.
 
 use clap::{Args as ClapArgs, ValueEnum};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tracing_subscriber::EnvFilter;
 use tracing_subscriber::layer::SubscriberExt;
 use tracing_subscriber::util::SubscriberInitExt;
 use tracing_subscriber::{Layer, Registry, reload};
-use violetseam_daemon::Store;
-use violetseam_proxy::driver::{Operators, Options, Reloaded, SetLog, serve_operated};
+use violetseam_daemon::Opened;
+use violetseam_daemon::{Store, StoreFault};
+use violetseam_proxy::driver::{Operators, Options, Reloaded, Reopened, SetLog, inherit, serve_operated};
 use violetseam_recorder::Bounds;
 use violetseam_settings::{ProxySettings, read_file};
 
@@ -36,6 +37,9 @@
     /// Measure the time spent in the decision module and tell it at the end
     #[arg(long)]
     time_module: bool,
+    /// Take the sockets and what was learned from the process that serves now, which then drains and ends
+    #[arg(long)]
+    takeover: bool,
     /// Stop by itself after so many seconds
     #[arg(long)]
     stop_after: Option<u64>,
@@ -83,8 +87,13 @@
         }),
     };
     let name = format!("{}-{}", settings.name, settings.decisions.position);
+    let inherited = match (args.takeover, &settings.control) {
+        (false, _) => None,
+        (true, Some(control)) => Some(inherit(control)?),
+        (true, None) => return Err("--takeover needs a control socket in the settings".into()),
+    };
     let operators = operators(args, &settings, set_log)?;
-    let summary = serve_operated(settings, options, operators, |addresses| {
+    let summary = serve_operated(settings, options, operators, inherited, |addresses| {
         for addr in addresses {
             println!("{name} takes clients on {addr}");
         }
@@ -122,7 +131,8 @@
         return Ok(None);
     };
     let now = violetseam_fleet::wall_clock();
-    let opened = Store::open(folder, settings.decisions.position, now).map_err(|e| e.to_string())?;
+    let (folder, position) = (folder.clone(), settings.decisions.position);
+    let opened = open_store(&folder, position, now, args.takeover)?;
     let (file, set) = (args.settings.clone(), args.set.clone());
     let reload = move || read_file(&file, &set).map(Reloaded).map_err(|e| e.to_string());
     Ok(Some(Operators {
@@ -131,6 +141,24 @@
         durable: opened.durable,
         keeper: Box::new(opened.store),
         reload: Box::new(reload),
+        reopen: Box::new(move || {
+            let opened = open_store(&folder, position, violetseam_fleet::wall_clock(), true)?;
+            let keeper = Box::new(opened.store);
+            Ok(Reopened { boot: opened.boot, durable: opened.durable, keeper })
+        }),
         set_log,
     }))
 }
+
+/// Opens the store; in a takeover the other process gives it up at any moment, so it is waited for.
+fn open_store(folder: &Path, position: usize, now: u64, wait: bool) -> Result<Opened, String> {
+    let until = Instant::now() + Duration::from_secs(2);
+    loop {
+        match Store::open(folder, position, now) {
+            Err(StoreFault::Taken(_)) if wait && Instant::now() < until => {
+                std::thread::sleep(Duration::from_millis(2));
+            }
+            other => return other.map_err(|e| e.to_string()),
+        }
+    }
+}
--- a/crates/cli/tests/days.rs
+++ b/crates/cli/tests/days.rs
@@ -39,6 +39,14 @@
     }
 }
 
+#[test]
+fn takeovers_under_load_lose_no_request_and_break_no_rule() {
+    let outcome = play(5, &days::takeover_short(), &[]);
+    assert!(outcome.is_good(), "{:?} {:?}", outcome.verdict.violations, outcome.faults);
+    let [_, _, _, broken, unreachable, _] = outcome.clients.tries;
+    assert_eq!((broken, unreachable), (0, 0), "requests were lost in a takeover");
+}
+
 /// A day for the saboteurs: servers fail, builds come, drains happen.
 #[cfg(feature = "sabotage")]
 fn rough() -> Day {
--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -161,6 +161,32 @@
     fleet.end();
 }
 
+#[test]
+fn a_takeover_that_fails_halfway_leaves_the_old_one_serving() {
+    let fleet = Fleet::start("halfway", 1);
+    assert_eq!(fleet.tool(&["pause", "--for", "60"]).0, 0);
+    let path = fleet.folder.join("0/control");
+    for gone_at_once in [true, false] {
+        let mut stream = UnixStream::connect(&path).unwrap();
+        stream.write_all(b"\"takeover\"\n").unwrap();
+        let mut byte = [0];
+        stream.read_exact(&mut byte).unwrap();
+        if !gone_at_once {
+            stream.write_all(b"what?\n").unwrap();
+            let _ = stream.read_to_end(&mut Vec::new());
+        }
+        drop(stream);
+        let until = Instant::now() + Duration::from_secs(5);
+        while !fleet.daemons[0].ask(Duration::from_secs(2)).is_some_and(|a| a.ends_with("ok")) {
+            assert!(Instant::now() < until, "the old process does not serve on");
+        }
+        let state = states(&fleet.tool(&["state"]).1)[0].clone();
+        assert!(!state["paused"].is_null(), "{state}");
+    }
+    assert_eq!(fleet.tool(&["resume"]).0, 0, "its state is its own again");
+    fleet.end();
+}
+
 #[test]
 fn a_flood_of_control_connections_and_nonsense_disturbs_no_request() {
     let fleet = Fleet::start("flood", 1);
--- a/crates/control/src/wire.rs
+++ b/crates/control/src/wire.rs
@@ -115,6 +115,8 @@
     State,
     /// A command.
     Command(Command),
+    /// Hand over to a new process; what follows on the connection is theirs (`takeover` in the proxy).
+    Takeover,
 }
 
 /// What became of a command.
--- a/crates/lab/src/days.rs
+++ b/crates/lab/src/days.rs
@@ -6,7 +6,7 @@
 const S: u64 = 1_000_000;
 
 /// Names of the days that come with the program.
-pub const NAMES: [&str; 4] = ["demo", "bad-day", "bad-day-short", "quiet"];
+pub const NAMES: [&str; 6] = ["demo", "bad-day", "bad-day-short", "quiet", "takeovers", "takeover-short"];
 
 /// A day by its name.
 pub fn named(name: &str) -> Option<Day> {
@@ -15,6 +15,8 @@
         "bad-day" => Some(bad_day()),
         "bad-day-short" => Some(bad_day_short()),
         "quiet" => Some(quiet()),
+        "takeovers" => Some(takeovers()),
+        "takeover-short" => Some(takeover_short()),
         _ => None,
     }
 }
@@ -157,6 +159,25 @@
     base("quiet", 10 * S, 3, 12, 500.0)
 }
 
+/// Twenty takeovers of two proxies at 70% load while builds come.
+pub fn takeovers() -> Day {
+    let mut day = base("takeovers", 46 * S, 2, 8, 800.0);
+    day.traffic.shape = vec![(0.0, 1.0), (1.0, 1.0)];
+    day.clients.impatient = 0.0;
+    day.releases = vec![release(2 * S, None, 0.0), release(26 * S, Some(Fault::Errors), 0.6)];
+    day.troubles = vec![trouble(Kind::ProxyTakeover, 3 * S, 40 * S, 10.0, 0.0, &[0, 1], 0)];
+    day
+}
+
+/// Four takeovers of two proxies while a build comes, for CI.
+pub fn takeover_short() -> Day {
+    let mut day = base("takeover-short", 12 * S, 2, 8, 300.0);
+    day.clients.impatient = 0.0;
+    day.releases = vec![release(S, None, 0.0)];
+    day.troubles = vec![trouble(Kind::ProxyTakeover, 3 * S, 6 * S, 2.0, 0.0, &[0, 1], 0)];
+    day
+}
+
 /// All at once: a bad build while servers fail, a shared slowness, a lost zone, a killed proxy, a silent
 /// desk, a late roster and lost datagrams.
 pub fn bad_day() -> Day {
--- a/crates/lab/src/drawn.rs
+++ b/crates/lab/src/drawn.rs
@@ -395,6 +395,8 @@
         "control_down" if t.size > 0.0 => (Kind::DeskLate, servers, t.size),
         "control_down" => (Kind::DeskSilent, servers, t.size),
         "report_late" => (Kind::DeskLate, servers, t.size),
+        // A mark of the release, which says itself what is wrong with it.
+        "bad_build" => return None,
         other => {
             notes.push(format!("trouble {other:?} from {:.1} s on cannot be played here", t.at as f64 / 1e6));
             return None;
--- a/crates/lab/src/proxies.rs
+++ b/crates/lab/src/proxies.rs
@@ -22,11 +22,13 @@
     launch: Launch,
     net: Net,
     children: Vec<Option<Child>>,
+    /// Processes whose sockets were taken over: each ends by itself.
+    leaving: Vec<(usize, Child)>,
 }
 
 impl Proxies {
     pub fn new(launch: Launch, net: Net, count: usize) -> Self {
-        Proxies { launch, net, children: (0..count).map(|_| None).collect() }
+        Proxies { launch, net, children: (0..count).map(|_| None).collect(), leaving: Vec::new() }
     }
 
     fn log(&self, n: usize) -> std::io::Result<File> {
@@ -34,19 +36,32 @@
     }
 
     pub fn start(&mut self, n: usize) -> std::io::Result<()> {
+        let child = self.spawn(n, &[])?;
+        self.children[n] = Some(child);
+        Ok(())
+    }
+
+    /// Starts a process that takes over from a running one.
+    pub fn take_over(&mut self, n: usize) -> std::io::Result<()> {
+        let child = self.spawn(n, &["--takeover"])?;
+        let before = self.children[n].replace(child);
+        self.leaving.extend(before.map(|child| (n, child)));
+        Ok(())
+    }
+
+    fn spawn(&self, n: usize, more: &[&str]) -> std::io::Result<Child> {
         let log = self.log(n)?;
-        let child = Command::new(&self.launch.program)
+        Command::new(&self.launch.program)
             .arg("serve")
             .arg("--settings")
             .arg(&self.launch.settings)
             .args(["--set", &format!("position={n}")])
             .args(self.launch.extra.iter().map(|arg| arg.replace("{position}", &n.to_string())))
+            .args(more)
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
             .stderr(log)
-            .spawn()?;
-        self.children[n] = Some(child);
-        Ok(())
+            .spawn()
     }
 
     /// Waits until a proxy takes connections.
@@ -82,8 +97,9 @@
         }
         let until = Instant::now() + within;
         let mut wrong = Vec::new();
-        for n in 0..self.children.len() {
-            let Some(mut child) = self.children[n].take() else { continue };
+        let all = self.children.iter_mut().enumerate().filter_map(|(n, c)| Some((n, c.take()?)));
+        let all: Vec<(usize, Child)> = all.chain(self.leaving.drain(..)).collect();
+        for (n, mut child) in all {
             loop {
                 match child.try_wait() {
                     Ok(Some(status)) if status.success() => break,
@@ -114,6 +130,10 @@
 impl Drop for Proxies {
     fn drop(&mut self) {
         (0..self.children.len()).for_each(|n| self.kill(n));
+        for (_, child) in &mut self.leaving {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
     }
 }
 
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -64,6 +64,7 @@
 enum Blow {
     Kill,
     Start,
+    TakeOver,
 }
 
 /// The blows of a day in order; a proxy hit by two troubles at once stays down until the later end.
@@ -91,6 +92,11 @@
     }
     let both = |(p, from, to): (usize, u64, u64)| [(from, Blow::Kill, p), (to, Blow::Start, p)];
     let mut blows: Vec<_> = merged.into_iter().flat_map(both).collect();
+    for t in day.troubles.iter().filter(|t| t.kind == Kind::ProxyTakeover) {
+        let times = t.size.max(1.0) as u64;
+        let at = |i| t.at + i * t.len / times;
+        blows.extend((0..times).flat_map(|i| t.on.iter().map(move |&p| (at(i), Blow::TakeOver, p))));
+    }
     blows.sort_unstable();
     blows
 }
@@ -214,6 +220,10 @@
                         // What it sent in its last moment is seen a little later: its life ends here.
                         entries.push(Entry { at: clock.now(), record: Record::Killed { proxy: n as u32 } });
                     }
+                    Blow::TakeOver => {
+                        say(&format!("{} proxy {n} is taken over", at(now)));
+                        proxies.take_over(n).map_err(|e| format!("proxy {n}: {e}"))?;
+                    }
                     Blow::Start => {
                         say(&format!("{} proxy {n} is started again", at(now)));
                         proxies.start(n).map_err(|e| format!("proxy {n}: {e}"))?;
--- a/crates/lab/src/script.rs
+++ b/crates/lab/src/script.rs
@@ -5,6 +5,11 @@
 use violetseam_standin::day::{Day, Effect, Gate};
 use violetseam_standin::drive::Net;
 
+/// Where the proxies of a run have their control sockets, less `-N`.
+pub fn control_path(net: Net) -> std::path::PathBuf {
+    std::env::temp_dir().join(format!("vs-lab-{}", net.roster().ip()))
+}
+
 fn us(span: u64) -> String {
     format!("\"{span}us\"")
 }
@@ -19,10 +24,13 @@
     let n = day.proxies.len();
     let zones: Vec<u16> = day.proxies.iter().map(|p| p.zone).collect();
     let dir = state_dir.display();
+    // Control sockets have short paths by nature.
+    let control = control_path(net);
+    let control = control.display();
     let hints = flag(day.servers.iter().any(|x| (x.cores - day.servers[0].cores).abs() > 1e-9));
     let _ = writeln!(
         s,
-        "fleet(name = \"lab\", size = {n}, position = N, site = 7, zone = {zones:?}[N], sizes_known = {hints}, state_dir = \"{dir}\")"
+        "fleet(name = \"lab\", size = {n}, position = N, site = 7, zone = {zones:?}[N], sizes_known = {hints}, state_dir = \"{dir}\", control = \"{control}-%d\" % N)"
     );
     let _ = writeln!(s, "listen(addr = [{}][N])", quoted((0..n).map(|i| net.proxy(i).to_string())));
     let _ = writeln!(s, "roster(addr = \"{}\", timeout = \"1s\")", net.roster());
--- a/crates/proxy/src/driver/clients.rs
+++ b/crates/proxy/src/driver/clients.rs
@@ -119,20 +119,26 @@
             socket.bind(&(*addr).into()).map_err(refuse)?;
             socket.listen(4096)?;
             socket.set_nonblocking(true)?;
-            let listener: Rc<TcpListener> = Rc::new(socket.into());
-            let source = Generic::new(listener.clone(), Interest::READ, Mode::Level);
-            let token = self
-                .handle
-                .insert_source(source, |_, listener, proxy: &mut Proxy| {
-                    proxy.accept(listener);
-                    Ok(PostAction::Continue)
-                })
-                .map_err(|e| std::io::Error::other(e.to_string()))?;
-            self.listeners.push((listener, Some(token)));
+            self.add_listener(socket.into())?;
         }
         Ok(())
     }
 
+    /// Puts a listening socket on the loop.
+    pub(super) fn add_listener(&mut self, listener: TcpListener) -> std::io::Result<()> {
+        let listener: Rc<TcpListener> = Rc::new(listener);
+        let source = Generic::new(listener.clone(), Interest::READ, Mode::Level);
+        let token = self
+            .handle
+            .insert_source(source, |_, listener, proxy: &mut Proxy| {
+                proxy.accept(listener);
+                Ok(PostAction::Continue)
+            })
+            .map_err(|e| std::io::Error::other(e.to_string()))?;
+        self.listeners.push((listener, Some(token)));
+        Ok(())
+    }
+
     fn accept(&mut self, listener: &TcpListener) {
         for _ in 0..ACCEPTS_MOST {
             if self.clients.len() >= self.settings.connections.max_clients {
@@ -154,14 +160,20 @@
         }
     }
 
+    /// Stops or goes on accepting.
+    pub(super) fn set_accepting(&mut self, accepting: bool) {
+        for (_, token) in &self.listeners {
+            let set = |token| if accepting { self.handle.enable(token) } else { self.handle.disable(token) };
+            token.iter().for_each(|token| drop(set(token)));
+        }
+    }
+
     fn pause_accepting(&mut self, why: &str) {
         let now = self.now();
         if self.quiet.allows(now) {
             tracing::warn!(open = self.clients.len(), "accepting pauses: {why}");
         }
-        for (_, token) in &self.listeners {
-            token.iter().for_each(|token| drop(self.handle.disable(token)));
-        }
+        self.set_accepting(false);
         self.timers.set(now + ACCEPT_PAUSE, What::Accept);
     }
 
@@ -171,11 +183,19 @@
         listeners.iter().for_each(|listener| self.accept(listener));
     }
 
+    /// Connections between requests.
+    pub(super) fn idle_clients(&self) -> Vec<usize> {
+        self.clients.iter().filter(|(_, c)| c.is_between_requests()).map(|(key, _)| key).collect()
+    }
+
+    /// The sockets of these connections.
+    pub(super) fn streams_of(&self, keys: &[usize]) -> Vec<&TcpStream> {
+        keys.iter().filter_map(|key| Some(self.clients.get(*key)?.socket.stream())).collect()
+    }
+
     /// Before a drain: what has come on idle connections is read, the others close.
     pub(super) fn close_idle_clients(&mut self) {
-        let idle: Vec<usize> =
-            self.clients.iter().filter(|(_, c)| c.is_between_requests()).map(|(key, _)| key).collect();
-        for key in idle {
+        for key in self.idle_clients() {
             self.read_client(key);
             if self.clients.get(key).is_some_and(Client::is_between_requests) {
                 self.close_client(key);
@@ -184,12 +204,12 @@
     }
 
     pub(super) fn accept_again(&mut self) {
-        for (_, token) in &self.listeners {
-            token.iter().for_each(|token| drop(self.handle.enable(token)));
+        if self.handing.is_none() {
+            self.set_accepting(true);
         }
     }
 
-    fn add_client(&mut self, stream: TcpStream) -> std::io::Result<()> {
+    pub(super) fn add_client(&mut self, stream: TcpStream) -> std::io::Result<()> {
         stream.set_nonblocking(true)?;
         stream.set_nodelay(true)?;
         let generation = self.next_generation();
@@ -303,7 +323,9 @@
             on.is_none_or(|s| s.unwritten() > HIGH_WATER) && h.body.len() > c.keep_body
         });
         let full = client.http.held() > INPUT_MOST || client.socket.unwritten() > HIGH_WATER;
-        client.socket.want(&self.handle, !client.half_closed && !stuck && !full);
+        // While a process takes over, what comes next on a connection is for whoever has it then.
+        let handing = self.handing.is_some();
+        client.socket.want(&self.handle, !client.half_closed && !stuck && !full && !handing);
     }
 
     pub(super) fn client_timeout(&mut self, now: Micros, key: usize, generation: u64) {
@@ -542,7 +564,7 @@
         extra: &[(HeaderName, &[u8])],
         close: bool,
     ) {
-        let close = close || self.draining;
+        let close = close || self.is_leaving();
         let Some(client) = self.clients.get_mut(key) else { return };
         let mut fields = vec![(VIA, self.via.as_bytes())];
         if !body.is_empty() {
@@ -593,6 +615,7 @@
     ) -> Option<usize> {
         let (key, _) = self.client_of(id)?;
         let answer = flag::write_id(answer);
+        let leaving = self.is_leaving();
         let client = self.clients.get_mut(key)?;
         let fields = [
             (VIA, self.via.as_bytes()),
@@ -600,7 +623,7 @@
             (OUTCOME, &b"served"[..]),
         ];
         let out = client.socket.out();
-        client.http.start_answer(out, head.status, &head.headers, &fields, framing, self.draining);
+        client.http.start_answer(out, head.status, &head.headers, &fields, framing, leaving);
         Some(key)
     }
 
--- a/crates/proxy/src/driver/control.rs
+++ b/crates/proxy/src/driver/control.rs
@@ -64,7 +64,7 @@
 
     /// Opens the stream of stage news; lost, it is opened again after a while.
     pub(super) fn open_desk_stream(&mut self) {
-        if self.desk_stream.is_some() || self.draining {
+        if self.desk_stream.is_some() || self.handed_over || self.ending {
             return;
         }
         let path = format!("/v1/stage/watch?proxy={}", self.settings.decisions.position);
@@ -316,6 +316,12 @@
         }
     }
 
+    /// Ends the streams from the roster and the desk: they are a successor's now.
+    pub(super) fn leave_site(&mut self) {
+        let streams = [self.watch.take(), self.desk_stream.take()];
+        streams.into_iter().flatten().for_each(|key| self.close_call(key));
+    }
+
     fn close_call(&mut self, key: usize) {
         if self.calls.contains(key) {
             self.calls.remove(key).socket.remove(&self.handle);
--- a/crates/proxy/src/driver/mod.rs
+++ b/crates/proxy/src/driver/mod.rs
@@ -5,6 +5,7 @@
 //! - `control.rs`: calls to the roster and the release desk
 //! - `operators.rs`: the control socket, commands and the reading of the state
 //! - `peers.rs`: datagrams
+//! - `takeover.rs`: a new process takes the sockets and what the module learned
 //! - `timers.rs`: the driver's own time-outs, all of them bounds of connections
 
 mod clients;
@@ -12,6 +13,7 @@
 mod operators;
 mod peers;
 mod servers;
+mod takeover;
 mod timers;
 
 use crate::engine::{Engine, Final, Order};
@@ -19,7 +21,7 @@
 use calloop::{EventLoop, LoopHandle, RegistrationToken};
 use clients::{Client, Held};
 use control::Call;
-pub use operators::{Keeper, Operators, Reload, Reloaded, SetLog};
+pub use operators::{Keeper, Operators, Reload, Reloaded, Reopen, Reopened, SetLog};
 use rand::{Rng, RngExt, SeedableRng};
 use servers::Server;
 use slab::Slab;
@@ -30,6 +32,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
+pub use takeover::{Inherited, inherit};
 use timers::Timers;
 use violetseam::interface::*;
 use violetseam_http1::Limits as HeadLimits;
@@ -91,6 +94,13 @@
     engine: Engine,
     handle: LoopHandle<'static, Proxy>,
     started: Instant,
+    /// The loop's clock at the start.
+    origin: Micros,
+    /// A process is taking over: its connection to the control socket.
+    handing: Option<(usize, u64)>,
+    handed_over: bool,
+    /// Idle connections that were offered to it.
+    handed_clients: Vec<usize>,
     listeners: Vec<(Rc<TcpListener>, Option<RegistrationToken>)>,
     clients: Slab<Client>,
     servers: Slab<Server>,
@@ -105,6 +115,7 @@
     watch: Option<usize>,
     desk_stream: Option<usize>,
     udp: Option<Rc<UdpSocket>>,
+    udp_token: Option<RegistrationToken>,
     via: String,
     head_limits: HeadLimits,
     scratch: Vec<u8>,
@@ -159,7 +170,7 @@
     options: Options,
     ready: impl FnOnce(&[SocketAddr]),
 ) -> std::io::Result<Summary> {
-    serve_operated(settings, options, None, ready)
+    serve_operated(settings, options, None, None, ready)
 }
 
 /// The same with a control socket for operators.
@@ -167,6 +178,7 @@
     settings: ProxySettings,
     options: Options,
     operators: Option<Operators>,
+    inherited: Option<Inherited>,
     ready: impl FnOnce(&[SocketAddr]),
 ) -> std::io::Result<Summary> {
     let mut event_loop: EventLoop<'static, Proxy> = EventLoop::try_new().map_err(std::io::Error::other)?;
@@ -175,7 +187,8 @@
     let mut heard = vec![Signal::SIGTERM, Signal::SIGINT];
     heard.extend(operators.is_some().then_some(Signal::SIGHUP));
     let signals = Signals::new(&heard).map_err(std::io::Error::other)?;
-    let mut proxy = Proxy::bind(settings, &options, event_loop.handle())?;
+    let takes_over = inherited.is_some();
+    let mut proxy = Proxy::bind(settings, &options, event_loop.handle(), inherited)?;
     event_loop
         .handle()
         .insert_source(signals, |event, (), proxy| match event.signal() {
@@ -189,7 +202,11 @@
     let addresses: Vec<SocketAddr> = proxy.listeners.iter().filter_map(|l| l.0.local_addr().ok()).collect();
     ready(&addresses);
     let stop_at = options.stop_after.map(|span| Instant::now() + span);
-    proxy.begin();
+    if takes_over {
+        proxy.go_on()
+    } else {
+        proxy.begin()
+    }
     while !proxy.stopping {
         let mut timeout = proxy.timeout();
         if let Some(at) = stop_at {
@@ -216,6 +233,7 @@
         settings: ProxySettings,
         options: &Options,
         handle: LoopHandle<'static, Proxy>,
+        inherited: Option<Inherited>,
     ) -> std::io::Result<Self> {
         let mut rng: rand_pcg::Pcg64 = match settings.seed {
             Some(seed) => rand_pcg::Pcg64::seed_from_u64(seed),
@@ -226,7 +244,12 @@
             Some((path, bounds)) => Some(Recorder::start(path, *bounds, &settings.decisions, seed)?),
             None => None,
         };
-        let mut engine = Engine::new(settings.decisions.clone(), seed, recorder);
+        let (mut engine, origin) = match &inherited {
+            Some(before) => {
+                (Engine::succeed(settings.decisions.clone(), before.module.clone()), before.clock())
+            }
+            None => (Engine::new(settings.decisions.clone(), seed, recorder), 1_000_000),
+        };
         if options.time_module {
             engine.time_module();
         }
@@ -235,6 +258,10 @@
             engine,
             handle,
             started: Instant::now(),
+            origin,
+            handing: None,
+            handed_over: false,
+            handed_clients: Vec::new(),
             listeners: Vec::new(),
             clients: Slab::new(),
             servers: Slab::new(),
@@ -248,6 +275,7 @@
             watch: None,
             desk_stream: None,
             udp: None,
+            udp_token: None,
             via: format!("1.1 {}-{}", settings.name, settings.decisions.position),
             head_limits: HeadLimits {
                 head: settings.connections.max_head,
@@ -273,8 +301,13 @@
             sabotage: options.sabotage,
             settings: Rc::new(settings),
         };
-        proxy.bind_listeners()?;
-        proxy.bind_peers()?;
+        match inherited {
+            Some(inherited) => proxy.adopt(inherited)?,
+            None => {
+                proxy.bind_listeners()?;
+                proxy.bind_peers()?;
+            }
+        }
         Ok(proxy)
     }
 
@@ -290,9 +323,14 @@
         self.pump();
     }
 
-    /// The loop's clock in microseconds, one second at the start.
+    /// The loop's clock in microseconds: one second at the start, or where the process before had it.
     fn now(&self) -> Micros {
-        1_000_000 + self.started.elapsed().as_micros() as Micros
+        self.origin + self.started.elapsed().as_micros() as Micros
+    }
+
+    /// Answers close their connections: this process takes nothing new, or will not in a moment.
+    fn is_leaving(&self) -> bool {
+        self.draining || self.handing.is_some()
     }
 
     fn next_generation(&mut self) -> u64 {
@@ -335,6 +373,12 @@
     }
 
     fn obey(&mut self, order: Order) {
+        let outward =
+            matches!(order, Order::FollowList | Order::FetchList | Order::Vote { .. } | Order::Tell { .. });
+        // These are the successor's now: two processes must not vote or speak as one proxy.
+        if outward && self.handed_over {
+            return;
+        }
         match order {
             Order::Start { request, attempt, server } => self.start_attempt(request, attempt, server),
             Order::Drop { request, attempt } => self.drop_attempt(request, attempt),
--- a/crates/proxy/src/driver/operators.rs
+++ b/crates/proxy/src/driver/operators.rs
@@ -50,6 +50,19 @@
 /// Sets another log filter.
 pub type SetLog = Box<dyn FnMut(&str) -> Result<(), String>>;
 
+/// The store, opened again.
+pub struct Reopened {
+    /// The boot number, one more.
+    pub boot: u64,
+    /// What it holds.
+    pub durable: Durable,
+    /// Keeps what comes.
+    pub keeper: Box<dyn Keeper>,
+}
+
+/// Opens the store again, after a take-over that failed halfway.
+pub type Reopen = Box<dyn FnMut() -> Result<Reopened, String>>;
+
 /// What a daemon gives its proxy.
 pub struct Operators {
     /// Where the control socket is made, with mode 0600.
@@ -64,6 +77,8 @@
     pub reload: Reload,
     /// Sets another log filter.
     pub set_log: SetLog,
+    /// Opens the store again.
+    pub reopen: Reopen,
 }
 
 struct Conn {
@@ -94,7 +109,12 @@
     waiting: VecDeque<Waiting>,
     /// The command that the keeper has, the book after it, its reply and what to do.
     keeping: Option<(Waiting, Book, Reply, Option<Change>)>,
-    to_keeper: std::sync::mpsc::Sender<(Durable, String)>,
+    /// None while the store is with a process that takes over.
+    to_keeper: Option<std::sync::mpsc::Sender<(Durable, String)>>,
+    done: Sender<Kept>,
+    reopen: Reopen,
+    /// The path is another process's now.
+    left: bool,
     reload: Reload,
     set_log: SetLog,
     turned_away: u64,
@@ -102,10 +122,28 @@
 
 impl Drop for Desk {
     fn drop(&mut self) {
-        let _ = std::fs::remove_file(&self.path);
+        if !self.left {
+            let _ = std::fs::remove_file(&self.path);
+        }
     }
 }
 
+/// Starts the keeper's thread.
+fn keep_on_thread(
+    mut keeper: Box<dyn Keeper>,
+    done: Sender<Kept>,
+) -> std::io::Result<std::sync::mpsc::Sender<(Durable, String)>> {
+    let (to_keeper, jobs) = std::sync::mpsc::channel::<(Durable, String)>();
+    std::thread::Builder::new().name("keeper".into()).spawn(move || {
+        while let Ok((durable, line)) = jobs.recv() {
+            if done.send(Kept { result: keeper.keep(&durable, &line) }).is_err() {
+                return;
+            }
+        }
+    })?;
+    Ok(to_keeper)
+}
+
 /// Microseconds since 1970.
 pub(super) fn wall_clock() -> u64 {
     let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
@@ -114,11 +152,13 @@
 
 impl Proxy {
     pub(super) fn open_control(&mut self, operators: Operators) -> std::io::Result<()> {
-        let Operators { socket: path, boot, durable, mut keeper, reload, set_log } = operators;
+        let Operators { socket: path, boot, durable, keeper, reload, set_log, reopen } = operators;
         // One that a killed process left behind; two daemons on one identity are kept apart by their lock.
         let _ = std::fs::remove_file(&path);
         // Made under another name and moved, so that it is never there with a wider mode.
-        let aside = path.with_extension("new");
+        let mut aside = path.clone().into_os_string();
+        aside.push(".new");
+        let aside = PathBuf::from(aside);
         let _ = std::fs::remove_file(&aside);
         let listener = UnixListener::bind(&aside)?;
         std::fs::set_permissions(&aside, std::fs::Permissions::from_mode(0o600))?;
@@ -132,15 +172,8 @@
                 Ok(PostAction::Continue)
             })
             .map_err(|e| failed(e.to_string()))?;
-        let (to_keeper, jobs) = std::sync::mpsc::channel::<(Durable, String)>();
         let (done, is_done): (Sender<Kept>, _) = channel();
-        std::thread::Builder::new().name("keeper".into()).spawn(move || {
-            while let Ok((durable, line)) = jobs.recv() {
-                if done.send(Kept { result: keeper.keep(&durable, &line) }).is_err() {
-                    return;
-                }
-            }
-        })?;
+        let to_keeper = Some(keep_on_thread(keeper, done.clone())?);
         self.handle
             .insert_source(is_done, |event, (), proxy: &mut Proxy| {
                 if let Event::Msg(kept) = event {
@@ -157,6 +190,9 @@
             waiting: VecDeque::new(),
             keeping: None,
             to_keeper,
+            done,
+            reopen,
+            left: false,
             reload,
             set_log,
             turned_away: 0,
@@ -208,7 +244,7 @@
         }
     }
 
-    fn close_operator(&mut self, key: usize) {
+    pub(super) fn close_operator(&mut self, key: usize) {
         if let Some(conn) = self.operators.as_mut().and_then(|d| d.conns.try_remove(key)) {
             conn.socket.remove(&self.handle);
         }
@@ -222,10 +258,19 @@
             return self.close_operator(key);
         }
         if readiness.readable || readiness.error {
+            let generation = conn.generation;
+            let taking_over = self.handing == Some((key, generation));
             match conn.socket.read(&mut bytes) {
+                Got::Bytes(n) if taking_over => return self.on_successor(&bytes[..n]),
                 Got::Bytes(n) => conn.input.extend_from_slice(&bytes[..n]),
                 Got::Nothing => {}
-                Got::Closed | Got::Broken => return self.close_operator(key),
+                Got::Closed | Got::Broken => {
+                    self.close_operator(key);
+                    if taking_over {
+                        self.keep_serving("the new process went away");
+                    }
+                    return self.pump();
+                }
             }
             conn.asked_at = now;
         }
@@ -254,12 +299,52 @@
                     let reading = self.reading();
                     self.tell_operator(key, &Answer::State(Box::new(reading)));
                 }
+                Ok(Ask::Takeover) => return self.hand_over(key),
                 Ok(Ask::Command(command)) => self.queue_command(Waiting { conn: key, generation, command }),
                 Err(reason) => self.tell_operator(key, &Answer::Malformed { reason }),
             }
         }
     }
 
+    /// Gives the store up, so that the process that takes over can open it.
+    pub(super) fn release_store(&mut self) {
+        self.operators.iter_mut().for_each(|desk| desk.to_keeper = None);
+    }
+
+    /// Takes the store back after a take-over that failed.
+    pub(super) fn take_store_back(&mut self) {
+        let Some(desk) = &mut self.operators else { return };
+        let opened = (desk.reopen)().and_then(|Reopened { boot, durable, keeper }| {
+            let to_keeper = keep_on_thread(keeper, desk.done.clone()).map_err(|e| e.to_string())?;
+            Ok((boot, durable, to_keeper))
+        });
+        match opened {
+            Ok((boot, durable, to_keeper)) => {
+                (desk.boot, desk.book, desk.to_keeper) = (boot, Book::new(durable), Some(to_keeper));
+            }
+            Err(why) => {
+                tracing::error!("commands are refused from now on, the state is not to be had: {why}")
+            }
+        }
+    }
+
+    /// The control socket's path is the successor's now.
+    pub(super) fn leave_control(&mut self) {
+        self.operators.iter_mut().for_each(|desk| desk.left = true);
+    }
+
+    /// Whether a command is being kept at this moment.
+    pub(super) fn is_keeping(&self) -> bool {
+        self.operators.as_ref().is_some_and(|desk| desk.keeping.is_some())
+    }
+
+    /// An operator's connection, if it is still the one that was meant.
+    pub(super) fn operator_stream(&self, key: usize, generation: Option<u64>) -> Option<(&UnixStream, u64)> {
+        let conn = self.operators.as_ref()?.conns.get(key)?;
+        let same = generation.is_none_or(|g| g == conn.generation);
+        same.then(|| (conn.socket.stream(), conn.generation))
+    }
+
     fn tell_operator(&mut self, key: usize, answer: &Answer) {
         let Some(conn) = self.operators.as_mut().and_then(|d| d.conns.get_mut(key)) else { return };
         conn.socket.out().extend(wire::write(answer));
@@ -295,8 +380,9 @@
         let mut book = desk.book.clone();
         let (reply, change) = book.take(now, present, &waiting.command);
         let line = audit_line(now, &waiting.command, &reply);
-        if desk.to_keeper.send((book.durable().clone(), line)).is_err() {
-            let reason = "the keeper of the state has failed".to_owned();
+        let job = (book.durable().clone(), line);
+        if desk.to_keeper.as_ref().is_none_or(|to| to.send(job).is_err()) {
+            let reason = "the state is with another process, or its keeper has failed".to_owned();
             let key = waiting.conn;
             return self.tell_operator(key, &Answer::Command(Reply::Refused { reason }));
         }
--- a/crates/proxy/src/driver/peers.rs
+++ b/crates/proxy/src/driver/peers.rs
@@ -13,17 +13,23 @@
 impl Proxy {
     pub(super) fn bind_peers(&mut self) -> std::io::Result<()> {
         let Some(addr) = self.settings.peer_listen else { return Ok(()) };
-        let socket = UdpSocket::bind(addr)?;
+        self.add_peer_socket(UdpSocket::bind(addr)?)
+    }
+
+    /// Puts the peers' socket on the loop.
+    pub(super) fn add_peer_socket(&mut self, socket: UdpSocket) -> std::io::Result<()> {
         socket.set_nonblocking(true)?;
         let socket = Rc::new(socket);
         self.udp = Some(socket.clone());
         let source = Generic::new(socket, Interest::READ, Mode::Level);
-        self.handle
+        let token = self
+            .handle
             .insert_source(source, |_, socket, proxy: &mut Proxy| {
                 proxy.on_datagrams(socket);
                 Ok(PostAction::Continue)
             })
             .map_err(|e| std::io::Error::other(e.to_string()))?;
+        self.udp_token = Some(token);
         Ok(())
     }
 
@@ -53,6 +59,12 @@
         }
     }
 
+    /// Leaves the peers' socket to the process that has taken over.
+    pub(super) fn leave_peers(&mut self) {
+        self.udp = None;
+        self.udp_token.take().into_iter().for_each(|token| self.handle.remove(token));
+    }
+
     pub(super) fn tell_peers(&mut self, to: Option<usize>, payload: &[u8]) {
         let own = self.settings.decisions.position;
         let (Some(socket), Ok(from)) = (&self.udp, u16::try_from(own)) else { return };
--- a/crates/proxy/src/driver/timers.rs
+++ b/crates/proxy/src/driver/timers.rs
@@ -26,6 +26,8 @@
     Accept,
     /// Open the desk's stream again.
     Desk,
+    /// A process that takes over has had its time.
+    Takeover(u64),
     /// An operator's connection has been quiet for long.
     Operator(usize, u64),
     /// Slow upkeep.
@@ -82,6 +84,11 @@
                 What::Call(key, generation) => self.call_timeout(key, generation),
                 What::Accept => self.accept_again(),
                 What::Desk => self.open_desk_stream(),
+                What::Takeover(generation) => {
+                    if self.handing.is_some_and(|h| h.1 == generation) {
+                        self.keep_serving("the new process took too long");
+                    }
+                }
                 What::Operator(key, generation) => self.operator_timeout(key, generation),
                 What::Upkeep => self.upkeep(now),
                 #[cfg(feature = "sabotage")]
--- a/crates/proxy/src/engine.rs
+++ b/crates/proxy/src/engine.rs
@@ -156,6 +156,7 @@
     /// Events that the module's own actions brought about: it hears them after all of these are done.
     later: VecDeque<Event<'static>>,
     busy: bool,
+    starts_nothing: bool,
     counts: Counts,
     news: Option<StageNews>,
     module_time: std::time::Duration,
@@ -179,6 +180,7 @@
             orders: VecDeque::new(),
             later: VecDeque::new(),
             busy: false,
+            starts_nothing: false,
             counts: Counts::default(),
             news: None,
             module_time: std::time::Duration::ZERO,
@@ -186,6 +188,22 @@
         }
     }
 
+    /// An engine that goes on with what a process before it had learned; see [`Balancer::successor`].
+    pub fn succeed(settings: Settings, module: Balancer) -> Self {
+        Engine { module, ..Engine::new(settings, 0, None) }
+    }
+
+    /// The module as a process that takes over will have it.
+    pub fn successor(&self, seed: u64) -> Balancer {
+        self.module.successor(seed)
+    }
+
+    /// Whether no attempt is started any more: each that the module asks for ends as moot. After a hand-over
+    /// the successor's module counts exposure and cold budgets, and nothing may be sent that it cannot know.
+    pub fn start_nothing(&mut self, nothing: bool) {
+        self.starts_nothing = nothing;
+    }
+
     /// Measures from now on how long the module takes.
     pub fn time_module(&mut self) {
         self.timing = true;
@@ -485,7 +503,7 @@
         let number = r.attempts.len();
         let cut_at = if cut_at == 0 { r.deadline } else { cut_at.min(r.deadline) };
         let spent = !r.repeatable && number > 0;
-        let moot = r.finished || r.streaming.is_some() || number >= most || spent;
+        let moot = self.starts_nothing || r.finished || r.streaming.is_some() || number >= most || spent;
         r.attempts.push(Attempt { server, sent_at: now, cut_at, over: false });
         if moot {
             self.attempt_ended(now, id, number, Outcome::Moot);
--- a/crates/recorder/src/frame.rs
+++ b/crates/recorder/src/frame.rs
@@ -102,6 +102,25 @@
         }
     }
 
+    /// Its kind, in words.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            OwnedEvent::ServerList(..) => "server lists",
+            OwnedEvent::Request(..) => "requests",
+            OwnedEvent::Timer(..) => "timers",
+            OwnedEvent::AttemptEnded(..) => "attempts ended",
+            OwnedEvent::StreamStarted(..) => "streams started",
+            OwnedEvent::AnswerFlagged(..) => "answers flagged",
+            OwnedEvent::ClientGone(..) => "clients gone",
+            OwnedEvent::Stage(..) => "stage news",
+            OwnedEvent::VoteReply(..) => "vote replies",
+            OwnedEvent::PeerMessage(..) => "peer messages",
+            OwnedEvent::Probed(..) => "probes",
+            OwnedEvent::PlatformCount(..) => "platform counts",
+            OwnedEvent::Operator(..) => "operators' words",
+        }
+    }
+
     /// The event again.
     pub fn event(&self) -> Event<'_> {
         match *self {
--- a/crates/recorder/src/replay.rs
+++ b/crates/recorder/src/replay.rs
@@ -2,6 +2,7 @@
 
 use crate::frame::{Frame, OwnedEvent};
 use crate::read::{ReadFault, Reader};
+use std::collections::BTreeMap;
 use std::path::Path;
 use violetseam::balance::Balancer;
 use violetseam::interface::{Action, Build, Micros, RequestId};
@@ -20,6 +21,8 @@
 pub struct Report {
     /// Events fed.
     pub events: u64,
+    /// The same by kind.
+    pub kinds: BTreeMap<&'static str, u64>,
     /// Actions compared.
     pub actions: u64,
     /// Module starts.
@@ -62,6 +65,7 @@
                 let mut again = Vec::new();
                 module.on_event(now, event.event(), &mut again);
                 report.events += 1;
+                *report.kinds.entry(event.kind()).or_default() += 1;
                 report.actions += actions.len() as u64;
                 tell(interest, now - began.min(now), &event, &actions, print);
                 if again != actions {
--- a/crates/standin/src/day.rs
+++ b/crates/standin/src/day.rs
@@ -318,6 +318,8 @@
     ProxyRoll,
     /// Proxies (`on`) stand still for `size` ms every `extra` seconds.
     ProxyStall,
+    /// Proxies (`on`) are replaced by a new process that takes over, `size` times one after another.
+    ProxyTakeover,
     /// Votes get no answer, half of them count, and news stop.
     DeskSilent,
     /// Votes end in errors.
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -64,7 +64,8 @@
 const NOTES_MOST: u32 = 100; // log lines a life
 
 /// One load balancer's decisions: a deterministic state machine.
-#[derive(Default)]
+#[derive(Clone, Default)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Balancer {
     set: Settings,
     m: Memory,
@@ -83,6 +84,13 @@
         Balancer { set, m }
     }
 
+    /// For a process that takes over: all that was learned, booked and told, and none of the requests held.
+    pub fn successor(&self, seed: u64) -> Self {
+        let mut next = self.clone();
+        next.m.leave_requests(seed);
+        next
+    }
+
     /// Takes one event and appends what to do about it.
     pub fn on_event(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         if !self.m.started {
--- a/src/evidence.rs
+++ b/src/evidence.rs
@@ -29,6 +29,7 @@
 
 /// Counts of times by logarithmic bins.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Histogram(pub [f64; BINS]);
 
 impl Histogram {
@@ -72,6 +73,7 @@
 
 /// What one arm's samples of one class come to.
 #[derive(Clone, Debug, Default)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Tally {
     /// Attempts.
     pub n: f64,
@@ -108,6 +110,7 @@
 /// Counters over both arms (0: the new build, 1: the earlier ones) as a flat row: slices by arm with
 /// attempts, failures and slow answers, then each class's heads by arm, then its histograms by arm.
 #[derive(Clone, Debug, Default, PartialEq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Evidence(Vec<f64>);
 
 /// Attempts and hits of one slice of the machines.
@@ -242,6 +245,7 @@
 
 /// What a message is about: build, stage, whether it is a collector's sum, and its sender's life.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Label {
     /// The build on trial.
     pub build: Build,
@@ -315,6 +319,7 @@
 
 /// Own counters on the stage, peers' reports, and the sums that collectors sent.
 #[derive(Clone, Debug, Default)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Pool {
     /// Own counters.
     pub mine: Evidence,
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,14 +2,15 @@
 
 use crate::evidence::Pool;
 use crate::interface::{
-    Action, Build, Contract, ListKind, Micros, Outcome, Request, RequestId, ServerEntry, ServerId, StageNews,
-    Status, Verdict,
+    Action, Build, Contract, ListKind, Micros, Outcome, Phase, Request, RequestId, ServerEntry, ServerId,
+    StageNews, Status, Verdict,
 };
 use crate::stats::quantile;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// A small deterministic random source (SplitMix64).
 #[derive(Clone, Debug, Default)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Rng(pub u64);
 
 impl Rng {
@@ -44,6 +45,7 @@
 
 /// A sum over a sliding span.
 #[derive(Clone, Debug, Default)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct SpanSum {
     items: VecDeque<(Micros, f64)>,
     total: f64,
@@ -73,6 +75,7 @@
 ///
 /// The count over every span, aligned or not, that ends now is `level - lowest level within it`.
 #[derive(Clone, Debug, Default)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Exposure {
     level: f64,
     lows: VecDeque<(Micros, f64)>,
@@ -106,6 +109,7 @@
 
 /// A server as this balancer sees it: the list's line and the balancer's own observations.
 #[derive(Clone, Debug)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Server {
     /// The list's line.
     pub entry: ServerEntry,
@@ -161,6 +165,7 @@
 
 /// One attempt of a request.
 #[derive(Clone, Debug)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Attempt {
     /// The line of the server that it went to, as listed then.
     pub to: ServerEntry,
@@ -183,6 +188,7 @@
 
 /// A request held by this balancer, or answered with attempts still out.
 #[derive(Clone, Debug, Default)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Open {
     /// As it arrived.
     pub request: Request,
@@ -224,6 +230,7 @@
 
 /// What this balancer knows of a class's answer times.
 #[derive(Clone, Debug, Default)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Typical {
     /// The latest answer times.
     pub recent: VecDeque<f64>,
@@ -235,6 +242,7 @@
 
 /// A vote as the platform holds it or may hold it.
 #[derive(Clone, Copy, Debug)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Cast {
     /// The build it is about.
     pub build: Build,
@@ -248,6 +256,7 @@
 
 /// How often keys came, within bounded memory.
 #[derive(Clone, Debug, Default)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct KeyCounts {
     counts: BTreeMap<u64, f64>,
     total: f64,
@@ -272,6 +281,7 @@
 
 /// All that a balancer remembers; what to do with it is decided elsewhere.
 #[derive(Clone, Debug, Default)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Memory {
     /// The random source.
     pub rng: Rng,
@@ -382,6 +392,19 @@
         (self.notes <= most).then_some(Action::Note(text))
     }
 
+    /// Forgets all requests held, their attempts and timers, and draws anew. Keys that are out at the newest
+    /// build count as answered by it: the answers will be heard by the process that holds the requests only.
+    pub fn leave_requests(&mut self, seed: u64) {
+        let live = self.news.filter(|n| matches!(n.phase, Phase::Trial | Phase::Released)).map(|n| n.build);
+        let out = |open: &&Open| open.attempts.iter().any(|a| a.ended.is_none() && Some(a.to.build) == live);
+        let keys: Vec<u64> = self.open.values().filter(out).filter_map(|open| open.request.key).collect();
+        self.keys.extend(keys);
+        self.open.clear();
+        self.due.clear();
+        self.servers.values_mut().for_each(|s| s.in_flight = 0);
+        (self.armed, self.pending, self.rng) = (0, None, Rng(seed));
+    }
+
     /// Books an attempt at a server; the request's class and deadline, or `None` for an unknown one.
     pub fn start_attempt(
         &mut self,
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -67,3 +67,47 @@
     rig.feed(Event::Stage(news(3, 0, Phase::Trial, 0.16)));
     assert!(!votes(&rig.run(3 * S)).contains(&Verdict::Back), "a word outlived the build it was about");
 }
+
+/// Guards: in a takeover an attempt at the new build was still out, and its answer bound the key in the old
+/// process only; the new one sent the key to an earlier build.
+#[test]
+fn a_successor_holds_no_request_but_every_key_that_may_yet_be_answered_by_the_new_build() {
+    let mut set = settings();
+    set.rollout.one_way = true;
+    let mut rig = Rig::new(set, &fleet(6, 4), news(2, 2, Phase::Trial, 1.0));
+    let mut out = Vec::new();
+    for key in 1..=400 {
+        let (id, actions) = rig.keyed(SAFE, Some(key));
+        out.extend(sends(&actions).into_iter().filter(|s| s.1 >= 100).map(|_| (id, key)));
+        rig.run(5 * MS);
+    }
+    assert!(!out.is_empty(), "nothing went to the new build");
+    rig.balancer = rig.balancer.successor(99);
+    // None of the old process's requests is the new one's to answer.
+    assert_eq!(
+        rig.run(3 * S).iter().filter(|a| matches!(a, Action::Refuse { .. } | Action::Fail { .. })).count(),
+        0
+    );
+    for (_, key) in out {
+        let (_, actions) = rig.keyed(SAFE, Some(key));
+        assert!(sends(&actions).iter().all(|s| s.1 >= 100), "key {key} went back");
+    }
+}
+
+#[test]
+fn a_successor_counts_the_exposure_of_the_process_before() {
+    let mut set = settings();
+    set.rollout.guarded_stages = 0;
+    let mut rig = Rig::new(set, &fleet(6, 4), news(2, 0, Phase::Trial, 0.16));
+    let (mut taken, mut exposed) = (0.0, 0.0);
+    for round in 0..4 {
+        for _ in 0..100 {
+            let (_, actions) = rig.request(SAFE);
+            taken += 1.0;
+            exposed += sends(&actions).iter().filter(|s| s.1 >= 100).count() as f64;
+            rig.run(5 * MS);
+        }
+        assert!(exposed <= 2.0 + 0.16 * taken, "round {round}: {exposed} of {taken}");
+        rig.balancer = rig.balancer.successor(round);
+    }
+}
