--- a/crates/lab/src/drawn.rs
+++ b/crates/lab/src/drawn.rs
@@ -225,13 +225,14 @@
         })
     };
     let running: Vec<ServerSpec> = up[..servers].iter().map(|s| spec(s)).collect::<Result<_, _>>()?;
-    let spares = f.servers.iter().filter(|s| !s.up).map(spec).collect::<Result<_, _>>()?;
+    let spares = f.servers.iter().filter(|s| !s.up).enumerate();
+    let spares = spares.filter(|(i, _)| i % up.len().max(1) < servers).map(|(_, s)| spec(s));
+    let spares = spares.collect::<Result<_, _>>()?;
     let played: f64 = running.iter().map(|s| s.cores * s.speed * 1e6).sum();
-    // Places of the drawn day's servers here: the kept ones keep theirs, new machines follow.
-    let index = |i: usize| match i {
-        i if i < servers => Some(i),
-        i if i < up.len() => None,
-        i => Some(i - up.len() + servers),
+    // The drawn day numbers machines by place and generation; kept places keep their numbers.
+    let index = |i: usize| {
+        let (place, generation) = (i % up.len().max(1), i / up.len().max(1));
+        (place < servers).then_some(place + servers * generation)
     };
     let troubles = f.troubles.iter().filter_map(|t| trouble(t, &index, proxies, &mut notes)).collect();
     let classes = f.classes.iter().map(|c| class(c, &mut notes)).collect::<Result<Vec<_>, String>>()?;
--- a/crates/standin/src/day.rs
+++ b/crates/standin/src/day.rs
@@ -17,7 +17,8 @@
     pub proxies: Vec<ProxySpec>,
     /// Servers that run at the start, one for each place.
     pub servers: Vec<ServerSpec>,
-    /// What new machines are like; taken in turn.
+    /// What new machines are like: the first for each place, then the second for each, and so on; after the
+    /// last from the front again.
     pub spares: Vec<ServerSpec>,
     /// Classes of requests.
     pub classes: Vec<ClassSpec>,
@@ -283,7 +284,7 @@
     /// A second figure; see [`Kind`].
     #[serde(default)]
     pub extra: f64,
-    /// Which servers or proxies, by index.
+    /// Which servers or proxies, by index; a place's later machines count on by the number of places.
     #[serde(default)]
     pub on: Vec<usize>,
     /// Which zone or class.
--- a/crates/standin/src/drive/site.rs
+++ b/crates/standin/src/drive/site.rs
@@ -35,7 +35,8 @@
 pub struct Machine {
     pub(super) server: Server,
     pub(super) listener: Option<(Rc<TcpListener>, RegistrationToken)>,
-    /// Its number among the day's servers, those of the start first, then new ones in their order.
+    /// Its number among the day's servers: its place, plus the number of places for each machine that stood
+    /// there before it. Troubles name places so, with all that will stand in them.
     index: usize,
     /// It answers nobody and closes nothing.
     pub(super) silent: bool,
@@ -82,7 +83,8 @@
     pub(super) memories: HashMap<u32, KeyMemory>,
     /// News as they were, to be told late.
     news: Vec<(u64, News)>,
-    spares_used: usize,
+    /// Machines that have stood in each place.
+    generations: Vec<usize>,
     next_turn: u64,
     struck: Vec<bool>,
     replies: Vec<(u64, Reply)>,
@@ -136,7 +138,7 @@
             say,
             report: SiteReport::default(),
             memories: HashMap::new(),
-            spares_used: 0,
+            generations: vec![1; day.servers.len()],
             next_turn: 0,
             struck: vec![false; day.troubles.len()],
             replies: Vec::new(),
@@ -242,9 +244,9 @@
 
     fn obey(&mut self, now: u64, command: Command) {
         match command {
-            Command::Start { machine, place: _, build } => {
-                let index = self.day.servers.len() + self.spares_used;
-                self.spares_used += 1;
+            Command::Start { machine, place, build } => {
+                let index = place + self.day.servers.len() * self.generations[place];
+                self.generations[place] += 1;
                 let build = self.build(build);
                 match self.start_machine(machine, index, build, false) {
                     Ok(()) => self.list(now + self.day.roster.add, machine, State::Ready),
