--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod days;
 pub mod drawn;
+pub mod fleet;
 pub mod measure;
 mod proxies;
 pub mod report;
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -81,7 +81,7 @@
 }
 
 /// Starts `count` servers on a thread; their addresses.
-fn echo(count: usize, silent: Arc<AtomicBool>) -> std::io::Result<Vec<SocketAddr>> {
+pub(crate) fn echo(count: usize, silent: Arc<AtomicBool>) -> std::io::Result<Vec<SocketAddr>> {
     let listeners: Vec<TcpListener> =
         (0..count).map(|_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0))).collect::<Result<_, _>>()?;
     let addresses = listeners.iter().map(TcpListener::local_addr).collect::<Result<_, _>>()?;
@@ -217,7 +217,7 @@
 }
 
 /// A roster that lists these servers and a desk without news, on a thread.
-fn site(servers: &[SocketAddr]) -> std::io::Result<SocketAddr> {
+pub(crate) fn site(servers: &[SocketAddr]) -> std::io::Result<SocketAddr> {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
     let addr = listener.local_addr()?;
     let line = |(n, a): (usize, &SocketAddr)| {
@@ -313,7 +313,7 @@
     }
 }
 
-fn median(values: &[f64]) -> f64 {
+pub(crate) fn median(values: &[f64]) -> f64 {
     let mut sorted = values.to_vec();
     sorted.sort_by(f64::total_cmp);
     sorted.get(sorted.len() / 2).copied().unwrap_or(0.0)
