--- a/crates/fleet/tests/calls.rs
+++ b/crates/fleet/tests/calls.rs
@@ -64,7 +64,11 @@
             std::thread::sleep(Duration::from_secs(3));
         }),
         daemon("closes", |stream, _| drop(stream)),
-        daemon("nonsense", |mut stream, _| drop(stream.write_all(b"what?\n"))),
+        daemon("nonsense", |mut stream, _| {
+            // Read first: one that closes with a line unread is a reset, which is told as closed.
+            read_line(&mut stream);
+            let _ = stream.write_all(b"what?\n");
+        }),
         daemon("endless", |mut stream, _| while stream.write_all(&[b'x'; 4096]).is_ok() {}),
         Member { name: "absent".into(), control: "/nonexistent/socket".into(), groups: Vec::new() },
     ];
