Connection bounds no longer copied on each wake; one record of a server's start

Reread of the change: each wake of a client copied the connection settings with a text in them, where sharing them does; a returning machine wrote its start's record anew beside see_start; an operator's connection kept a flag that was always set.

--- a/crates/proxy/src/driver/clients.rs
+++ b/crates/proxy/src/driver/clients.rs
@@ -292,7 +292,8 @@
     /// Sets what the connection is to be woken for and when its present state has lasted too long.
     pub(super) fn rest_client(&mut self, key: usize) {
         let now = self.now();
-        let c = self.settings.connections.clone();
+        let settings = self.settings.clone();
+        let c = &settings.connections;
         let Some(client) = self.clients.get_mut(key) else { return };
         let span = match &client.state {
             State::Waiting(_) => None,
--- a/crates/proxy/src/driver/operators.rs
+++ b/crates/proxy/src/driver/operators.rs
@@ -86,7 +86,6 @@
     socket: Socket<UnixStream>,
     input: Vec<u8>,
     asked_at: Micros,
-    armed: bool,
 }
 
 /// A command on its way to the keeper, with the book as it will be.
@@ -225,7 +224,7 @@
             let Ok(socket) = Socket::register(&self.handle, stream, Interest::READ, on_ready) else {
                 continue;
             };
-            entry.insert(Conn { generation, socket, input: Vec::new(), asked_at: now, armed: true });
+            entry.insert(Conn { generation, socket, input: Vec::new(), asked_at: now });
             self.timers.set(now + QUIET, What::Operator(key, generation));
         }
     }
@@ -233,7 +232,7 @@
     pub(super) fn operator_timeout(&mut self, key: usize, generation: u64) {
         let now = self.now();
         let Some(desk) = &mut self.operators else { return };
-        let Some(conn) = desk.conns.get_mut(key).filter(|c| c.generation == generation && c.armed) else {
+        let Some(conn) = desk.conns.get_mut(key).filter(|c| c.generation == generation) else {
             return;
         };
         let due = conn.asked_at + QUIET;
--- a/crates/standin/src/drive/site.rs
+++ b/crates/standin/src/drive/site.rs
@@ -451,12 +451,9 @@
             let Some(m) = self.machines.get_mut(&machine) else { continue };
             (m.down_until, m.listener) = (None, Some(listener));
             let (spec, build) = (m.server.spec.clone(), m.server.build.clone());
-            m.server = Server::start(spec, build, now, false);
-            let server = &self.machines[&machine].server;
-            let (cold_from, cold_span) = (server.spec.cold_from, server.spec.cold_span);
-            let start = Start { capacity: server.capacity(), cold_from, cold_span };
-            self.see(Record::Started { server: machine, start });
-            let draining = self.machines[&machine].draining;
+            let (server, draining) = (Server::start(spec, build, now, false), m.draining);
+            self.see_start(machine, &server);
+            self.machines.entry(machine).and_modify(|m| m.server = server);
             let state = if draining { State::Draining } else { State::Ready };
             self.list(now + self.day.roster.add, machine, state);
         }
