Control over TCP under mutual TLS; of contrary commands the later issued stands everywhere

The fleet tool reached daemons over local sockets only. control_tls(...) names an address and key files: checked at start with plain messages (missing, expired, wrong mode, another's), read again on reload while standing connections go on, handed over in a takeover. A stranger gets a closed connection; a flood of them displaces strangers only. Commands carry when they were issued: two contrary ones end the same on every daemon, the overtaken one is refused and says by whom; a clock over 5 s ahead is named. A takeover makes everything that can fail before the old process leaves. The store opens again after a write that failed: redb takes none after it.

--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -1,6 +1,6 @@
 //! `violetseam fleet`: asks every daemon of a fleet, or tells them all.
 
-use crate::serve::pair;
+use crate::serve::{key_files, pair};
 use clap::{Args as ClapArgs, Subcommand};
 use std::io::{IsTerminal, Write};
 use std::path::PathBuf;
@@ -100,11 +100,23 @@
 
 /// Runs a fleet command.
 pub fn run(args: &Args) -> Result<ExitCode, String> {
-    let members = violetseam_settings::read_fleet(&args.fleet, &args.set).map_err(|e| e.to_string())?;
-    let members = pick(members, &args.only)?;
+    let file = violetseam_settings::read_fleet(&args.fleet, &args.set).map_err(|e| e.to_string())?;
+    let members = pick(file.members, &args.only)?;
+    let keys = match &file.identity {
+        Some(identity) => {
+            let now_s = (wall_clock() / 1_000_000) as i64;
+            let files = key_files(identity);
+            let loaded = violetseam_keys::operator(&files, now_s).map_err(|e| format!("identity: {e}"))?;
+            if loaded.ends_s - now_s < violetseam_keys::ENDS_SOON_S {
+                eprintln!("violetseam: {} ends in under two weeks", files.cert.display());
+            }
+            Some(loaded.config)
+        }
+        None => None,
+    };
     let names: Vec<String> = members.iter().map(|m| m.name.clone()).collect();
     let timeout = Duration::from_secs_f64(args.timeout.clamp(0.05, 600.0));
-    let fleet = Fleet { members, timeout, parallel: args.parallel };
+    let fleet = Fleet { members, timeout, parallel: args.parallel, keys };
     let terminal = std::io::stderr().is_terminal();
     let all = names.len();
     let mut heard = |done: usize| {
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -3,6 +3,7 @@
 use clap::{Args as ClapArgs, ValueEnum};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tracing_subscriber::EnvFilter;
 use tracing_subscriber::layer::SubscriberExt;
@@ -10,9 +11,10 @@
 use tracing_subscriber::{Layer, Registry, reload};
 use violetseam_daemon::Opened;
 use violetseam_daemon::{Store, StoreFault};
+use violetseam_keys::KeyFiles;
 use violetseam_proxy::driver::{Operators, Options, Reloaded, Reopened, SetLog, inherit, serve_operated};
 use violetseam_recorder::Bounds;
-use violetseam_settings::{ProxySettings, read_file};
+use violetseam_settings::{Identity, ProxySettings, read_file};
 
 #[derive(ClapArgs)]
 pub struct Args {
@@ -132,11 +134,17 @@
     };
     let now = violetseam_fleet::wall_clock();
     let (folder, position) = (folder.clone(), settings.decisions.position);
+    let keys = keys_of(settings)?;
     let opened = open_store(&folder, position, now, args.takeover)?;
     let (file, set) = (args.settings.clone(), args.set.clone());
-    let reload = move || read_file(&file, &set).map(Reloaded).map_err(|e| e.to_string());
+    let reload = move || {
+        let settings = read_file(&file, &set).map_err(|e| e.to_string())?;
+        let keys = keys_of(&settings)?;
+        Ok(Reloaded { settings, keys })
+    };
     Ok(Some(Operators {
         socket,
+        keys,
         boot: opened.boot,
         durable: opened.durable,
         keeper: Box::new(opened.store),
@@ -150,6 +158,28 @@
     }))
 }
 
+/// The files that settings name.
+pub fn key_files(identity: &Identity) -> KeyFiles {
+    KeyFiles {
+        cert: identity.cert.clone().into(),
+        key: identity.key.clone().into(),
+        trusted: identity.trusted.clone().into(),
+        revoked: identity.revoked.clone().map(PathBuf::from),
+    }
+}
+
+/// The keys for control over TCP, checked.
+fn keys_of(settings: &ProxySettings) -> Result<Option<Arc<rustls::ServerConfig>>, String> {
+    let Some((_, identity)) = &settings.control_tls else { return Ok(None) };
+    let now_s = (violetseam_fleet::wall_clock() / 1_000_000) as i64;
+    let loaded =
+        violetseam_keys::daemon(&key_files(identity), now_s).map_err(|e| format!("control_tls: {e}"))?;
+    if loaded.ends_s - now_s < violetseam_keys::ENDS_SOON_S {
+        tracing::warn!(cert = identity.cert, "the certificate for control over TCP ends in under two weeks");
+    }
+    Ok(Some(loaded.config))
+}
+
 /// Opens the store; in a takeover the other process gives it up at any moment, so it is waited for.
 fn open_store(folder: &Path, position: usize, now: u64, wait: bool) -> Result<Opened, String> {
     let until = Instant::now() + Duration::from_secs(2);
--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! The program as a process over a world of its own: one server, one roster, one desk.
 #![allow(dead_code)]
 
+pub mod fleet;
+
 use rustix::process::{Pid, Signal, kill_process};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -2,81 +2,15 @@
 
 mod common;
 
-use common::{PROGRAM, Proxy, start_over, world};
+use common::fleet::{Fleet, count, more, states};
+use common::{PROGRAM, start_over};
 use rustix::process::{Signal, kill_process};
 use std::io::{Read, Write};
 use std::os::unix::net::UnixStream;
-use std::path::{Path, PathBuf};
-use std::process::{Command, Output};
+use std::path::PathBuf;
+use std::process::Command;
 use std::time::{Duration, Instant};
 
-struct Fleet {
-    folder: PathBuf,
-    daemons: Vec<Proxy>,
-    world: std::net::SocketAddr,
-}
-
-fn more(folder: &Path, n: usize) -> String {
-    let folder = folder.join(n.to_string());
-    std::fs::create_dir_all(&folder).unwrap();
-    format!(", state_dir = \"{0}\", control = \"{0}/control\"", folder.display())
-}
-
-impl Fleet {
-    fn start(name: &str, count: usize) -> Fleet {
-        // Control sockets have short paths by nature: 108 bytes at most.
-        let folder = std::env::temp_dir().join(format!("vs-{name}-{}", std::process::id()));
-        let _ = std::fs::remove_dir_all(&folder);
-        std::fs::create_dir_all(&folder).unwrap();
-        let world = world();
-        let daemons = (0..count).map(|n| start_over(world, &format!("{name}-{n}"), "", &more(&folder, n)));
-        let fleet = Fleet { daemons: daemons.collect(), folder, world };
-        let member = |n: usize| {
-            let groups = if n < count / 2 { "[\"early\"]" } else { "[]" };
-            format!(
-                "member(name = \"d{n}\", control = \"{}/{n}/control\", groups = {groups})\n",
-                fleet.folder.display()
-            )
-        };
-        let text: String = (0..count).map(member).collect();
-        std::fs::write(fleet.folder.join("fleet.star"), text).unwrap();
-        fleet
-    }
-
-    fn tool(&self, args: &[&str]) -> (i32, serde_json::Value, String) {
-        let file = self.folder.join("fleet.star");
-        let Output { status, stdout, stderr } = Command::new(PROGRAM)
-            .args(["fleet", "--json", "--yes", "--issuer", "test", "--fleet"])
-            .arg(file)
-            .args(args)
-            .output()
-            .unwrap();
-        let text = String::from_utf8_lossy(&stderr).into_owned();
-        let value = serde_json::from_slice(&stdout).unwrap_or(serde_json::Value::Null);
-        (status.code().unwrap_or(-1), value, text)
-    }
-
-    fn restart(&mut self, name: &str, n: usize) {
-        self.daemons[n].child.kill().unwrap();
-        self.daemons[n].child.wait().unwrap();
-        self.daemons[n] = start_over(self.world, &format!("{name}-{n}"), "", &more(&self.folder, n));
-    }
-
-    fn end(self) {
-        self.daemons.into_iter().for_each(Proxy::end);
-        std::fs::remove_dir_all(&self.folder).unwrap();
-    }
-}
-
-fn count(told: &serde_json::Value, outcome: &str) -> usize {
-    let daemons = told["daemons"].as_array().map(Vec::as_slice).unwrap_or_default();
-    daemons.iter().filter(|d| d["outcome"] == outcome).count()
-}
-
-fn states(value: &serde_json::Value) -> Vec<serde_json::Value> {
-    value.as_array().unwrap().iter().map(|d| d["state"].clone()).collect()
-}
-
 #[test]
 fn twenty_daemons_one_frozen_nineteen_agree_and_the_report_does_not_wait_longer_than_its_own_time() {
     let fleet = Fleet::start("twenty", 20);
--- a/crates/control/src/book.rs
+++ b/crates/control/src/book.rs
@@ -1,6 +1,6 @@
 //! The book of commands: what is applied, refused or held. Deterministic; told the time, keeps none.
 
-use crate::wire::{Act, Command, EXPIRY_MOST_US, Phase, Reply};
+use crate::wire::{AHEAD_MOST_US, Act, Command, EXPIRY_MOST_US, Phase, Reply};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -55,6 +55,22 @@
     pub pause: Option<Pause>,
     /// Commands seen: when each expires and what became of it.
     pub seen: BTreeMap<String, (u64, Reply)>,
+    /// By subject, the command that stands.
+    #[serde(default)]
+    pub standing: BTreeMap<String, Standing>,
+}
+
+/// The command that stands on a subject: contrary ones issued before it are refused.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Standing {
+    /// When it was issued.
+    pub issued_us: u64,
+    /// Its id, which orders those issued at one moment.
+    pub id: String,
+    /// Who issued it.
+    pub issuer: String,
+    /// What it asked for.
+    pub act: String,
 }
 
 /// The book.
@@ -142,6 +158,9 @@
             Act::LogLevel { filter } => Change::LogLevel(filter.clone()),
             Act::Reload => Change::Reload,
         };
+        if let Some(subject) = command.act.subject() {
+            self.durable.standing.insert(subject.to_owned(), standing(now_us, command));
+        }
         let reply = Reply::Agreed { again: false };
         self.remember(command, &reply);
         (reply, Some(change))
@@ -171,6 +190,19 @@
                 return Some("a command about a stage must name its build".into());
             }
         }
+        if command.issued_us > now_us + AHEAD_MOST_US {
+            let ahead = (command.issued_us - now_us) as f64 / 1e6;
+            return Some(format!(
+                "issued {ahead:.1} s from now by this daemon's clock: one of the clocks is off"
+            ));
+        }
+        // The same on all daemons: whichever of two contrary commands comes first, the later issued stands.
+        let later = command.act.subject().and_then(|subject| self.durable.standing.get(subject));
+        if let Some(later) = later.filter(|s| command.issued_us > 0 && **s > standing(now_us, command)) {
+            let Standing { act, issuer, issued_us, .. } = later;
+            let by = issued_us.saturating_sub(command.issued_us) as f64 / 1e6;
+            return Some(format!("overtaken: {act} by {issuer} was issued {by:.3} s after it"));
+        }
         if let Act::Pause { until_us } = &command.act
             && (*until_us <= now_us || *until_us > now_us + EXPIRY_MOST_US)
         {
@@ -212,10 +244,16 @@
     pub fn safe_reading(now_us: u64) -> Durable {
         let until_us = now_us + EXPIRY_MOST_US;
         let issuer = "unknown: the state file was damaged".to_owned();
-        Durable { pause: Some(Pause { until_us, issuer, about: None }), seen: BTreeMap::new() }
+        Durable { pause: Some(Pause { until_us, issuer, about: None }), ..Durable::default() }
     }
 }
 
+fn standing(now_us: u64, command: &Command) -> Standing {
+    let issued_us = if command.issued_us == 0 { now_us } else { command.issued_us };
+    let (id, issuer, act) = (command.id.clone(), command.issuer.clone(), command.act.name().to_owned());
+    Standing { issued_us, id, issuer, act }
+}
+
 fn refused(reason: impl Into<String>) -> Reply {
     Reply::Refused { reason: reason.into() }
 }
--- a/crates/control/src/wire.rs
+++ b/crates/control/src/wire.rs
@@ -9,6 +9,10 @@
 /// one that never expires would be applied by whoever finds it.
 pub const EXPIRY_MOST_US: u64 = 24 * 3_600 * 1_000_000;
 
+/// How far an issuer's clock may be ahead of a daemon's: a command from further ahead would stand over all
+/// that others issue until then.
+pub const AHEAD_MOST_US: u64 = 5_000_000;
+
 /// What a command asks for.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
@@ -41,6 +45,16 @@
         matches!(self, Act::Pause { .. } | Act::Resume | Act::Back)
     }
 
+    /// What it decides about: commands on one subject can be contrary, and the one issued last stands.
+    pub fn subject(&self) -> Option<&'static str> {
+        match self {
+            Act::Pause { .. } | Act::Resume | Act::Back => Some("votes"),
+            Act::Drain | Act::Undrain => Some("taking"),
+            Act::LogLevel { .. } => Some("log"),
+            Act::Reload => None,
+        }
+    }
+
     /// Its name, as people type it.
     pub fn name(&self) -> &'static str {
         match self {
@@ -93,6 +107,10 @@
     pub id: String,
     /// Who issued it.
     pub issuer: String,
+    /// When it was issued, by the issuer's clock, the same for all daemons; 0: whenever it arrives. Of two
+    /// contrary commands the one issued later stands, in whatever order they arrive.
+    #[serde(default)]
+    pub issued_us: u64,
     /// Not applied after this moment.
     pub expires_us: u64,
     /// What must still hold.
--- a/crates/control/tests/book.rs
+++ b/crates/control/tests/book.rs
@@ -11,7 +11,7 @@
 fn command(id: &str, act: Act) -> Command {
     let fence = Fence { boot: None, build: Some(7), stage: Some(1) };
     let (id, issuer) = (id.to_owned(), "on-call".to_owned());
-    Command { id, issuer, expires_us: NOW + 60 * S, fence, phase: Phase::Now, act }
+    Command { id, issuer, issued_us: 0, expires_us: NOW + 60 * S, fence, phase: Phase::Now, act }
 }
 
 fn pause(id: &str) -> Command {
@@ -132,3 +132,25 @@
     assert!(read_ask(text.trim().as_bytes()).is_err(), "a field nobody knows may change what is meant");
     assert_eq!(Durable::default(), Durable::default());
 }
+
+#[test]
+fn of_contrary_commands_the_later_issued_stands_in_whatever_order_they_come() {
+    let at = |id: &str, act: Act, issued_us: u64| Command { issued_us, ..command(id, act) };
+    let one = at("a", Act::Pause { until_us: NOW + 60 * S }, NOW - 2);
+    let other = at("b", Act::Resume, NOW - 1);
+    let tie = at("c", Act::Pause { until_us: NOW + 60 * S }, NOW - 1);
+    let orders = [[&one, &other, &tie], [&tie, &other, &one], [&other, &tie, &one], [&one, &tie, &other]];
+    for order in orders {
+        let mut book = Book::default();
+        let replies: Vec<Reply> = order.iter().map(|c| book.take(NOW, PRESENT, c).0).collect();
+        // `c` and `b` are of one moment: the later id stands.
+        assert!(book.pause().is_some(), "{replies:?}");
+    }
+    let mut book = Book::default();
+    book.take(NOW, PRESENT, &other);
+    assert!(is_refused(&book.take(NOW, PRESENT, &one).0, "overtaken: resume"));
+    // On another subject nothing was overtaken.
+    assert_eq!(book.take(NOW, PRESENT, &at("d", Act::Drain, NOW - 3)).1, Some(Change::Drain));
+    let ahead = at("e", Act::Drain, NOW + 6 * S);
+    assert!(is_refused(&book.take(NOW, PRESENT, &ahead).0, "one of the clocks is off"));
+}
--- a/crates/daemon/src/store.rs
+++ b/crates/daemon/src/store.rs
@@ -49,7 +49,10 @@
 /// The durable state of one identity.
 #[derive(Debug)]
 pub struct Store {
-    db: Database,
+    path: PathBuf,
+    /// None after a fault: the next use opens the file again. `redb` takes no writes after one that failed,
+    /// and a full disk has room again some day.
+    db: Option<Database>,
 }
 
 fn words(e: impl std::fmt::Display) -> String {
@@ -96,7 +99,7 @@
                 }
                 other => Trouble::Damaged(other.to_string()),
             })?;
-            let store = Store { db };
+            let store = Store { path: path.to_owned(), db: Some(db) };
             let (boot, durable) = store.get().map_err(Trouble::Damaged)?;
             Ok((store, boot, durable))
         }));
@@ -106,8 +109,12 @@
         Ok((store, boot + 1, durable))
     }
 
+    fn db(&self) -> Result<&Database, String> {
+        self.db.as_ref().ok_or_else(|| "the state file is not open".into())
+    }
+
     fn get(&self) -> Result<(u64, Durable), String> {
-        let read = self.db.begin_read().map_err(words)?;
+        let read = self.db()?.begin_read().map_err(words)?;
         let table = match read.open_table(STATE) {
             Ok(table) => table,
             Err(redb::TableError::TableDoesNotExist(_)) => return Ok((0, Durable::default())),
@@ -125,7 +132,7 @@
     }
 
     fn put(&self, boot: u64, durable: &Durable, line: Option<&str>) -> Result<(), String> {
-        let write = self.db.begin_write().map_err(words)?;
+        let write = self.db()?.begin_write().map_err(words)?;
         {
             let mut table = write.open_table(STATE).map_err(words)?;
             if boot > 0 {
@@ -148,7 +155,7 @@
 
     /// The audit log, oldest first.
     pub fn audit(&self) -> Result<Vec<String>, String> {
-        let read = self.db.begin_read().map_err(words)?;
+        let read = self.db()?.begin_read().map_err(words)?;
         let table = match read.open_table(AUDIT) {
             Ok(table) => table,
             Err(redb::TableError::TableDoesNotExist(_)) => return Ok(Vec::new()),
@@ -168,6 +175,15 @@
 
 impl Keeper for Store {
     fn keep(&mut self, durable: &Durable, line: &str) -> Result<(), String> {
-        self.put(0, durable, Some(line))
+        if self.db.is_none() {
+            // An assertion of the store's own may fail on what a fault left behind.
+            let opened = catch_unwind(AssertUnwindSafe(|| Database::create(&self.path)));
+            self.db = Some(opened.map_err(|_| "the state file is damaged")?.map_err(words)?);
+        }
+        let kept = self.put(0, durable, Some(line));
+        if kept.is_err() {
+            self.db = None;
+        }
+        kept
     }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,8 +9,8 @@
 use call::{Heard, Silence};
 use std::collections::{BTreeMap, VecDeque};
 use std::hash::{BuildHasher, Hasher, RandomState};
-use std::sync::Mutex;
 use std::sync::mpsc::channel;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use violetseam_control::wire::{Act, Answer, Ask, Command, Fence, Phase, Reply};
 use violetseam_control::{Reading, wire};
@@ -25,6 +25,8 @@
     pub timeout: Duration,
     /// How many are spoken to at once.
     pub parallel: usize,
+    /// What it shows to daemons that are spoken to over TCP.
+    pub keys: Option<Arc<rustls::ClientConfig>>,
 }
 
 /// What became of a daemon's part.
@@ -88,7 +90,8 @@
                         let next = todo.lock().map(|mut t| t.pop_front());
                         let Ok(Some(n)) = next else { return };
                         let Some(ask) = ask_of(n) else { continue };
-                        let answer = call::call(&self.members[n].control, &ask, self.timeout);
+                        let answer =
+                            call::call(&self.members[n].control, &ask, self.timeout, self.keys.as_ref());
                         if tell.send((n, answer)).is_err() {
                             return;
                         }
@@ -129,12 +132,13 @@
         let about = act.is_about_a_stage().then(|| most_common(&readings)).flatten();
         // The standard library's hash keys are drawn from the system for each.
         let id = format!("{:016x}", RandomState::new().build_hasher().finish());
+        let issued_us = wall_clock();
         let command = |n: usize, phase: Phase| -> Option<Ask> {
             let boot = readings[n].as_ref().ok()?.boot;
             let fence = Fence { boot: Some(boot), build: about.map(|a| a.0), stage: about.map(|a| a.1) };
             let expires_us = wall_clock() + valid.as_micros() as u64;
             let (id, issuer, act) = (id.clone(), issuer.to_owned(), act.clone());
-            Some(Ask::Command(Command { id, issuer, expires_us, fence, phase, act }))
+            Some(Ask::Command(Command { id, issuer, issued_us, expires_us, fence, phase, act }))
         };
         let outcomes = if all_or_none {
             self.in_two_steps(&command, heard)
--- a/crates/fleet/tests/calls.rs
+++ b/crates/fleet/tests/calls.rs
@@ -72,7 +72,7 @@
         daemon("endless", |mut stream, _| while stream.write_all(&[b'x'; 4096]).is_ok() {}),
         Member { name: "absent".into(), control: "/nonexistent/socket".into(), groups: Vec::new() },
     ];
-    let fleet = Fleet { members, timeout: Duration::from_millis(500), parallel: 16 };
+    let fleet = Fleet { members, timeout: Duration::from_millis(500), parallel: 16, keys: None };
     let began = Instant::now();
     let told = fleet.tell(&Act::Resume, "test", Duration::from_secs(5), false, &mut |_| {});
     assert!(began.elapsed() < Duration::from_millis(1_500), "{:?}", began.elapsed());
@@ -99,7 +99,7 @@
         if ok { agreed("") } else { Reply::Refused { reason: line.to_owned() } }
     };
     let members = vec![sound("a", (9, 2), fenced), sound("b", (9, 2), fenced), sound("c", (8, 3), fenced)];
-    let fleet = Fleet { members, timeout: Duration::from_secs(1), parallel: 2 };
+    let fleet = Fleet { members, timeout: Duration::from_secs(1), parallel: 2, keys: None };
     let told = fleet.tell(&Act::Back, "test", Duration::from_secs(5), false, &mut |_| {});
     assert_eq!(told.about, Some((9, 2)));
     assert!(told.outcomes.iter().all(|o| o.1 == Outcome::Agreed { again: false }), "{:?}", told.outcomes);
@@ -114,7 +114,7 @@
     };
     let refuses = |_: &str| Reply::Refused { reason: "not me".into() };
     let members = vec![sound("ready", (2, 1), steps), sound("refuses", (2, 1), refuses)];
-    let fleet = Fleet { members, timeout: Duration::from_secs(1), parallel: 2 };
+    let fleet = Fleet { members, timeout: Duration::from_secs(1), parallel: 2, keys: None };
     let told = fleet.tell(&Act::Resume, "test", Duration::from_secs(5), true, &mut |_| {});
     assert!(matches!(&told.outcomes[0].1, Outcome::Refused(w) if w.contains("not all were ready")));
     assert_eq!(told.outcomes[1].1, Outcome::Refused("not me".into()));
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -54,7 +54,7 @@
             groups: Vec::new(),
         };
         let members = (0..self.children.len()).map(member).collect();
-        Fleet { members, timeout, parallel: 64 }
+        Fleet { members, timeout, parallel: 64, keys: None }
     }
 
     fn start(plan: &Plan, count: usize) -> Result<Daemons, String> {
--- a/crates/proxy/src/driver/mod.rs
+++ b/crates/proxy/src/driver/mod.rs
@@ -3,13 +3,15 @@
 //! - `clients.rs`: listeners and client connections, up to a whole request and from an answer on
 //! - `servers.rs`: connections to servers and the attempts on them
 //! - `control.rs`: calls to the roster and the release desk
-//! - `operators.rs`: the control socket, commands and the reading of the state
+//! - `line.rs`: an operator's connection, local or under TLS
+//! - `operators.rs`: the control sockets, commands and the reading of the state
 //! - `peers.rs`: datagrams
 //! - `takeover.rs`: a new process takes the sockets and what the module learned
 //! - `timers.rs`: the driver's own time-outs, all of them bounds of connections
 
 mod clients;
 mod control;
+mod line;
 mod operators;
 mod peers;
 mod servers;
@@ -188,7 +190,7 @@
     heard.extend(operators.is_some().then_some(Signal::SIGHUP));
     let signals = Signals::new(&heard).map_err(std::io::Error::other)?;
     let takes_over = inherited.is_some();
-    let mut proxy = Proxy::bind(settings, &options, event_loop.handle(), inherited)?;
+    let mut proxy = Proxy::new(settings, &options, event_loop.handle(), inherited.as_ref())?;
     event_loop
         .handle()
         .insert_source(signals, |event, (), proxy| match event.signal() {
@@ -196,8 +198,24 @@
             _ => proxy.drain(),
         })
         .map_err(|e| std::io::Error::other(e.to_string()))?;
+    let mut inherited = inherited;
     if let Some(operators) = operators {
-        proxy.open_control(operators)?;
+        let control = inherited.as_mut().and_then(Inherited::take_control);
+        proxy.open_control(operators, control)?;
+    }
+    match inherited {
+        Some(inherited) => {
+            proxy.adopt(inherited)?;
+            // From here on nobody else serves: what fails now is tried again while this process serves.
+            if let Err(e) = proxy.publish_control() {
+                tracing::error!("the control socket cannot be moved to its path: {e}");
+            }
+        }
+        None => {
+            proxy.bind_listeners()?;
+            proxy.bind_peers()?;
+            proxy.publish_control()?;
+        }
     }
     let addresses: Vec<SocketAddr> = proxy.listeners.iter().filter_map(|l| l.0.local_addr().ok()).collect();
     ready(&addresses);
@@ -229,11 +247,11 @@
 }
 
 impl Proxy {
-    fn bind(
+    fn new(
         settings: ProxySettings,
         options: &Options,
         handle: LoopHandle<'static, Proxy>,
-        inherited: Option<Inherited>,
+        inherited: Option<&Inherited>,
     ) -> std::io::Result<Self> {
         let mut rng: rand_pcg::Pcg64 = match settings.seed {
             Some(seed) => rand_pcg::Pcg64::seed_from_u64(seed),
@@ -244,7 +262,7 @@
             Some((path, bounds)) => Some(Recorder::start(path, *bounds, &settings.decisions, seed)?),
             None => None,
         };
-        let (mut engine, origin) = match &inherited {
+        let (mut engine, origin) = match inherited {
             Some(before) => {
                 (Engine::succeed(settings.decisions.clone(), before.module.clone()), before.clock())
             }
@@ -253,7 +271,7 @@
         if options.time_module {
             engine.time_module();
         }
-        let mut proxy = Proxy {
+        Ok(Proxy {
             operators: None,
             engine,
             handle,
@@ -300,15 +318,7 @@
             #[cfg(feature = "sabotage")]
             sabotage: options.sabotage,
             settings: Rc::new(settings),
-        };
-        match inherited {
-            Some(inherited) => proxy.adopt(inherited)?,
-            None => {
-                proxy.bind_listeners()?;
-                proxy.bind_peers()?;
-            }
-        }
-        Ok(proxy)
+        })
     }
 
     /// First events: the list as saved before a restart, which may be stale, then the desk is called.
--- a/crates/proxy/src/driver/operators.rs
+++ b/crates/proxy/src/driver/operators.rs
@@ -1,29 +1,36 @@
-//! The control socket: operators' questions and commands, and the one reading of the state.
+//! The control sockets, local and TCP: operators' questions and commands, and the one reading of the state.
 //!
 //! What becomes of a command is the book's (`violetseam-control`). A command is kept durably before it is
 //! done and answered: the keeper writes on a thread of its own, as a slow disk must not hold up traffic, and
 //! commands wait for each other meanwhile. A command that cannot be kept is refused and changes nothing.
 
 use super::Proxy;
+use super::line::{Line, Stream};
 use super::timers::What;
 use calloop::channel::{Event, Sender, channel};
 use calloop::generic::Generic;
-use calloop::{Interest, Mode, PostAction, Readiness};
+use calloop::{Interest, Mode, PostAction, Readiness, RegistrationToken};
+use rustls::{ServerConfig, ServerConnection};
 use slab::Slab;
 use std::collections::VecDeque;
+use std::net::TcpListener;
 use std::os::unix::fs::PermissionsExt;
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::sync::Arc;
 use violetseam::interface::{Build, Micros, Operator, Phase, ServerId, Verdict};
 use violetseam_control::book::{Book, Change, Durable, Present};
 use violetseam_control::state::{Counts, Reading, Release};
 use violetseam_control::wire::{self, Answer, Ask, Command, Reply};
-use violetseam_loopio::{Got, Socket};
+use violetseam_loopio::Got;
 use violetseam_settings::ProxySettings;
 
-/// Operators' connections at once; further ones are closed unread.
+/// Operators' connections at once, of each kind, so that a flood from the network leaves the local socket
+/// free; further ones are closed unread.
 const CONNECTIONS_MOST: usize = 64;
+/// Over TCP, how long a stranger may take to show its certificate.
+const STRANGER: Micros = 3_000_000;
 /// Connections taken in one turn, so that a flood of them leaves time for traffic.
 const ACCEPTS_MOST: usize = 8;
 /// A connection that asks nothing for so long is closed.
@@ -43,7 +50,12 @@
 
 /// What a reload may change while the proxy runs.
 #[derive(Debug)]
-pub struct Reloaded(pub ProxySettings);
+pub struct Reloaded {
+    /// The settings.
+    pub settings: ProxySettings,
+    /// The keys for control over TCP; connections that stand go on with those they began with.
+    pub keys: Option<Arc<ServerConfig>>,
+}
 
 /// Reads the settings again.
 pub type Reload = Box<dyn FnMut() -> Result<Reloaded, String>>;
@@ -67,6 +79,8 @@
 pub struct Operators {
     /// Where the control socket is made, with mode 0600.
     pub socket: PathBuf,
+    /// The keys for control over TCP, where the settings name an address for it.
+    pub keys: Option<Arc<ServerConfig>>,
     /// The boot number.
     pub boot: u64,
     /// What outlived the process before.
@@ -83,7 +97,7 @@
 
 struct Conn {
     generation: u64,
-    socket: Socket<UnixStream>,
+    line: Line,
     input: Vec<u8>,
     asked_at: Micros,
 }
@@ -102,6 +116,10 @@
 /// The operators' desk of one proxy.
 pub struct Desk {
     path: PathBuf,
+    /// Where the socket waits until it is moved to its path.
+    aside: Option<PathBuf>,
+    tls: Option<(Rc<TcpListener>, RegistrationToken)>,
+    keys: Option<Arc<ServerConfig>>,
     boot: u64,
     book: Book,
     conns: Slab<Conn>,
@@ -121,7 +139,9 @@
 
 impl Drop for Desk {
     fn drop(&mut self) {
-        if !self.left {
+        if let Some(aside) = &self.aside {
+            let _ = std::fs::remove_file(aside);
+        } else if !self.left {
             let _ = std::fs::remove_file(&self.path);
         }
     }
@@ -150,10 +170,14 @@
 }
 
 impl Proxy {
-    pub(super) fn open_control(&mut self, operators: Operators) -> std::io::Result<()> {
-        let Operators { socket: path, boot, durable, keeper, reload, set_log, reopen } = operators;
-        // One that a killed process left behind; two daemons on one identity are kept apart by their lock.
-        let _ = std::fs::remove_file(&path);
+    /// Makes all that control needs; operators find it once it is published. In a takeover that is after the
+    /// old process has left: what can fail must fail before.
+    pub(super) fn open_control(
+        &mut self,
+        operators: Operators,
+        inherited: Option<TcpListener>,
+    ) -> std::io::Result<()> {
+        let Operators { socket: path, keys, boot, durable, keeper, reload, set_log, reopen } = operators;
         // Made under another name and moved, so that it is never there with a wider mode.
         let mut aside = path.clone().into_os_string();
         aside.push(".new");
@@ -161,7 +185,6 @@
         let _ = std::fs::remove_file(&aside);
         let listener = UnixListener::bind(&aside)?;
         std::fs::set_permissions(&aside, std::fs::Permissions::from_mode(0o600))?;
-        std::fs::rename(&aside, &path)?;
         listener.set_nonblocking(true)?;
         let source = Generic::new(Rc::new(listener), Interest::READ, Mode::Level);
         let failed = |e: String| std::io::Error::other(e);
@@ -171,6 +194,31 @@
                 Ok(PostAction::Continue)
             })
             .map_err(|e| failed(e.to_string()))?;
+        let tls = match (self.settings.control_tls.as_ref().map(|tls| tls.0), inherited) {
+            (Some(addr), inherited) => {
+                // The old process's, if it is for this address; else one of its own.
+                let inherited =
+                    inherited.filter(|l| l.local_addr().is_ok_and(|at| at == addr || addr.port() == 0));
+                let listener = match inherited {
+                    Some(listener) => listener,
+                    None => {
+                        TcpListener::bind(addr).map_err(|e| failed(format!("control_tls: {addr}: {e}")))?
+                    }
+                };
+                listener.set_nonblocking(true)?;
+                let listener = Rc::new(listener);
+                let source = Generic::new(listener.clone(), Interest::READ, Mode::Level);
+                let token = self
+                    .handle
+                    .insert_source(source, |_, listener, proxy: &mut Proxy| {
+                        proxy.accept_strangers(listener);
+                        Ok(PostAction::Continue)
+                    })
+                    .map_err(|e| failed(e.to_string()))?;
+                Some((listener, token))
+            }
+            (None, _) => None,
+        };
         let (done, is_done): (Sender<Kept>, _) = channel();
         let to_keeper = Some(keep_on_thread(keeper, done.clone())?);
         self.handle
@@ -183,6 +231,9 @@
             .map_err(|e| failed(e.to_string()))?;
         self.operators = Some(Desk {
             path,
+            aside: Some(aside),
+            tls,
+            keys,
             boot,
             book: Book::new(durable),
             conns: Slab::new(),
@@ -199,6 +250,23 @@
         Ok(())
     }
 
+    /// Lets operators find the control socket.
+    pub(super) fn publish_control(&mut self) -> std::io::Result<()> {
+        let Some(desk) = &mut self.operators else { return Ok(()) };
+        if let Some(aside) = &desk.aside {
+            // Takes the place of one that a killed process left behind, or of the old process's in a
+            // takeover; two daemons on one identity are kept apart by their lock.
+            std::fs::rename(aside, &desk.path)?;
+            desk.aside = None;
+        }
+        Ok(())
+    }
+
+    /// Where control over TCP is taken.
+    pub(super) fn control_listener(&self) -> Option<&TcpListener> {
+        self.operators.as_ref()?.tls.as_ref().map(|tls| &*tls.0)
+    }
+
     /// A pause that outlived the process before binds this one from its first event on.
     pub(super) fn pause_standing(&mut self) {
         let now = self.now();
@@ -211,31 +279,61 @@
     fn accept_operators(&mut self, listener: &UnixListener) {
         for _ in 0..ACCEPTS_MOST {
             let Ok((stream, _)) = listener.accept() else { return };
-            let generation = self.next_generation();
-            let now = self.now();
             let Some(desk) = &mut self.operators else { return };
-            if desk.conns.len() >= CONNECTIONS_MOST || stream.set_nonblocking(true).is_err() {
+            let locals = desk.conns.iter().filter(|(_, c)| c.line.local().is_some()).count();
+            if locals >= CONNECTIONS_MOST || stream.set_nonblocking(true).is_err() {
                 desk.turned_away += 1;
                 continue;
             }
-            let entry = desk.conns.vacant_entry();
-            let key = entry.key();
-            let on_ready = move |readiness: Readiness, proxy: &mut Proxy| proxy.on_operator(key, readiness);
-            let Ok(socket) = Socket::register(&self.handle, stream, Interest::READ, on_ready) else {
+            self.add_operator(Stream::Unix(stream), None, QUIET);
+        }
+    }
+
+    /// Connections over TCP, of which nothing is known yet.
+    fn accept_strangers(&mut self, listener: &TcpListener) {
+        for _ in 0..ACCEPTS_MOST {
+            let Ok((stream, _)) = listener.accept() else { return };
+            let Some(desk) = &mut self.operators else { return };
+            let Some(keys) = &desk.keys else { return };
+            let remote = || desk.conns.iter().filter(|(_, c)| c.line.local().is_none());
+            // Full: the stranger that has waited longest goes, so that a flood of them cannot keep an
+            // operator out for longer than a handshake takes.
+            let oldest = remote().filter(|(_, c)| c.line.is_a_stranger()).min_by_key(|(_, c)| c.generation);
+            let full = remote().count() >= CONNECTIONS_MOST;
+            let oldest = oldest.map(|(key, _)| key);
+            let tls = ServerConnection::new(keys.clone());
+            let nodelay = stream.set_nodelay(true).and_then(|()| stream.set_nonblocking(true));
+            let (Ok(tls), Ok(()), true) = (tls, nodelay, !full || oldest.is_some()) else {
+                desk.turned_away += 1;
                 continue;
             };
-            entry.insert(Conn { generation, socket, input: Vec::new(), asked_at: now });
-            self.timers.set(now + QUIET, What::Operator(key, generation));
+            if let (true, Some(key)) = (full, oldest) {
+                desk.turned_away += 1;
+                self.close_operator(key);
+            }
+            self.add_operator(Stream::Tcp(stream), Some(Box::new(tls)), STRANGER);
         }
     }
 
+    fn add_operator(&mut self, stream: Stream, tls: Option<Box<ServerConnection>>, patience: Micros) {
+        let (generation, now) = (self.next_generation(), self.now());
+        let Some(desk) = &mut self.operators else { return };
+        let entry = desk.conns.vacant_entry();
+        let key = entry.key();
+        let on_ready = move |readiness: Readiness, proxy: &mut Proxy| proxy.on_operator(key, readiness);
+        let Ok(line) = Line::register(&self.handle, stream, tls, on_ready) else { return };
+        entry.insert(Conn { generation, line, input: Vec::new(), asked_at: now });
+        self.timers.set(now + patience, What::Operator(key, generation));
+    }
+
     pub(super) fn operator_timeout(&mut self, key: usize, generation: u64) {
         let now = self.now();
         let Some(desk) = &mut self.operators else { return };
         let Some(conn) = desk.conns.get_mut(key).filter(|c| c.generation == generation) else {
             return;
         };
-        let due = conn.asked_at + QUIET;
+        // A stranger's bytes do not count: its time began when it was taken.
+        let due = if conn.line.is_a_stranger() { now } else { conn.asked_at + QUIET };
         if due > now {
             self.timers.set(due, What::Operator(key, generation));
         } else {
@@ -245,24 +343,25 @@
 
     pub(super) fn close_operator(&mut self, key: usize) {
         if let Some(conn) = self.operators.as_mut().and_then(|d| d.conns.try_remove(key)) {
-            conn.socket.remove(&self.handle);
+            conn.line.remove(&self.handle);
         }
     }
 
     fn on_operator(&mut self, key: usize, readiness: Readiness) {
-        let mut bytes = [0; 4096];
         let now = self.now();
         let Some(conn) = self.operators.as_mut().and_then(|d| d.conns.get_mut(key)) else { return };
-        if readiness.writable && conn.socket.flush().is_err() {
+        if readiness.writable && conn.line.flush().is_err() {
             return self.close_operator(key);
         }
         if readiness.readable || readiness.error {
             let generation = conn.generation;
             let taking_over = self.handing == Some((key, generation));
-            match conn.socket.read(&mut bytes) {
-                Got::Bytes(n) if taking_over => return self.on_successor(&bytes[..n]),
-                Got::Bytes(n) => conn.input.extend_from_slice(&bytes[..n]),
-                Got::Nothing => {}
+            match conn.line.read(&mut conn.input) {
+                Got::Bytes(_) if taking_over => {
+                    let bytes = std::mem::take(&mut conn.input);
+                    return self.on_successor(&bytes);
+                }
+                Got::Bytes(_) | Got::Nothing => {}
                 Got::Closed | Got::Broken => {
                     self.close_operator(key);
                     if taking_over {
@@ -284,7 +383,7 @@
                     self.tell_operator(key, &Answer::Malformed { reason: "line too long".into() });
                     return self.close_operator(key);
                 }
-                return conn.socket.want(&self.handle, true);
+                return conn.line.want(&self.handle, true);
             };
             let line: Vec<u8> = conn.input.drain(..=end).collect();
             let generation = conn.generation;
@@ -298,8 +397,18 @@
                     let reading = self.reading();
                     self.tell_operator(key, &Answer::State(Box::new(reading)));
                 }
-                Ok(Ask::Takeover) => return self.hand_over(key),
-                Ok(Ask::Command(command)) => self.queue_command(Waiting { conn: key, generation, command }),
+                Ok(Ask::Takeover) if conn.line.local().is_some() => return self.hand_over(key),
+                Ok(Ask::Takeover) => {
+                    let reason = "sockets are handed over on the local control socket alone".into();
+                    self.tell_operator(key, &Answer::Malformed { reason });
+                }
+                Ok(Ask::Command(mut command)) => {
+                    // Over TCP the certificate says who it is; what the command says beside is kept.
+                    if let Some(holder) = conn.line.holder().filter(|h| *h != command.issuer) {
+                        command.issuer = format!("{holder} as {}", command.issuer);
+                    }
+                    self.queue_command(Waiting { conn: key, generation, command });
+                }
                 Err(reason) => self.tell_operator(key, &Answer::Malformed { reason }),
             }
         }
@@ -329,7 +438,11 @@
 
     /// The control socket's path is the successor's now.
     pub(super) fn leave_control(&mut self) {
-        self.operators.iter_mut().for_each(|desk| desk.left = true);
+        let Some(desk) = &mut self.operators else { return };
+        desk.left = true;
+        if let Some((_, token)) = desk.tls.take() {
+            self.handle.remove(token);
+        }
     }
 
     /// Whether a command is being kept at this moment.
@@ -341,17 +454,16 @@
     pub(super) fn operator_stream(&self, key: usize, generation: Option<u64>) -> Option<(&UnixStream, u64)> {
         let conn = self.operators.as_ref()?.conns.get(key)?;
         let same = generation.is_none_or(|g| g == conn.generation);
-        same.then(|| (conn.socket.stream(), conn.generation))
+        conn.line.local().filter(|_| same).map(|stream| (stream, conn.generation))
     }
 
     fn tell_operator(&mut self, key: usize, answer: &Answer) {
         let Some(conn) = self.operators.as_mut().and_then(|d| d.conns.get_mut(key)) else { return };
-        conn.socket.out().extend(wire::write(answer));
         // An operator who asks and never reads is not waited for.
-        if conn.socket.flush().is_err() || conn.socket.unwritten() > 4 * wire::LINE_MOST {
+        if conn.line.send(&wire::write(answer)).is_err() || conn.line.unwritten() > 4 * wire::LINE_MOST {
             return self.close_operator(key);
         }
-        conn.socket.want(&self.handle, true);
+        conn.line.want(&self.handle, true);
     }
 
     fn queue_command(&mut self, waiting: Waiting) {
@@ -442,7 +554,7 @@
     /// new process and refuses the rest with it.
     fn reload(&mut self) -> Result<(), String> {
         let Some(desk) = &mut self.operators else { return Err("no settings to read again".into()) };
-        let Reloaded(new) = (desk.reload)()?;
+        let Reloaded { settings: new, keys } = (desk.reload)()?;
         let old = &self.settings;
         let same = |what: &str, is: bool| if is { Ok(()) } else { Err(format!("{what} need a new process")) };
         same("decisions", format!("{:?}", old.decisions) == format!("{:?}", new.decisions))?;
@@ -452,6 +564,9 @@
         )?;
         same("addresses that are bound", (&old.listen, old.peer_listen) == (&new.listen, new.peer_listen))?;
         same("tenants", old.tenants == new.tenants)?;
+        let control = |s: &ProxySettings| s.control_tls.as_ref().map(|tls| tls.0);
+        same("the address of control_tls", control(old) == control(&new))?;
+        desk.keys = keys;
         self.head_limits = violetseam_http1::Limits {
             head: new.connections.max_head,
             fields: new.connections.max_fields,
@@ -469,6 +584,12 @@
             tracing::warn!(connections = desk.turned_away, "operators' connections turned away");
             desk.turned_away = 0;
         }
+        if desk.aside.is_some()
+            && let Err(e) = self.publish_control()
+        {
+            tracing::error!("the control socket cannot be moved to its path: {e}");
+        }
+        let Some(desk) = self.operators.as_mut() else { return };
         if desk.book.expire(wall_clock(), present).is_some() {
             // Kept with the next command; until then a restart finds the pause expired, too.
             tracing::info!(target: "operator", "the pause has ended");
--- a/crates/proxy/src/driver/takeover.rs
+++ b/crates/proxy/src/driver/takeover.rs
@@ -28,8 +28,10 @@
 use violetseam::balance::Balancer;
 use violetseam::interface::{ListKind, Micros};
 
-/// The layout of what is handed over; another one is refused, and the old process serves on.
-const VERSION: u32 = 1;
+/// The layout of what is handed over; a later one is refused, and the old process serves on. 2 has a listener
+/// for control over TCP, and is said only where there is one, so that earlier programs can still take over
+/// from this one elsewhere.
+const VERSION: u32 = 2;
 /// Descriptors in one message; the kernel takes 253.
 const BATCH: usize = 200;
 /// The most bytes of a module.
@@ -46,6 +48,8 @@
     monotonic: u64,
     listeners: usize,
     peers: bool,
+    #[serde(default)]
+    control: bool,
     clients: usize,
     module: u64,
 }
@@ -58,6 +62,7 @@
     listeners: Vec<TcpListener>,
     peers: Option<UdpSocket>,
     clients: Vec<TcpStream>,
+    control_listener: Option<TcpListener>,
     control: UnixStream,
 }
 
@@ -67,6 +72,11 @@
 }
 
 impl Inherited {
+    /// The listener for control over TCP.
+    pub(super) fn take_control(&mut self) -> Option<TcpListener> {
+        self.control_listener.take()
+    }
+
     /// The old process's clock, as it goes on now.
     pub(super) fn clock(&self) -> Micros {
         self.clock + monotonic().saturating_sub(self.monotonic)
@@ -118,19 +128,20 @@
     }
     let offer: Offer = serde_json::from_slice(&line)
         .map_err(|_| format!("takeover: refused: {}", String::from_utf8_lossy(&line).trim()))?;
-    if offer.version != VERSION || offer.module > MODULE_MOST {
+    if offer.version > VERSION || offer.module > MODULE_MOST {
         return Err(format!("takeover: an offer of version {}, this process takes {VERSION}", offer.version));
     }
     let mut module = vec![0; offer.module as usize];
     stream.read_exact(&mut module).map_err(words("module"))?;
     let module = postcard::from_bytes(&module).map_err(|e| format!("takeover: module: {e}"))?;
-    let wanted = offer.listeners + usize::from(offer.peers) + offer.clients;
+    let wanted = offer.listeners + usize::from(offer.peers) + usize::from(offer.control) + offer.clients;
     let mut descriptors = receive_descriptors(&stream, wanted).map_err(words("sockets"))?.into_iter();
     let listeners = descriptors.by_ref().take(offer.listeners).map(TcpListener::from).collect();
     let peers = if offer.peers { descriptors.next().map(UdpSocket::from) } else { None };
+    let control_listener = if offer.control { descriptors.next().map(TcpListener::from) } else { None };
     let clients = descriptors.map(TcpStream::from).collect();
     let (clock, monotonic) = (offer.clock, offer.monotonic);
-    Ok(Inherited { module, clock, monotonic, listeners, peers, clients, control: stream })
+    Ok(Inherited { module, clock, monotonic, listeners, peers, clients, control_listener, control: stream })
 }
 
 impl Proxy {
@@ -191,11 +202,12 @@
         let module = postcard::to_allocvec(&self.engine.successor(seed)).map_err(std::io::Error::other)?;
         let idle = self.idle_clients();
         let offer = Offer {
-            version: VERSION,
+            version: if self.control_listener().is_some() { VERSION } else { 1 },
             clock: self.now(),
             monotonic: monotonic(),
             listeners: self.listeners.len(),
             peers: self.udp.is_some(),
+            control: self.control_listener().is_some(),
             clients: idle.len(),
             module: module.len() as u64,
         };
@@ -211,6 +223,7 @@
         stream.write_all(&module)?;
         let mut descriptors: Vec<BorrowedFd<'_>> = self.listeners.iter().map(|l| l.0.as_fd()).collect();
         descriptors.extend(self.udp.as_ref().map(|u| u.as_fd()));
+        descriptors.extend(self.control_listener().map(AsFd::as_fd));
         descriptors.extend(self.streams_of(&idle).into_iter().map(AsFd::as_fd));
         send_descriptors(stream, &descriptors)?;
         stream.set_nonblocking(true)?;
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -111,6 +111,8 @@
     pub state_dir: Option<PathBuf>,
     /// The path of the control socket.
     pub control: Option<PathBuf>,
+    /// Control over TCP under mutual TLS: where it listens, and the daemon's files.
+    pub control_tls: Option<(SocketAddr, Identity)>,
     /// What the decisions run by.
     pub decisions: v::Settings,
 }
@@ -176,12 +178,35 @@
         seed: fleet.is.seed,
         state_dir: fleet.is.state_dir.as_ref().map(PathBuf::from),
         control: fleet.is.control.as_ref().map(PathBuf::from),
+        control_tls: check_control_tls(fleet, one("control_tls", &s.control_tls)?)?,
         decisions: decisions(s, &fleet.is, &rollout.is, &contract.is, limits, peers.is_some()),
     })
 }
 
+/// What a fleet file says.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FleetFile {
+    /// The daemons.
+    pub members: Vec<Member>,
+    /// The operator's files, for those that are spoken to over TCP.
+    pub identity: Option<Identity>,
+}
+
+fn check_control_tls(
+    fleet: &Placed<Fleet>,
+    tls: Option<&Placed<ControlTls>>,
+) -> Result<Option<(SocketAddr, Identity)>, Fault> {
+    let Some(tls) = tls else { return Ok(None) };
+    if fleet.is.control.is_none() {
+        return tls.fault("control_tls: needs fleet(control = ...), which takeovers and commands go by");
+    }
+    let ControlTls { listen, cert, key, trusted, revoked } = tls.is.clone();
+    Ok(Some((listen, Identity { cert, key, trusted, revoked })))
+}
+
 /// The daemons of a fleet file.
-pub(crate) fn members(script: &str, s: &Sections) -> Result<Vec<Member>, Fault> {
+pub(crate) fn members(script: &str, s: &Sections) -> Result<FleetFile, Fault> {
+    let identity = one("identity", &s.identity)?.map(|placed| placed.is.clone());
     let mut members: Vec<Member> = Vec::new();
     for placed in &s.members {
         let m = &placed.is;
@@ -193,12 +218,22 @@
         if members.iter().any(|other| other.name == m.name || other.control == m.control) {
             return placed.fault(format!("member: {:?} or its control socket twice", m.name));
         }
+        if let Some(place) = m.control.strip_prefix("tls://") {
+            let (host, port) = place.rsplit_once(':').unwrap_or_default();
+            if host.is_empty() || port.parse::<u16>().is_err() {
+                return placed.fault("member: control over TCP is tls://HOST:PORT");
+            }
+            if identity.is_none() {
+                return placed
+                    .fault("member: tls:// needs an identity(cert = ..., key = ..., trusted = ...)");
+            }
+        }
         members.push(m.clone());
     }
     if members.is_empty() {
         return Err(Fault(format!("{script}: no member(...)")));
     }
-    Ok(members)
+    Ok(FleetFile { members, identity })
 }
 
 fn check_fleet(fleet: &Placed<Fleet>, peers: Option<&Placed<Peers>>) -> Result<(), Fault> {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -10,6 +10,6 @@
 mod sections;
 mod span;
 
-pub use check::{Connections, Headers, ProxySettings, Route};
+pub use check::{Connections, FleetFile, Headers, ProxySettings, Route};
 pub use script::{Fault, read_file, read_fleet, read_text};
-pub use sections::{HalfClose, Member};
+pub use sections::{HalfClose, Identity, Member};
--- a/crates/settings/src/script.rs
+++ b/crates/settings/src/script.rs
@@ -1,7 +1,7 @@
 //! Evaluates a script: each section function reads its arguments into the section's type at once, so that
 //! a fault is reported at the very call.
 
-use crate::check::{self, ProxySettings};
+use crate::check::{self, FleetFile, ProxySettings};
 use crate::sections::*;
 use serde::de::DeserializeOwned;
 use starlark::collections::SmallMap;
@@ -65,6 +65,8 @@
     pub contract: Vec<Placed<Contract>>,
     pub connections: Vec<Placed<ConnectionLimits>>,
     pub members: Vec<Placed<Member>>,
+    pub identity: Vec<Placed<Identity>>,
+    pub control_tls: Vec<Placed<ControlTls>>,
 }
 
 #[derive(Default)]
@@ -191,6 +193,18 @@
     ) -> anyhow::Result<NoneType> {
         keep(eval, "member", args, |s| &mut s.members)
     }
+    fn identity<'v>(
+        #[starlark(kwargs)] args: SmallMap<String, Value<'v>>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<NoneType> {
+        keep(eval, "identity", args, |s| &mut s.identity)
+    }
+    fn control_tls<'v>(
+        #[starlark(kwargs)] args: SmallMap<String, Value<'v>>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<NoneType> {
+        keep(eval, "control_tls", args, |s| &mut s.control_tls)
+    }
 
     /// The value given on the command line (`--set name=value`), else the default, which also says
     /// whether a number or a text is wanted.
@@ -276,8 +290,8 @@
     read(&path.display().to_string(), text, folder, options)
 }
 
-/// Reads and checks a fleet file: the daemons that it lists.
-pub fn read_fleet(path: &Path, options: &[(String, String)]) -> Result<Vec<Member>, Fault> {
+/// Reads and checks a fleet file: the daemons that it lists and what it speaks to them with.
+pub fn read_fleet(path: &Path, options: &[(String, String)]) -> Result<FleetFile, Fault> {
     let text = read_bounded(path).map_err(|e| Fault(format!("{}: {e}", path.display())))?;
     let folder = path.parent().map(|p| if p.as_os_str().is_empty() { PathBuf::from(".") } else { p.into() });
     let name = path.display().to_string();
--- a/crates/settings/src/sections.rs
+++ b/crates/settings/src/sections.rs
@@ -25,13 +25,39 @@
     pub control: Option<String>,
 }
 
+/// Files in PEM form: a daemon's for control over TCP, an operator's in a fleet file.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Identity {
+    /// The certificate, followed by those in between.
+    pub cert: String,
+    /// Its private key, readable by its owner alone.
+    pub key: String,
+    /// The authorities whose certificates the other side may show.
+    pub trusted: String,
+    /// Lists of certificates that are no longer accepted.
+    #[serde(default)]
+    pub revoked: Option<String>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct ControlTls {
+    pub listen: SocketAddr,
+    pub cert: String,
+    pub key: String,
+    pub trusted: String,
+    #[serde(default)]
+    pub revoked: Option<String>,
+}
+
 /// A daemon of a fleet file.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Member {
     /// Its name.
     pub name: String,
-    /// The path of its control socket.
+    /// The path of its control socket, or `tls://HOST:PORT`.
     pub control: String,
     /// Groups it can be addressed by.
     #[serde(default)]
