--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -4,7 +4,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
-use violetseam_lab::{Lab, days, drawn, fleet, measure, report};
+use violetseam_lab::{Lab, days, disturbed, drawn, fleet, measure, report};
 use violetseam_standin::day::Day;
 
 #[derive(Args)]
@@ -49,6 +49,9 @@
         /// Measure the fleet tool over so many daemons instead
         #[arg(long)]
         daemons: Option<usize>,
+        /// Measure what floods of control connections and takeovers add to requests instead
+        #[arg(long)]
+        disturbed: bool,
     },
     /// Check the records of a day again
     Check {
@@ -96,7 +99,7 @@
             days::NAMES.iter().for_each(|name| println!("{name}"));
             Ok(ExitCode::SUCCESS)
         }
-        Command::Measure { rounds, seconds, pace, recording, daemons } => {
+        Command::Measure { rounds, seconds, pace, recording, daemons, disturbed: disturbances } => {
             let plan = measure::Plan {
                 program: std::env::current_exe().map_err(|e| e.to_string())?,
                 rounds: (*rounds).max(1),
@@ -108,6 +111,8 @@
             let mut say = |line: &str| eprintln!("{line}");
             if let Some(daemons) = daemons {
                 print!("{}", fleet::fleet(&plan, (*daemons).clamp(1, 1_000), &mut say)?);
+            } else if *disturbances {
+                print!("{}", disturbed::disturbed(&plan, &mut say)?);
             } else if *recording {
                 let [plain, recorded, ratio] = measure::recording(&plan, &mut say)?;
                 println!("plain {plain:.0}, recorded {recorded:.0} requests/s, median ratio {ratio:.3}");
--- /dev/null
+++ b/crates/keys/tests/files.rs
@@ -0,0 +1,124 @@
+//! Files that are sound, not yet valid, revoked; handshakes in memory.
+
+use rcgen::{
+    BasicConstraints, CertificateParams, CertificateRevocationListParams, CertifiedIssuer, DnType, IsCa,
+    KeyIdMethod, KeyPair, KeyUsagePurpose, RevokedCertParams, SerialNumber,
+};
+use rustls::pki_types::ServerName;
+use rustls::{ClientConnection, ServerConnection};
+use std::os::unix::fs::PermissionsExt;
+use std::path::{Path, PathBuf};
+use time::{Duration, OffsetDateTime};
+use violetseam_keys::{Fault, KeyFiles, daemon, holder, operator};
+
+type Authority = CertifiedIssuer<'static, KeyPair>;
+
+fn authority() -> Authority {
+    let mut params = CertificateParams::new(Vec::new()).unwrap();
+    params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+    params.key_usages = vec![KeyUsagePurpose::KeyCertSign, KeyUsagePurpose::CrlSign];
+    CertifiedIssuer::self_signed(params, KeyPair::generate().unwrap()).unwrap()
+}
+
+fn issue(by: &Authority, folder: &Path, name: &str, serial: u64, from_days: i64) -> KeyFiles {
+    let mut params = CertificateParams::new(vec!["daemon.test".to_owned()]).unwrap();
+    params.distinguished_name.push(DnType::CommonName, name);
+    params.serial_number = Some(SerialNumber::from(serial));
+    params.not_before = OffsetDateTime::now_utc() + Duration::days(from_days);
+    params.not_after = OffsetDateTime::now_utc() + Duration::days(90);
+    let key = KeyPair::generate().unwrap();
+    let cert = params.signed_by(&key, by).unwrap().pem();
+    let put = |what: &str, text: &str| -> PathBuf {
+        let path = folder.join(format!("{name}.{what}"));
+        std::fs::write(&path, text).unwrap();
+        std::fs::set_permissions(&path, std::fs::Permissions::from_mode(0o600)).unwrap();
+        path
+    };
+    KeyFiles {
+        cert: put("cert", &cert),
+        key: put("key", &key.serialize_pem()),
+        trusted: put("trusted", &by.pem()),
+        revoked: None,
+    }
+}
+
+fn folder(name: &str) -> PathBuf {
+    let folder = std::env::temp_dir().join(format!("vs-keyfiles-{name}-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    folder
+}
+
+fn now_s() -> i64 {
+    OffsetDateTime::now_utc().unix_timestamp()
+}
+
+/// A handshake in memory: whom the daemon saw, or what it found wrong.
+fn meet(server: &KeyFiles, client: &KeyFiles) -> Result<String, String> {
+    let mut daemon = ServerConnection::new(daemon(server, now_s()).unwrap().config).unwrap();
+    let name = ServerName::try_from("daemon.test").unwrap();
+    let mut operator = ClientConnection::new(operator(client, now_s()).unwrap().config, name).unwrap();
+    for _ in 0..10 {
+        let mut wire = Vec::new();
+        while operator.wants_write() {
+            operator.write_tls(&mut wire).unwrap();
+        }
+        let mut sealed = &wire[..];
+        while !sealed.is_empty() {
+            daemon.read_tls(&mut sealed).unwrap();
+            daemon.process_new_packets().map_err(|e| e.to_string())?;
+        }
+        let mut wire = Vec::new();
+        while daemon.wants_write() {
+            daemon.write_tls(&mut wire).unwrap();
+        }
+        let mut sealed = &wire[..];
+        while !sealed.is_empty() {
+            operator.read_tls(&mut sealed).unwrap();
+            operator.process_new_packets().map_err(|e| e.to_string())?;
+        }
+    }
+    daemon.peer_certificates().map(|certs| holder(&certs[0])).ok_or_else(|| "no certificate".into())
+}
+
+#[test]
+fn both_sides_show_certificates_and_a_revoked_one_is_refused() {
+    let (folder, by) = (folder("meet"), authority());
+    let mut server = issue(&by, &folder, "daemon", 1, -1);
+    let (one, two) = (issue(&by, &folder, "on-call", 2, -1), issue(&by, &folder, "left", 3, -1));
+    assert_eq!(meet(&server, &one), Ok("on-call".into()));
+    assert_eq!(meet(&server, &two), Ok("left".into()));
+    let now = OffsetDateTime::now_utc();
+    let list = CertificateRevocationListParams {
+        this_update: now - Duration::days(1),
+        next_update: now + Duration::days(1),
+        crl_number: SerialNumber::from(1),
+        issuing_distribution_point: None,
+        revoked_certs: vec![RevokedCertParams {
+            serial_number: SerialNumber::from(3),
+            revocation_time: now - Duration::days(1),
+            reason_code: None,
+            invalidity_date: None,
+        }],
+        key_identifier_method: KeyIdMethod::Sha256,
+    };
+    let path = folder.join("revoked");
+    std::fs::write(&path, list.signed_by(&by).unwrap().pem().unwrap()).unwrap();
+    server.revoked = Some(path);
+    assert_eq!(meet(&server, &one), Ok("on-call".into()));
+    assert!(meet(&server, &two).unwrap_err().contains("Revoked"));
+    std::fs::remove_dir_all(folder).unwrap();
+}
+
+#[test]
+fn a_certificate_of_next_week_and_one_that_has_ended_are_told_apart() {
+    let (folder, by) = (folder("times"), authority());
+    let early = issue(&by, &folder, "early", 1, 7);
+    let fault = operator(&early, now_s()).unwrap_err();
+    assert!(fault.to_string().contains("not valid for another"), "{fault}");
+    let sound = issue(&by, &folder, "sound", 2, -1);
+    let later = now_s() + 91 * 86_400;
+    assert!(matches!(daemon(&sound, later), Err(Fault::Expired(..))));
+    let loaded = daemon(&sound, now_s()).unwrap();
+    assert!((loaded.ends_s - now_s() - 90 * 86_400).abs() < 60);
+    std::fs::remove_dir_all(folder).unwrap();
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,6 +2,7 @@
 //! at the end the rules checked from what crossed the sockets.
 
 pub mod days;
+pub mod disturbed;
 pub mod drawn;
 pub mod fleet;
 pub mod measure;
