--- a/crates/lab/src/disturbed.rs
+++ b/crates/lab/src/disturbed.rs
@@ -28,18 +28,18 @@
     pace: f64,
     kind: &AtomicUsize,
     stop: &AtomicBool,
-) -> (Vec<Histogram<u64>>, u64, u64) {
+) -> (Vec<Histogram<u64>>, u64, Vec<u64>) {
     let new = || Histogram::new_with_bounds(1, 60_000_000, 3);
     let mut times: Vec<Histogram<u64>> = (0..=KINDS.len()).filter_map(|_| new().ok()).collect();
     let gap = Duration::from_secs_f64(CLIENTS as f64 / pace);
     let mut due = Instant::now() + gap.mul_f64(n as f64 / CLIENTS as f64);
-    let (mut stream, mut lost, mut refused) = (None, 0, 0);
+    let (mut stream, mut lost, mut refused) = (None, 0, vec![0; KINDS.len() + 1]);
     while !stop.load(Ordering::Relaxed) {
         std::thread::sleep(due.saturating_duration_since(Instant::now()));
         let during = kind.load(Ordering::Relaxed);
         match ask(&mut stream, addr).or_else(|| ask(&mut stream, addr)) {
             Some(200) => {}
-            Some(_) => refused += 1,
+            Some(_) => refused[during] += 1,
             None => lost += 1,
         }
         times[during].saturating_record((due.elapsed().as_micros() as u64).max(1));
@@ -140,7 +140,8 @@
     // Requests of the kind after the last are not counted: they were due while one span gave way to another.
     let kind = AtomicUsize::new(KINDS.len());
     let mut figures: Vec<Vec<[f64; 3]>> = vec![Vec::new(); KINDS.len()];
-    let (mut lost, mut refused, mut asked, mut connections) = (0, 0, 0, 0);
+    let (mut lost, mut asked, mut connections) = (0, 0, 0);
+    let mut refused = [0; KINDS.len() + 1];
     for round in 0..plan.rounds {
         let stop = AtomicBool::new(false);
         let (gave, result) = std::thread::scope(|scope| {
@@ -185,19 +186,24 @@
             say(&format!("round {}: {}: p50 {:.3} p99 {:.3} ms", round + 1, KINDS[n], at(0.5), at(0.99)));
         }
         lost += gave.iter().map(|g| g.1).sum::<u64>();
-        refused += gave.iter().map(|g| g.2).sum::<u64>();
+        for (n, refused) in refused.iter_mut().enumerate() {
+            *refused += gave.iter().map(|g| g.2[n]).sum::<u64>();
+        }
     }
     let _ = child.kill();
     let _ = child.wait();
     let _ = std::fs::remove_file(&control);
-    let mut text = String::from("| ms, medians | p50 | p99 | worst |\n| --- | --- | --- | --- |\n");
-    for (name, figures) in KINDS.iter().zip(&figures) {
+    let mut text = String::from(
+        "| ms, medians | p50 | p99 | worst | refused, all rounds |\n| --- | --- | --- | --- | --- |\n",
+    );
+    for (n, (name, figures)) in KINDS.iter().zip(&figures).enumerate() {
         let of = |i: usize| median(&figures.iter().map(|f| f[i]).collect::<Vec<_>>());
-        let _ = writeln!(text, "| {name} | {:.3} | {:.3} | {:.3} |", of(0), of(1), of(2));
+        let _ = writeln!(text, "| {name} | {:.3} | {:.3} | {:.3} | {} |", of(0), of(1), of(2), refused[n]);
     }
     let _ = writeln!(
         text,
-        "\n{asked} requests, {lost} lost, {refused} refused; {connections} control connections made"
+        "\n{asked} requests, {lost} lost, {} refused between spans; {connections} control connections made",
+        refused[KINDS.len()]
     );
     Ok(text)
 }
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -1,6 +1,6 @@
 //! What the sections mean together: refuses contradictions, gives the settings that the program runs by.
 
-use crate::script::{Fault, Placed, Sections};
+use crate::script::Sections;
 use crate::sections::*;
 use http::{HeaderName, Method};
 use std::collections::BTreeMap;
@@ -8,6 +8,7 @@
 use std::path::PathBuf;
 use violetseam::interface as v;
 use violetseam::interface::Micros;
+use violetseam_script::{Fault, Placed, needed, one};
 
 /// Requests with this method and path prefix are of this class.
 #[derive(Clone, Debug)]
@@ -117,19 +118,6 @@
     pub decisions: v::Settings,
 }
 
-/// The one call of a section that may be called once only.
-fn one<'a, T>(section: &str, calls: &'a [Placed<T>]) -> Result<Option<&'a Placed<T>>, Fault> {
-    match calls {
-        [] => Ok(None),
-        [only] => Ok(Some(only)),
-        [first, second, ..] => second.fault(format!("{section}: called before, at {}", first.at)),
-    }
-}
-
-fn needed<'a, T>(script: &str, section: &str, calls: &'a [Placed<T>]) -> Result<&'a Placed<T>, Fault> {
-    one(section, calls)?.ok_or_else(|| Fault(format!("{script}: no {section}(...)")))
-}
-
 pub(crate) fn check(script: &str, s: &Sections) -> Result<ProxySettings, Fault> {
     let fleet = needed(script, "fleet", &s.fleet)?;
     let roster = needed(script, "roster", &s.roster)?;
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -8,7 +8,6 @@
 mod check;
 mod script;
 mod sections;
-mod span;
 
 pub use check::{Connections, FleetFile, Headers, ProxySettings, Route};
 pub use script::{Fault, read_file, read_fleet, read_text};
--- a/crates/settings/src/sections.rs
+++ b/crates/settings/src/sections.rs
@@ -1,9 +1,9 @@
 //! The sections as a script writes them: names, types and defaults. What they mean together is checked in
 //! `check.rs`.
 
-use crate::span::Span;
 use serde::Deserialize;
 use std::net::SocketAddr;
+use violetseam_script::Span;
 
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
