--- a/crates/plan/src/calendar.rs
+++ b/crates/plan/src/calendar.rs
@@ -50,6 +50,11 @@
 const STEPS_MOST: usize = 20_000;
 const DAY: Micros = 86_400_000_000;
 
+/// The first moment at which the clocks of a zone (its IANA name) show a time such as `2026-12-01T08:00`.
+pub fn moment_of(at: &str, zone_name: &str) -> Option<Micros> {
+    moment(&zone(zone_name)?, at.parse().ok()?)
+}
+
 /// A zone by its name.
 pub(crate) fn zone(name: &str) -> Option<TimeZone> {
     TimeZone::get(name).ok()
--- a/crates/plan/src/document.rs
+++ b/crates/plan/src/document.rs
@@ -334,10 +334,10 @@
 
 fn freeze(placed: &Placed<FreezeSection>) -> Result<Freeze, Fault> {
     let f = &placed.is;
-    let Some(zone) = calendar::zone(&f.zone) else {
+    if calendar::zone(&f.zone).is_none() {
         return placed.fault(format!("freeze: no time zone {:?}", f.zone));
-    };
-    let at = |text: &str| -> Option<Micros> { calendar::moment(&zone, text.parse().ok()?) };
+    }
+    let at = |text: &str| calendar::moment_of(text, &f.zone);
     let (Some(start), Some(end)) = (at(&f.start), at(&f.end)) else {
         return placed.fault("freeze: moments are YYYY-MM-DDTHH:MM, by the clocks of its zone");
     };
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -14,7 +14,7 @@
 mod diff;
 mod document;
 
-pub use calendar::{Calendar, Freeze, Window};
+pub use calendar::{Calendar, Freeze, Window, moment_of};
 pub use diff::diff;
 pub use document::{read_file, read_text};
 pub use violetseam_script::Fault;
