--- a/crates/rehearsal/src/player.rs
+++ b/crates/rehearsal/src/player.rs
@@ -204,6 +204,7 @@
 
     fn do_scripted(&mut self, due: Due) {
         let script = self.script;
+        let again = matches!(due, Due::Order(n) if script.orders[n].until_it_counts);
         let (what, event) = match due {
             Due::Sign(n) => {
                 let s = &script.signs[n];
@@ -253,6 +254,7 @@
             Reply::Ok => self.say(what),
             // Repeats of a healthy script's orders are no news.
             Reply::Moot(_) => {}
+            Reply::Refused(_) if again => {}
             Reply::Refused(why) => self.say(format!("{what}: refused: {why}")),
         }
     }
--- a/crates/rehearsal/src/script.rs
+++ b/crates/rehearsal/src/script.rs
@@ -78,6 +78,9 @@
     /// For how long, of a hold.
     #[serde(default, rename = "for")]
     pub span: Option<Span>,
+    /// Tried again and again until there is something to do: a refusal is no news.
+    #[serde(skip)]
+    pub until_it_counts: bool,
 }
 
 /// A place is lost.
@@ -227,6 +230,7 @@
             who: who.clone(),
             what: Power::Resume,
             span: None,
+            until_it_counts: true,
         })
     });
     Script {
