--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -26,6 +26,9 @@
         /// Where logs and records go
         #[arg(long)]
         out: Option<PathBuf>,
+        /// Have the stand-in desk decide on releases, not the controller
+        #[arg(long)]
+        stand_in_desk: bool,
         /// Further arguments of each proxy's `serve`; {position} stands for its number
         #[arg(last = true)]
         serve: Vec<String>,
@@ -60,13 +63,13 @@
     },
 }
 
-fn play(day: &Day, out: Option<PathBuf>, extra: &[String]) -> Result<ExitCode, String> {
+fn play(day: &Day, out: Option<PathBuf>, extra: &[String], stand_in_desk: bool) -> Result<ExitCode, String> {
     let program = std::env::current_exe().map_err(|e| e.to_string())?;
     let out = out.unwrap_or_else(|| {
         std::env::temp_dir().join(format!("violetseam-{}-{}", day.name, std::process::id()))
     });
     println!("logs and records: {}", out.display());
-    let lab = Lab { program, out, extra: extra.to_vec(), number: 0 };
+    let lab = Lab { program, out, extra: extra.to_vec(), number: 0, stand_in_desk };
     let outcome = lab.play(day, &mut |line| println!("{line}"))?;
     print!("{}", report::text(day, &outcome));
     Ok(if outcome.is_good() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
@@ -84,16 +87,16 @@
         day.rollout.first_build + 1,
         day.rollout.first_build + 2
     );
-    play(&day, args.out.clone(), &[])
+    play(&day, args.out.clone(), &[], false)
 }
 
 /// Runs a lab command.
 pub fn run(command: &Command) -> Result<ExitCode, String> {
     match command {
-        Command::Day { day, seed, out, serve } => {
+        Command::Day { day, seed, out, stand_in_desk, serve } => {
             let mut day = find(day)?;
             day.seed = seed.unwrap_or(day.seed);
-            play(&day, out.clone(), serve)
+            play(&day, out.clone(), serve, *stand_in_desk)
         }
         Command::List => {
             days::NAMES.iter().for_each(|name| println!("{name}"));
--- a/crates/cli/tests/controller.rs
+++ b/crates/cli/tests/controller.rs
@@ -392,3 +392,47 @@
     controller.end();
     std::fs::remove_dir_all(folder).unwrap();
 }
+
+/// `cargo test --release -p violetseam-cli --test controller -- --ignored --nocapture`
+#[test]
+#[ignore = "measures; docs/measurements/plans.md"]
+fn measure_votes_a_second() {
+    let (folder, addr) = (folder("rate"), free());
+    let controller = start(&folder, "one", addr, "");
+    controller.wait_to_speak();
+    let plan = folder.join("plan.star");
+    std::fs::write(&plan, PLAN.replace("150.0", "1000000.0").replace("\"any\"", "\"share\"")).unwrap();
+    assert_eq!(controller.say(&["offer", plan.to_str().unwrap()]).0, 0);
+    wait_for("the first wave", || controller.state()["news"]["build"] == 7);
+    for connections in [1u32, 16, 64, 256] {
+        let (began, span) = (Instant::now(), Duration::from_secs(3));
+        let counted: usize = std::thread::scope(|scope| {
+            let vote = |proxy: u32| {
+                let mut stream = TcpStream::connect(addr).unwrap();
+                stream.set_nodelay(true).unwrap();
+                let body = json!({"proxy": proxy, "build": 7, "stage": 0, "verdict": "on"}).to_string();
+                let call = format!(
+                    "POST /v1/vote HTTP/1.1\r\nhost: t\r\ncontent-length: {}\r\n\r\n{body}",
+                    body.len()
+                );
+                let (mut counted, mut bytes) = (0, [0; 1024]);
+                while began.elapsed() < span {
+                    stream.write_all(call.as_bytes()).unwrap();
+                    let n = stream.read(&mut bytes).unwrap();
+                    counted += usize::from(String::from_utf8_lossy(&bytes[..n]).contains("\"ok\""));
+                }
+                counted
+            };
+            // A proxy a connection, and of those few enough that no wave moves on.
+            let all: Vec<_> = (0..connections).map(|n| scope.spawn(move || vote(n % 200))).collect();
+            all.into_iter().map(|t| t.join().unwrap()).sum()
+        });
+        println!(
+            "{connections} connections: {:.0} votes a second counted",
+            counted as f64 / began.elapsed().as_secs_f64()
+        );
+        assert!(counted > 0);
+    }
+    controller.end();
+    std::fs::remove_dir_all(folder).unwrap();
+}
--- a/crates/cli/tests/days.rs
+++ b/crates/cli/tests/days.rs
@@ -16,11 +16,16 @@
 static ONE: Mutex<()> = Mutex::new(());
 
 fn play(number: u8, day: &Day, extra: &[&str]) -> Outcome {
+    play_under(number, day, extra, false)
+}
+
+fn play_under(number: u8, day: &Day, extra: &[&str], stand_in_desk: bool) -> Outcome {
     let _alone = ONE.lock().unwrap_or_else(PoisonError::into_inner);
     let out = folder(number, day);
     let _ = std::fs::remove_dir_all(&out);
     let extra = extra.iter().map(|s| (*s).to_owned()).collect();
-    let lab = Lab { program: env!("CARGO_BIN_EXE_violetseam").into(), out, extra, number };
+    let program = env!("CARGO_BIN_EXE_violetseam").into();
+    let lab = Lab { program, out, extra, number, stand_in_desk };
     let outcome = lab.play(day, &mut |_| {}).unwrap();
     println!("{}", report::text(day, &outcome));
     outcome
--- a/crates/controller/tests/journal.rs
+++ b/crates/controller/tests/journal.rs
@@ -197,3 +197,66 @@
     assert!(matches!(reply, Reply::Ok | Reply::Moot(_)));
     std::fs::remove_dir_all(path).unwrap();
 }
+
+/// `cargo test --release -p violetseam-controller --test journal -- --ignored --nocapture`
+#[test]
+#[ignore = "measures; docs/measurements/plans.md"]
+fn measure_recovery_and_durable_votes() {
+    let median = |mut values: Vec<f64>| {
+        values.sort_by(f64::total_cmp);
+        values[values.len() / 2]
+    };
+    for events in [1_000usize, 10_000, 100_000, 1_000_000] {
+        let path = folder("measure");
+        let (mut begun, mut release) = played(&path);
+        // One file with all events and no state between them, beside what the writer makes of the same.
+        let one = path.join("one");
+        std::fs::create_dir_all(&one).unwrap();
+        let mut all = std::fs::read(journal(&path, 1)).unwrap();
+        let mut done = 0;
+        while done < events {
+            let mut bytes = Vec::new();
+            let many = 1_000.min(events - done);
+            for n in 0..many as u64 {
+                let at = now(10 + (done as u64 + n) / 100_000);
+                bytes.extend(decide(&mut release, at, vote((n % 4) as u32)));
+            }
+            begun.writer.keep(&bytes, many, &release).unwrap();
+            all.extend(bytes);
+            done += many;
+        }
+        std::fs::write(journal(&one, 1), all).unwrap();
+        let time = |path: &Path| {
+            let rounds = if events > 100_000 { 3 } else { 7 };
+            let times = (0..rounds).map(|_| {
+                let began = std::time::Instant::now();
+                let read = Folder::open(path).unwrap().read().unwrap().unwrap();
+                assert_eq!(read.release, release);
+                began.elapsed().as_secs_f64() * 1e3
+            });
+            median(times.collect())
+        };
+        println!(
+            "{events} events: {:.1} ms as kept, {:.1} ms without states between",
+            time(&path),
+            time(&one)
+        );
+        std::fs::remove_dir_all(path).unwrap();
+    }
+    for batch in [1usize, 10, 100, 1_000] {
+        let path = folder("votes");
+        let (mut begun, mut release) = played(&path);
+        let (began, mut kept) = (std::time::Instant::now(), 0);
+        while began.elapsed().as_secs_f64() < 2.0 {
+            let bytes: Vec<u8> =
+                (0..batch as u64).flat_map(|n| decide(&mut release, now(10), vote((n % 4) as u32))).collect();
+            begun.writer.keep(&bytes, batch, &release).unwrap();
+            kept += batch;
+        }
+        println!(
+            "batches of {batch}: {:.0} votes a second durable",
+            kept as f64 / began.elapsed().as_secs_f64()
+        );
+        std::fs::remove_dir_all(path).unwrap();
+    }
+}
--- a/crates/lab/src/days.rs
+++ b/crates/lab/src/days.rs
@@ -6,7 +6,16 @@
 const S: u64 = 1_000_000;
 
 /// Names of the days that come with the program.
-pub const NAMES: [&str; 6] = ["demo", "bad-day", "bad-day-short", "quiet", "takeovers", "takeover-short"];
+pub const NAMES: [&str; 8] = [
+    "demo",
+    "bad-day",
+    "bad-day-short",
+    "quiet",
+    "takeovers",
+    "takeover-short",
+    "controller-kills",
+    "controller-spared",
+];
 
 /// A day by its name.
 pub fn named(name: &str) -> Option<Day> {
@@ -17,6 +26,8 @@
         "quiet" => Some(quiet()),
         "takeovers" => Some(takeovers()),
         "takeover-short" => Some(takeover_short()),
+        "controller-kills" => Some(controller_kills()),
+        "controller-spared" => Some(Day { troubles: Vec::new(), ..controller_kills() }),
         _ => None,
     }
 }
@@ -169,6 +180,15 @@
     day
 }
 
+/// A good build, and a bad one after it, while the controller is killed five times.
+pub fn controller_kills() -> Day {
+    let mut day = base("controller-kills", 46 * S, 3, 12, 400.0);
+    day.clients.impatient = 0.0;
+    day.releases = vec![release(2 * S, None, 0.0), release(28 * S, Some(Fault::Errors), 0.6)];
+    day.troubles = vec![trouble(Kind::ControllerCrash, 3 * S, 30 * S, 5.0, 0.4, &[], 0)];
+    day
+}
+
 /// Four takeovers of two proxies while a build comes, for CI.
 pub fn takeover_short() -> Day {
     let mut day = base("takeover-short", 12 * S, 2, 8, 300.0);
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,6 +1,7 @@
 //! Plays scripted days: proxies as processes of their own, stand-ins round them, troubles by the clock, and
 //! at the end the rules checked from what crossed the sockets.
 
+mod controller;
 pub mod days;
 pub mod disturbed;
 pub mod drawn;
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -1,5 +1,6 @@
 //! One run of a day.
 
+use crate::controller::{Controller, offer_builds};
 use crate::proxies::{Launch, Proxies};
 use crate::{report, script};
 use std::fs::File;
@@ -33,6 +34,8 @@
     pub extra: Vec<String>,
     /// Distinguishes runs of one process.
     pub number: u8,
+    /// The stand-in desk decides on releases, not the controller: for days of broken desks.
+    pub stand_in_desk: bool,
 }
 
 /// What came of a day.
@@ -65,6 +68,8 @@
     Kill,
     Start,
     TakeOver,
+    KillController,
+    StartController,
 }
 
 /// The blows of a day in order; a proxy hit by two troubles at once stays down until the later end.
@@ -97,6 +102,15 @@
         let at = |i| t.at + i * t.len / times;
         blows.extend((0..times).flat_map(|i| t.on.iter().map(move |&p| (at(i), Blow::TakeOver, p))));
     }
+    for t in day.troubles.iter().filter(|t| t.kind == Kind::ControllerCrash) {
+        let times = t.size.max(1.0) as u64;
+        let down = (t.extra.max(0.05) * 1e6) as u64;
+        let at = |i| t.at + i * t.len / times;
+        blows.extend(
+            (0..times)
+                .flat_map(|i| [(at(i), Blow::KillController, 0), (at(i) + down, Blow::StartController, 0)]),
+        );
+    }
     blows.sort_unstable();
     blows
 }
@@ -133,10 +147,22 @@
         let (clock, stop) = (Clock::start(), Arc::new(AtomicBool::new(false)));
         let (ready, is_ready) = channel();
         let (say_site, said) = channel();
+        let mut controller = match self.stand_in_desk {
+            true => None,
+            false => {
+                let control = script::control_path(net).with_extension("controller");
+                let build = day.rollout.first_build;
+                Some(Controller::start(self.program.clone(), out.clone(), net, control, build)?)
+            }
+        };
         let site_thread = {
-            let (day, stop) = (shifted.clone(), stop.clone());
-            std::thread::spawn(move || site::run(&day, net, clock, &stop, &ready, say_site))
+            let (day, stop, remote) = (shifted.clone(), stop.clone(), controller.is_some());
+            std::thread::spawn(move || site::run(&day, net, remote, clock, &stop, &ready, say_site))
         };
+        let offers = controller.as_ref().map(|controller| {
+            let (day, stop, control) = (shifted.clone(), stop.clone(), controller.control.clone());
+            std::thread::spawn(move || offer_builds(&day, &control, clock, &stop))
+        });
         let site_up = is_ready.recv_timeout(Duration::from_secs(10));
         if site_up.is_err() {
             stop.store(true, Ordering::Relaxed);
@@ -163,10 +189,17 @@
         };
         let mut entries = Vec::new();
         let blows: Vec<_> = blows(&shifted);
-        let played =
-            self.orchestrate(clock, &blows, &mut proxies, &mut entries, &said, &progress, say, || {
-                client_thread.is_finished()
-            });
+        let played = self.orchestrate(
+            clock,
+            &blows,
+            &mut proxies,
+            &mut controller,
+            &mut entries,
+            &said,
+            &progress,
+            say,
+            || client_thread.is_finished(),
+        );
         let clients =
             client_thread.join().map_err(|_| "the clients' thread failed")?.map_err(io("clients"))?;
         let cpu = (0..day.proxies.len()).filter_map(|n| proxies.cpu_seconds(n)).sum();
@@ -176,6 +209,10 @@
         stop.store(true, Ordering::Relaxed);
         let site = site_thread.join().map_err(|_| "the site's thread failed")?.map_err(io("site"))?;
         played?;
+        if let Some(Ok(Err(why))) = offers.map(std::thread::JoinHandle::join) {
+            return Err(format!("a build could not be offered: {why}"));
+        }
+        drop(controller);
         if site.left_open > 0 {
             faults.push(format!("{} attempts still open after all proxies had drained", site.left_open));
         }
@@ -201,6 +238,7 @@
         clock: Clock,
         blows: &[(u64, Blow, usize)],
         proxies: &mut Proxies,
+        controller: &mut Option<Controller>,
         entries: &mut Vec<Entry>,
         said: &Receiver<String>,
         progress: &Progress,
@@ -220,6 +258,15 @@
                         // What it sent in its last moment is seen a little later: its life ends here.
                         entries.push(Entry { at: clock.now(), record: Record::Killed { proxy: n as u32 } });
                     }
+                    Blow::KillController => {
+                        say(&format!("{} the controller is killed", at(now)));
+                        controller.iter_mut().for_each(Controller::kill);
+                    }
+                    Blow::StartController => {
+                        say(&format!("{} the controller is started again", at(now)));
+                        let started = controller.iter_mut().try_for_each(Controller::spawn);
+                        started.map_err(|e| format!("controller: {e}"))?;
+                    }
                     Blow::TakeOver => {
                         say(&format!("{} proxy {n} is taken over", at(now)));
                         proxies.take_over(n).map_err(|e| format!("proxy {n}: {e}"))?;
--- a/crates/proxy/tests/site.rs
+++ b/crates/proxy/tests/site.rs
@@ -156,3 +156,53 @@
     }
     proxy.drain();
 }
+
+#[test]
+fn a_controller_that_stood_still_is_left_for_the_next_and_its_older_word_is_not_obeyed() {
+    use std::io::{Read, Write};
+    let news = |fence: u64, stage: u8, phase: &str| {
+        let line = format!(
+            "{{\"build\":2,\"stage\":{stage},\"phase\":\"{phase}\",\"cap\":0.5,\"fence\":{fence}}}\n"
+        );
+        format!("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n{:x}\r\n{line}\r\n", line.len())
+    };
+    // The first tells once and stands still; asked again, it is still where it was, and further.
+    let (left, is_left) = channel();
+    let left = std::sync::Mutex::new(left);
+    let first = scripted(move |n, mut stream| {
+        if read_request(&stream).is_none() {
+            return;
+        }
+        let line = if n == 0 { news(1, 0, "trial") } else { news(1, 1, "trial") };
+        let _ = stream.write_all(line.as_bytes());
+        let began = std::time::Instant::now();
+        // Until the proxy goes away.
+        while !matches!(stream.read(&mut [0; 64]), Ok(0)) && began.elapsed() < Duration::from_secs(5) {}
+        let _ = left.lock().unwrap().send((n, began.elapsed()));
+    });
+    let second = scripted(move |_, mut stream| {
+        if read_request(&stream).is_some() {
+            let _ = stream.write_all(news(2, 0, "rolling_back").as_bytes());
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    });
+    let server = named("served");
+    let site = Site::start(list(&[server.addr]));
+    let desks = format!(
+        "desk(addr = \"{}\", standby = [\"{}\"], silence = \"300ms\", reconnect = \"20ms\")",
+        first.addr, second.addr
+    );
+    let text = settings(&site, "");
+    let old = text.lines().find(|l| l.starts_with("desk(")).unwrap().to_owned();
+    let proxy = Proxy::with(site, &text.replace(&old, &desks));
+    let (n, stood) = is_left.recv_timeout(Duration::from_secs(10)).unwrap();
+    assert!(n == 0 && stood >= Duration::from_millis(200), "silence is waited for: {stood:?}");
+    // From then on the first one's word is older than what was heard: left at once, each time.
+    for _ in 0..3 {
+        let (n, stood) = is_left.recv_timeout(Duration::from_secs(10)).unwrap();
+        assert!(n > 0 && stood < Duration::from_millis(200), "an older word was listened to for {stood:?}");
+    }
+    assert!(second.accepted.load(Ordering::SeqCst) >= 3);
+    assert!(proxy.ask(READ, "").ends_with("served"));
+    proxy.drain();
+}
--- a/crates/rehearsal/src/player.rs
+++ b/crates/rehearsal/src/player.rs
@@ -29,6 +29,8 @@
     pub event: Event,
     /// The reply.
     pub reply: Reply,
+    /// Whether the event must be kept.
+    pub kept: bool,
     /// News before.
     pub before: News,
     /// News after.
@@ -107,7 +109,7 @@
 
     fn tell(&mut self, event: Event) -> Reply {
         let (now, before) = (self.now(), self.release.news());
-        let (reply, _) = self.release.on_event(now, &event);
+        let (reply, kept) = self.release.on_event(now, &event);
         let after = self.release.news();
         if before != after {
             self.played.news.push((self.at, after));
@@ -116,7 +118,7 @@
             }
         }
         let wanted = self.release.wanted();
-        (self.watch)(&Step { now, event, reply: reply.clone(), before, after, wanted });
+        (self.watch)(&Step { now, event, reply: reply.clone(), kept, before, after, wanted });
         reply
     }
 
--- a/crates/rehearsal/tests/random.rs
+++ b/crates/rehearsal/tests/random.rs
@@ -12,6 +12,7 @@
 use std::fmt::Write as _;
 use violetseam_plan::{Plan, moment_of, read_text};
 use violetseam_rehearsal::{Script, play};
+use violetseam_release::Release;
 
 /// A plan's text; now and then with a contradiction in it.
 fn plan_text(rng: &mut Pcg64) -> String {
@@ -226,8 +227,19 @@
         let script = script(&mut rng, &plan);
         let mut reader = Reader::new(&plan);
         let mut events = 0;
+        // What a start would know: told only the events that were kept, it must come to the same.
+        let mut again = Release::new(1);
         let played = play(&plan, &script, &mut |step| {
             events += 1;
+            if step.kept {
+                again.on_event(step.now, &step.event);
+            }
+            assert_eq!(
+                again.news(),
+                step.after,
+                "{text}\nscript: {script:?}\nat {} s: {step:?}",
+                step.now.steady / S
+            );
             let read = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| reader.read(step)));
             if let Err(why) = read {
                 eprintln!("plan:\n{text}\nscript: {script:?}\nat {} s: {step:?}", step.now.steady / S);
--- a/crates/release/src/machine.rs
+++ b/crates/release/src/machine.rs
@@ -288,13 +288,16 @@
             trial.in_wave += span;
             if self.news.phase == Phase::Trial {
                 let (course, wave) = (&trial.course, &trial.course.plan.waves[trial.wave]);
-                let ready = trial.settled.is_some_and(|since| since >= course.plan.fleet.settle);
-                let may_soak = ready
-                    && course.stopped.is_none()
+                // Exactly from when the places have settled, wherever events cut the span: a start that is told
+                // only the events that were kept must come to the same soak.
+                let settle = course.plan.fleet.settle;
+                let ready =
+                    trial.settled.map_or(0, |since| span.saturating_sub(settle.saturating_sub(since)));
+                let may_soak = course.stopped.is_none()
                     && !stops(wave, &course.plan)
                     && (course.open || wave.on_close == OnClose::Finish);
                 if may_soak {
-                    trial.soaked += soaks;
+                    trial.soaked += soaks.min(ready);
                 }
                 trial.settled.iter_mut().for_each(|since| *since += span);
                 changed |= trial.course.pass(now, span);
--- a/crates/release/tests/model.rs
+++ b/crates/release/tests/model.rs
@@ -145,6 +145,9 @@
             return None;
         }
         let mut world = self.clone();
+        if let Event::Vote(vote) = event {
+            world.cast[vote.proxy as usize] = Some(self.time);
+        }
         world.check_step(controller.release.news(), next.news());
         world.say(format!("controller {c} decides on {what}: {}", next.standing()));
         if bug == Bug::SpeaksFirst {
@@ -195,12 +198,7 @@
         for proxy in 0..3u32 {
             if self.proxies[proxy as usize].1.is_none_or(|n| n.stage == 0 && n.phase == Phase::Trial) {
                 let vote = Vote { proxy, build: 2, stage: 0, verdict: Verdict::On };
-                if let Some(mut world) =
-                    self.decide(c, &Event::Vote(vote), &format!("'on' of proxy {proxy}"), bug)
-                {
-                    world.cast[proxy as usize] = Some(self.time);
-                    out.push(world);
-                }
+                out.extend(self.decide(c, &Event::Vote(vote), &format!("'on' of proxy {proxy}"), bug));
             }
         }
         for order in [Order::Resume, Order::Back] {
--- a/crates/site/src/desk.rs
+++ b/crates/site/src/desk.rs
@@ -49,6 +49,11 @@
         Ok((news.check()?, news.fence))
     }
 
+    /// Reads one line as it is, for who passes it on.
+    pub fn read(line: &[u8]) -> Result<News, Malformed> {
+        serde_json::from_slice(line).map_err(|e| Malformed(format!("desk: {e}")))
+    }
+
     fn check(self) -> Result<StageNews, Malformed> {
         if !(0.0..=1.0).contains(&self.cap) {
             return malformed("desk: a cap outside 0 to 1");
@@ -160,6 +165,11 @@
         Ok((outcome, news))
     }
 
+    /// Reads a reply as it is, for who passes it on.
+    pub fn read(body: &[u8]) -> Result<VoteReply, Malformed> {
+        serde_json::from_slice(body).map_err(|e| Malformed(format!("vote reply: {e}")))
+    }
+
     /// Writes a reply's body.
     pub fn write(&self) -> Vec<u8> {
         serde_json::to_vec(self).unwrap_or_default()
--- a/crates/standin/src/day.rs
+++ b/crates/standin/src/day.rs
@@ -321,6 +321,9 @@
     ProxyStall,
     /// Proxies (`on`) are replaced by a new process that takes over, `size` times one after another.
     ProxyTakeover,
+    /// The release controller is killed, `size` times one after another, and started again after `extra`
+    /// seconds.
+    ControllerCrash,
     /// Votes get no answer, half of them count, and news stop.
     DeskSilent,
     /// Votes end in errors.
--- a/crates/standin/src/drive/mod.rs
+++ b/crates/standin/src/drive/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod clients;
 pub mod relay;
+mod remote;
 pub mod site;
 mod site_http;
 
@@ -53,6 +54,11 @@
         self.at(2, 7_002)
     }
 
+    /// The release controller, where one runs in the desk's place.
+    pub fn controller(self) -> SocketAddr {
+        self.at(2, 7_003)
+    }
+
     /// A machine.
     pub fn machine(self, machine: u64) -> SocketAddr {
         self.at(3, 10_000 + (machine % 40_000) as u16)
--- a/crates/standin/src/drive/site.rs
+++ b/crates/standin/src/drive/site.rs
@@ -5,6 +5,7 @@
 
 use super::Net;
 use super::relay::Relay;
+use super::remote::Remote;
 use super::site_http::{Conn, Kept};
 use crate::Clock;
 use crate::day::{Day, Kind, Trouble};
@@ -63,6 +64,37 @@
     pub left_open: usize,
 }
 
+/// Who decides on releases.
+pub(super) enum Releases {
+    /// The stand-in desk.
+    StandIn(Box<Desk>),
+    /// A controller, as a process of its own.
+    Controller(Box<Remote>),
+}
+
+impl Releases {
+    pub fn news(&self) -> News {
+        match self {
+            Releases::StandIn(desk) => desk.news(),
+            Releases::Controller(remote) => remote.news(),
+        }
+    }
+
+    fn advance(&mut self, now: u64, down: bool, out: &mut Vec<Command>) {
+        match self {
+            Releases::StandIn(desk) => desk.advance(now, down, out),
+            Releases::Controller(remote) => remote.advance(now, out),
+        }
+    }
+
+    fn fates(&self) -> &[Fate] {
+        match self {
+            Releases::StandIn(desk) => &desk.fates,
+            Releases::Controller(remote) => &remote.fates,
+        }
+    }
+}
+
 /// All of it.
 pub struct Site {
     pub(super) clock: Clock,
@@ -74,7 +106,7 @@
     pub(super) conns: Slab<Conn>,
     pub(super) kept: Kept,
     pub(super) roster: Roster,
-    pub(super) desk: Desk,
+    pub(super) desk: Releases,
     pub(super) relay: Relay,
     pub(super) entries: Vec<Entry>,
     pub(super) say: Sender<String>,
@@ -92,17 +124,19 @@
     pub(super) lately: (f64, f64),
 }
 
-/// Runs the site until told to stop, and a little longer.
+/// Runs the site until told to stop, and a little longer. With `controller`, the one at [`Net::controller`]
+/// decides on releases, else the stand-in desk.
 pub fn run(
     day: &Day,
     net: Net,
+    controller: bool,
     clock: Clock,
     stop: &Arc<AtomicBool>,
     ready: &Sender<()>,
     say: Sender<String>,
 ) -> std::io::Result<SiteReport> {
     let mut event_loop: EventLoop<'static, Site> = EventLoop::try_new().map_err(std::io::Error::other)?;
-    let mut site = Site::new(day, net, clock, event_loop.handle(), say)?;
+    let mut site = Site::new(day, net, controller, clock, event_loop.handle(), say)?;
     let _ = ready.send(());
     while !stop.load(Ordering::Relaxed) {
         let now = clock.now();
@@ -117,12 +151,18 @@
     fn new(
         day: &Day,
         net: Net,
+        controller: bool,
         clock: Clock,
         handle: LoopHandle<'static, Site>,
         say: Sender<String>,
     ) -> std::io::Result<Site> {
         let relay = Relay::bind(&handle, net, day.proxies.len())?;
-        let desk = Desk::new(day.rollout.clone(), day.releases.clone(), day.proxies.len(), day.servers.len());
+        let (rollout, places) = (day.rollout.clone(), day.servers.len());
+        let desk = if controller {
+            Releases::Controller(Box::new(Remote::start(net.controller(), rollout, places)?))
+        } else {
+            Releases::StandIn(Box::new(Desk::new(rollout, day.releases.clone(), day.proxies.len(), places)))
+        };
         let mut site = Site {
             clock,
             net,
@@ -211,6 +251,7 @@
         if news != before {
             self.news.push((now, news));
         }
+        self.pass_replies(now);
         self.tell_news(now);
         self.lately = (self.lately.0 * 0.98, self.lately.1 * 0.98 + 0.01);
     }
@@ -481,7 +522,7 @@
 
     fn finish(mut self) -> SiteReport {
         let fates: Vec<(Fate, bool)> =
-            self.desk.fates.iter().map(|f| (f.clone(), self.build(f.build).is_bad())).collect();
+            self.desk.fates().iter().map(|f| (f.clone(), self.build(f.build).is_bad())).collect();
         self.report.left_open = self.open_requests();
         SiteReport { entries: self.entries, fates, ..self.report }
     }
--- a/crates/standin/src/drive/site_http.rs
+++ b/crates/standin/src/drive/site_http.rs
@@ -1,5 +1,6 @@
 //! HTTP of the site: connections to servers, to the roster and to the release desk.
 
+use super::site::Releases;
 use super::site::{Site, listen, rule_state};
 use crate::day::{Effect, Kind};
 use crate::model::server::{Job, Reply};
@@ -72,6 +73,8 @@
     /// Each proxy's latest watch.
     watches: BTreeMap<u32, usize>,
     later: BTreeMap<(u64, u64), Later>,
+    /// Votes that the controller has: who waits for the reply.
+    votes: HashMap<u64, (Option<(usize, u64)>, Vote)>,
 }
 
 impl Kept {
@@ -486,7 +489,7 @@
         let body = std::mem::take(&mut conn.body);
         let generation = conn.generation;
         if head.method == Method::POST {
-            let reply = self.vote(now, &body);
+            let reply = self.vote(now, key, generation, &body);
             if let Some(reply) = reply {
                 self.kept.at(now + self.day.rollout.call, Later::Reply(key, generation, reply.write()));
             }
@@ -502,7 +505,7 @@
     }
 
     /// A vote; no reply while the desk is silent, though half of them count.
-    fn vote(&mut self, now: u64, body: &[u8]) -> Option<VoteReply> {
+    fn vote(&mut self, now: u64, key: usize, generation: u64, body: &[u8]) -> Option<VoteReply> {
         let vote = match Vote::parse(body) {
             Ok(vote) => vote,
             Err(_) => return Some(VoteReply { outcome: VoteOutcome::Error, news: None }),
@@ -514,7 +517,17 @@
         if self.active(Kind::DeskErrors).is_some() {
             return Some(VoteReply { outcome: VoteOutcome::Error, news: None });
         }
-        let outcome = self.desk.vote(now, &vote);
+        let outcome = match &mut self.desk {
+            Releases::StandIn(desk) => desk.vote(now, &vote),
+            Releases::Controller(remote) => {
+                self.kept.generation += 1;
+                let token = self.kept.generation;
+                let waits = (!silent).then_some((key, generation));
+                self.kept.votes.insert(token, (waits, vote));
+                remote.vote(token, &vote);
+                return None;
+            }
+        };
         if outcome == VoteOutcome::Ok {
             *self.report.votes.entry(vote.proxy).or_default() += 1;
             let Vote { proxy, build, stage, verdict } = vote;
@@ -527,6 +540,30 @@
         (!silent).then_some(VoteReply { outcome, news })
     }
 
+    /// Replies of the controller's go on to the proxies that wait for them.
+    pub(super) fn pass_replies(&mut self, now: u64) {
+        while let Releases::Controller(remote) = &mut self.desk
+            && let Some((token, reply)) = remote.reply()
+        {
+            let Some((waits, vote)) = self.kept.votes.remove(&token) else { continue };
+            // Out of reach: the proxy hears nothing, and whether its vote counts is open.
+            let Some(mut reply) = reply else { continue };
+            if reply.outcome == VoteOutcome::Ok {
+                *self.report.votes.entry(vote.proxy).or_default() += 1;
+                let Vote { proxy, build, stage, verdict } = vote;
+                let _ =
+                    self.say.send(format!("proxy {proxy} votes {verdict:?} on build {build}, stage {stage}"));
+            }
+            let Some((key, generation)) = waits else { continue };
+            // All news are equally late here: a reply ahead of the stream would be followed by older news.
+            reply.news = reply.news.map(|_| self.news_told(now));
+            if let Some(news) = reply.news {
+                self.see_news(vote.proxy as u32, news);
+            }
+            self.kept.at(now, Later::Reply(key, generation, reply.write()));
+        }
+    }
+
     /// News go to each proxy when they change, and again now and then.
     pub(super) fn tell_news(&mut self, now: u64) {
         if self.active(Kind::DeskSilent).is_some() {
