--- a/crates/cli/tests/days.rs
+++ b/crates/cli/tests/days.rs
@@ -58,6 +58,33 @@
     assert_eq!((broken, unreachable), (0, 0), "requests were lost in a takeover");
 }
 
+#[test]
+fn a_controller_killed_in_the_middle_of_a_release_goes_on_with_it_and_no_rule_breaks() {
+    let day = days::controller_kills_short();
+    let outcome = play(6, &day, &[]);
+    assert!(outcome.is_good(), "{:?} {:?}", outcome.verdict.violations, outcome.faults);
+    let (fate, bad) = &outcome.site.fates[0];
+    assert!(!bad && fate.back.is_none(), "a good build was sent back: {fate:?}");
+    let log = std::fs::read_to_string(folder(6, &day).join("controller.log")).unwrap();
+    assert!(log.matches("this controller speaks").count() == 3, "three lives: {log}");
+    // It goes on where it stood: the later lives speak of the build on its way.
+    let lives: Vec<&str> = log.lines().filter(|l| l.contains("this controller speaks")).collect();
+    assert!(lives[1..].iter().all(|l| l.contains("build 101")), "{lives:?}");
+}
+
+#[test]
+fn the_stand_in_desk_still_decides_where_it_is_asked_to() {
+    let mut day = days::quiet();
+    day.length = 9_000_000;
+    day.traffic.rate = 200.0;
+    day.releases =
+        vec![violetseam_standin::day::Release { at: 500_000, fault: None, strength: 0.0, speed: 1.0 }];
+    let outcome = play_under(7, &day, &[], true);
+    assert!(outcome.is_good(), "{:?} {:?}", outcome.verdict.violations, outcome.faults);
+    assert_eq!(outcome.site.fates.len(), 1);
+    assert!(!folder(7, &day).join("controller.log").exists());
+}
+
 /// A day for the saboteurs: servers fail, builds come, drains happen.
 #[cfg(feature = "sabotage")]
 fn rough() -> Day {
@@ -83,7 +110,7 @@
 #[cfg(feature = "sabotage")]
 #[test]
 fn a_proxy_that_sends_twice_is_caught() {
-    let outcome = play(1, &rough(), &["--sabotage", "double-send"]);
+    let outcome = play_under(1, &rough(), &["--sabotage", "double-send"], true);
     assert!(outcome.verdict.broken[1] > 0, "{:?}", outcome.verdict.broken);
     assert!(outcome.verdict.violations.iter().any(|v| v.what.contains("unsafe request")));
 }
@@ -91,7 +118,7 @@
 #[cfg(feature = "sabotage")]
 #[test]
 fn a_proxy_that_holds_its_answers_back_is_caught() {
-    let outcome = play(2, &rough(), &["--sabotage", "late-answer"]);
+    let outcome = play_under(2, &rough(), &["--sabotage", "late-answer"], true);
     assert!(outcome.verdict.broken[0] > 0, "{:?}", outcome.verdict.broken);
 }
 
@@ -103,13 +130,13 @@
     day.contract.drain_grace = 100_000;
     day.rollout.drain = 4_000_000;
     day.rollout.bake = 500_000;
-    let outcome = play(3, &day, &["--sabotage", "ignore-drains"]);
+    let outcome = play_under(3, &day, &["--sabotage", "ignore-drains"], true);
     assert!(outcome.verdict.broken[2] > 0, "{:?}", outcome.verdict.broken);
 }
 
 #[cfg(feature = "sabotage")]
 #[test]
 fn the_saboteurs_day_is_kept_by_an_honest_proxy() {
-    let outcome = play(4, &rough(), &[]);
+    let outcome = play_under(4, &rough(), &[], true);
     assert!(outcome.is_good(), "{:?} {:?}", outcome.verdict.violations, outcome.faults);
 }
--- a/crates/lab/src/days.rs
+++ b/crates/lab/src/days.rs
@@ -6,7 +6,7 @@
 const S: u64 = 1_000_000;
 
 /// Names of the days that come with the program.
-pub const NAMES: [&str; 8] = [
+pub const NAMES: [&str; 9] = [
     "demo",
     "bad-day",
     "bad-day-short",
@@ -15,6 +15,7 @@
     "takeover-short",
     "controller-kills",
     "controller-spared",
+    "controller-kills-short",
 ];
 
 /// A day by its name.
@@ -27,6 +28,7 @@
         "takeovers" => Some(takeovers()),
         "takeover-short" => Some(takeover_short()),
         "controller-kills" => Some(controller_kills()),
+        "controller-kills-short" => Some(controller_kills_short()),
         "controller-spared" => Some(Day { troubles: Vec::new(), ..controller_kills() }),
         _ => None,
     }
@@ -189,6 +191,15 @@
     day
 }
 
+/// A good build while the controller is killed twice, for CI.
+pub fn controller_kills_short() -> Day {
+    let mut day = base("controller-kills-short", 20 * S, 2, 8, 250.0);
+    day.clients.impatient = 0.0;
+    day.releases = vec![release(S, None, 0.0)];
+    day.troubles = vec![trouble(Kind::ControllerCrash, 3 * S, 8 * S, 2.0, 0.3, &[], 0)];
+    day
+}
+
 /// Four takeovers of two proxies while a build comes, for CI.
 pub fn takeover_short() -> Day {
     let mut day = base("takeover-short", 12 * S, 2, 8, 300.0);
--- a/crates/lab/src/disturbed.rs
+++ b/crates/lab/src/disturbed.rs
@@ -5,7 +5,7 @@
 //! due. A connection that the proxy closes between two requests is opened again, as any client does; a request
 //! is lost if a second connection does not answer it either.
 
-use crate::measure::{Plan, echo, median, site};
+use crate::measure::{Plan, echo, median, settings, site};
 use hdrhistogram::Histogram;
 use std::fmt::Write as _;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -124,16 +124,9 @@
     let servers = echo(12, Arc::new(AtomicBool::new(false))).map_err(|e| e.to_string())?;
     let site = site(&servers).map_err(|e| e.to_string())?;
     let control: PathBuf = std::env::temp_dir().join(format!("vs-q{}", std::process::id()));
-    let text = format!(
-        "fleet(name = \"measure\", size = 1, position = 0, state_dir = \"{}\", control = \"{}\")\n\
-         listen(addr = \"127.0.0.1:0\")\nroster(addr = \"{site}\")\ndesk(addr = \"{site}\")\n\
-         request_class(name = \"read\", aim = \"1s\", deadline = \"2s\", effect = \"retryable\")\n\
-         route(prefix = \"/\", to = \"read\")\n\
-         rollout(stage_caps = [1.0], counted_over = \"2s\", vote_ttl = \"4s\")\n\
-         contract(ask_within = \"1h\", cold_from = 0.5, cold_span = \"1s\", drain_grace = \"1s\", fall_multiple = 3.0, fall_span = \"1s\")\n",
-        plan.out.join("state").display(),
-        control.display()
-    );
+    let state = plan.out.join("state");
+    let more = format!("state_dir = \"{}\", control = \"{}\"", state.display(), control.display());
+    let text = settings(site, &more, "2s");
     let file = plan.out.join("disturbed.star");
     std::fs::write(&file, text).map_err(|e| e.to_string())?;
     let (mut child, addr) = spawn(plan, &file, false)?;
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -1,6 +1,6 @@
 //! What the fleet tool takes: many local daemons, one of them frozen, one killed and started again.
 
-use crate::measure::{Plan, echo, median, site};
+use crate::measure::{Plan, echo, median, settings, site};
 use rustix::process::{Pid, Signal, kill_process};
 use std::fmt::Write as _;
 use std::net::SocketAddr;
@@ -27,16 +27,9 @@
 
     fn spawn(&self, n: usize) -> Result<Child, String> {
         let (site, state) = (self.site, self.plan.out.join(format!("d{n}")));
-        let text = format!(
-            "fleet(name = \"measure\", size = 1, position = 0, state_dir = \"{}\", control = \"{}\")\n\
-             listen(addr = \"127.0.0.1:0\")\nroster(addr = \"{site}\")\ndesk(addr = \"{site}\")\n\
-             request_class(name = \"read\", aim = \"1s\", deadline = \"2s\", effect = \"retryable\")\n\
-             route(prefix = \"/\", to = \"read\")\n\
-             rollout(stage_caps = [1.0], counted_over = \"2s\", vote_ttl = \"4s\")\n\
-             contract(ask_within = \"1h\", cold_from = 0.5, cold_span = \"1s\", drain_grace = \"1s\", fall_multiple = 3.0, fall_span = \"1s\")\n",
-            state.display(),
-            self.control(n).display()
-        );
+        let control = self.control(n);
+        let more = format!("state_dir = \"{}\", control = \"{}\"", state.display(), control.display());
+        let text = settings(site, &more, "2s");
         let file = self.plan.out.join(format!("d{n}.star"));
         std::fs::write(&file, text).map_err(|e| e.to_string())?;
         Command::new(&self.plan.program)
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -241,6 +241,18 @@
     Ok(addr)
 }
 
+/// The settings of a proxy over a site; `more` goes into `fleet(...)`.
+pub(crate) fn settings(site: SocketAddr, more: &str, deadline: &str) -> String {
+    format!(
+        "fleet(name = \"measure\", size = 1, position = 0, {more})\nlisten(addr = \"127.0.0.1:0\")\n\
+         roster(addr = \"{site}\")\ndesk(addr = \"{site}\")\n\
+         request_class(name = \"read\", aim = \"{deadline}\", deadline = \"{deadline}\", effect = \"retryable\")\n\
+         route(prefix = \"/\", to = \"read\")\n\
+         rollout(stage_caps = [1.0], counted_over = \"2s\", vote_ttl = \"4s\")\n\
+         contract(ask_within = \"1h\", cold_from = 0.5, cold_span = \"1s\", drain_grace = \"1s\", fall_multiple = 3.0, fall_span = \"1s\")\n"
+    )
+}
+
 struct Proxy {
     child: Child,
     addr: SocketAddr,
@@ -249,14 +261,7 @@
 impl Proxy {
     fn start(plan: &Plan, name: &str, servers: &[SocketAddr], deadline: &str) -> Result<Proxy, String> {
         let site = site(servers).map_err(|e| e.to_string())?;
-        let text = format!(
-            "fleet(name = \"measure\", size = 1, position = 0, seed = 1)\nlisten(addr = \"127.0.0.1:0\")\n\
-             roster(addr = \"{site}\")\ndesk(addr = \"{site}\")\n\
-             request_class(name = \"read\", aim = \"{deadline}\", deadline = \"{deadline}\", effect = \"retryable\")\n\
-             route(prefix = \"/\", to = \"read\")\n\
-             rollout(stage_caps = [1.0], counted_over = \"2s\", vote_ttl = \"4s\")\n\
-             contract(ask_within = \"1h\", cold_from = 0.5, cold_span = \"1s\", drain_grace = \"1s\", fall_multiple = 3.0, fall_span = \"1s\")\n"
-        );
+        let text = settings(site, "seed = 1", deadline);
         let file = plan.out.join(format!("{name}.star"));
         std::fs::write(&file, text).map_err(|e| e.to_string())?;
         let mut child = Command::new(&plan.program)
