--- a/crates/audit/tests/planted.rs
+++ b/crates/audit/tests/planted.rs
@@ -305,6 +305,18 @@
     };
     keyed(Phase::Trial).breaks(5, "its key was answered by a newer one");
     keyed(Phase::RollingBack).kept();
+
+    // Seen in a day: the new build's answer and the proxy's giving up crossed, and the earlier build's answer
+    // was the one that the client got. Nothing was bound by an answer that nobody passed on.
+    let mut crossed = busy_story();
+    let first = crossed.sent(S, 0);
+    crossed.attempt(S + MS, first, 2, 0, 77, End::Ok);
+    crossed.attempt(S + 41 * MS + 200, first, 1, 0, 77, End::Ok);
+    crossed.answered(S + 90 * MS, first, Answer::Served);
+    let second = crossed.sent(2 * S, 0);
+    crossed.attempt(2 * S + MS, second, 1, 0, 77, End::Ok);
+    crossed.answered(2 * S + 50 * MS, second, Answer::Served);
+    crossed.kept();
 }
 
 #[test]
