Spans come to the same however kept events cut them, over jumps of the clock, too

Found by comparing, beside each random plan, with a machine that is told only what is kept: a jump of the wall clock uncounted another span in a restarted controller than in the one that lived through it. The jump is measured from the last kept event now, and what soaked since is taken back.

--- a/crates/rehearsal/src/player.rs
+++ b/crates/rehearsal/src/player.rs
@@ -56,6 +56,8 @@
     plan: &'a Plan,
     script: &'a Script,
     release: Release,
+    /// The same, told only what is kept: what a controller that went away comes back with.
+    durable: Release,
     platform: Platform,
     allowance: Allowance,
     /// From the offer on.
@@ -86,6 +88,7 @@
         plan,
         script,
         release: Release::new(script.build),
+        durable: Release::new(script.build),
         platform,
         allowance,
         at: 0,
@@ -110,6 +113,9 @@
     fn tell(&mut self, event: Event) -> Reply {
         let (now, before) = (self.now(), self.release.news());
         let (reply, kept) = self.release.on_event(now, &event);
+        if kept {
+            self.durable.on_event(now, &event);
+        }
         let after = self.release.news();
         if before != after {
             self.played.news.push((self.at, after));
@@ -246,6 +252,7 @@
             Due::Away(span) => {
                 self.say("no controller runs");
                 self.at += span;
+                self.release = self.durable.clone();
                 self.tell(Event::Started);
                 let told = self.platform.advance(self.at);
                 self.told(told);
--- a/crates/release/src/machine.rs
+++ b/crates/release/src/machine.rs
@@ -41,6 +41,8 @@
     settled: Option<Micros>,
     /// Of the soak.
     soaked: Micros,
+    /// What of that came since the last event that was kept.
+    soaked_unkept: Micros,
     /// Why it goes back.
     why: Option<String>,
 }
@@ -65,6 +67,8 @@
     places: Places,
     called_back: BTreeSet<u16>,
     last: Option<Now>,
+    /// The last event that was kept.
+    kept_at: Option<Now>,
     /// Spans counted since the last event that was kept.
     unkept: Micros,
 }
@@ -142,6 +146,7 @@
             places: Places::default(),
             called_back: BTreeSet::new(),
             last: None,
+            kept_at: None,
             unkept: 0,
         }
     }
@@ -244,7 +249,8 @@
         let decided = self.decide(now, matches!(event, Event::Tick | Event::Started));
         let kept = passed || changed || decided || self.unkept >= HEARTBEAT;
         if kept {
-            self.unkept = 0;
+            (self.unkept, self.kept_at) = (0, Some(now));
+            self.trial.iter_mut().for_each(|trial| trial.soaked_unkept = 0);
         }
         (reply, kept)
     }
@@ -253,10 +259,16 @@
     fn pass(&mut self, now: Now) -> bool {
         let Some(last) = self.last.replace(now) else { return true };
         let span = now.steady.saturating_sub(last.steady);
-        // The wall clock may have been set: what the windows say of such a span is not known, so that
-        // nothing soaks in it.
-        let jumped = now.wall.abs_diff(last.wall.saturating_add(span)) > JUMP;
-        self.count(now, span, if jumped { 0 } else { span })
+        // The wall clock may have been set: what the windows say of such a span is not known, so that nothing
+        // soaks in it. The span is that since the last event that was kept: a start that is told only those
+        // sees no smaller one, and must come to the same.
+        let since = self.kept_at.unwrap_or(last);
+        let steady = now.steady.saturating_sub(since.steady);
+        let jumped = now.wall.abs_diff(since.wall.saturating_add(steady)) > JUMP;
+        if let Some(trial) = self.trial.as_mut().filter(|_| jumped) {
+            trial.soaked = trial.soaked.saturating_sub(trial.soaked_unkept);
+        }
+        self.count(now, span, if jumped { 0 } else { span }) || jumped
     }
 
     /// A controller begins: the time since the last event is known by the wall clock alone.
@@ -298,6 +310,7 @@
                     && (course.open || wave.on_close == OnClose::Finish);
                 if may_soak {
                     trial.soaked += soaks.min(ready);
+                    trial.soaked_unkept += soaks.min(ready);
                 }
                 trial.settled.iter_mut().for_each(|since| *since += span);
                 changed |= trial.course.pass(now, span);
@@ -551,7 +564,15 @@
         self.news = News { build, stage: 0, phase: Phase::Trial, cap: course.plan.waves[0].cap };
         self.votes.clear();
         course.held = hold_before(&course.plan, 1).map(|_| Held::For(0));
-        self.trial = Some(Trial { course, wave: 0, in_wave: 0, settled: None, soaked: 0, why: None });
+        self.trial = Some(Trial {
+            course,
+            wave: 0,
+            in_wave: 0,
+            settled: None,
+            soaked: 0,
+            soaked_unkept: 0,
+            why: None,
+        });
         true
     }
 
@@ -603,7 +624,8 @@
         (self.news.stage, self.news.cap) = (next as u8, plan.waves[next].cap);
         let held = hold_before(plan, next + 1).map(|_| Held::For(0));
         trial.course.held = held;
-        (trial.wave, trial.in_wave, trial.settled, trial.soaked) = (next, 0, None, 0);
+        (trial.wave, trial.in_wave, trial.settled) = (next, 0, None);
+        (trial.soaked, trial.soaked_unkept) = (0, 0);
         self.votes.clear();
         true
     }
