Controllers that die exactly between decided, durable and announced: every step in a test

A kill at a random moment rarely falls between two steps. With the feature sabotage a controller dies at a stated step of its Nth batch; 18 lives in turn take a release to its end: no stage falls back, no cap rises before it was durable.

--- a/crates/cli/src/controller.rs
+++ b/crates/cli/src/controller.rs
@@ -26,6 +26,23 @@
     /// Stop by itself after so many seconds
     #[arg(long)]
     stop_after: Option<u64>,
+    /// Die at a step of the Nth batch, to see what a start makes of it: decided:N, durable:N, announced:N
+    #[cfg(feature = "sabotage")]
+    #[arg(long, value_parser = die_at)]
+    die_at: Option<violetseam_controller::serve::DieAt>,
+}
+
+#[cfg(feature = "sabotage")]
+fn die_at(text: &str) -> Result<violetseam_controller::serve::DieAt, String> {
+    use violetseam_controller::serve::DieAt;
+    let (step, batch) = text.split_once(':').ok_or("STEP:BATCH")?;
+    let batch = batch.parse::<u64>().map_err(|e| e.to_string())?;
+    match step {
+        "decided" => Ok(DieAt::Decided(batch)),
+        "durable" => Ok(DieAt::Durable(batch)),
+        "announced" => Ok(DieAt::Announced(batch)),
+        _ => Err("decided, durable or announced".into()),
+    }
 }
 
 /// Runs a controller until it is told to stop.
@@ -36,6 +53,13 @@
     tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).with_ansi(false).init();
     let name = settings.name.clone();
     let stop_after = args.stop_after.map(Duration::from_secs);
+    #[cfg(feature = "sabotage")]
+    if args.die_at.is_some() {
+        violetseam_controller::serve::serve_until(settings, &args.state, args.die_at, |addr| {
+            println!("{name} takes proxies on {addr}");
+        })?;
+        return Ok(ExitCode::SUCCESS);
+    }
     let summary = violetseam_controller::serve::serve(settings, &args.state, stop_after, |addr| {
         println!("{name} takes proxies on {addr}");
     })?;
--- a/crates/cli/tests/controller.rs
+++ b/crates/cli/tests/controller.rs
@@ -31,6 +31,11 @@
 
 /// Starts a controller over a folder; `launch` is shell before the program.
 fn start(folder: &Path, name: &str, addr: SocketAddr, launch: &str) -> Controller {
+    start_with(folder, name, addr, launch, "")
+}
+
+/// The same with further arguments.
+fn start_with(folder: &Path, name: &str, addr: SocketAddr, launch: &str, more: &str) -> Controller {
     let (file, control) = (folder.join(format!("{name}.star")), folder.join(format!("{name}.sock")));
     let text = format!(
         "controller(name = \"{name}\", listen = \"{addr}\", build = 1, control = \"{}\", lease = \"400ms\", beat = \"100ms\")\n",
@@ -39,7 +44,7 @@
     std::fs::write(&file, text).unwrap();
     let state = folder.join("state");
     let command = format!(
-        "{launch} exec {PROGRAM} controller --log error --settings {} --state {}",
+        "{launch} exec {PROGRAM} controller --log error --settings {} --state {} {more}",
         file.display(),
         state.display()
     );
@@ -242,6 +247,64 @@
     std::fs::remove_dir_all(folder).unwrap();
 }
 
+/// Killed exactly between decided, durable and announced, at each batch of a release in turn.
+#[cfg(feature = "sabotage")]
+#[test]
+fn killed_between_decided_durable_and_announced_at_each_step_of_a_release() {
+    let (folder, addr) = (folder("steps"), free());
+    let heard = watch(vec![addr]);
+    let steps = ["decided", "durable", "announced"];
+    let (mut lives, mut last) = (0, (0, 0));
+    let mut deaths = std::collections::BTreeMap::new();
+    loop {
+        // The first batch of a life, then the second, then the fourth: offers, votes, places and waves.
+        let step = format!("{}:{}", steps[lives % 3], [1, 2, 4][lives / 3 % 3]);
+        let more = if lives < 18 { format!("--die-at {step}") } else { String::new() };
+        let mut controller = start_with(&folder, "one", addr, "", &more);
+        lives += 1;
+        let until = Instant::now() + Duration::from_secs(20);
+        let died = loop {
+            assert!(Instant::now() < until, "a life without an end: {step}");
+            if controller.child.try_wait().unwrap().is_some() {
+                break true;
+            }
+            let state = controller.state();
+            let Some(term) = state["term"].as_u64().filter(|term| *term > 0) else { continue };
+            let stage =
+                if state["news"]["build"] == 7 { state["news"]["stage"].as_u64().unwrap() } else { 0 };
+            assert!(term >= last.0 && stage >= last.1, "{last:?}, then term {term}, stage {stage}");
+            last = (term, stage);
+            if state["news"]["phase"] == "released" && state["news"]["build"] == 7 {
+                break false;
+            }
+            let _ = offer(&folder, &controller);
+            let _ = controller.say(&["sign", "b"]);
+            controller.run_all(1);
+            controller.run_all(7);
+            controller.vote(3, stage, "on");
+        };
+        if died {
+            *deaths.entry(step).or_insert(0) += 1;
+            continue;
+        }
+        wait_for("the watch hears the release", || {
+            heard.lock().unwrap().last().is_some_and(|n| n["phase"] == "released" && n["build"] == 7)
+        });
+        controller.end();
+        break;
+    }
+    assert!(deaths.len() >= 6, "{deaths:?}");
+    let heard = heard.lock().unwrap();
+    let mut before = (0, 0, 0.0);
+    for news in heard.iter().filter(|n| n["build"] == 7) {
+        let at = |what: &str| news[what].as_u64().unwrap();
+        let now = (at("fence"), at("stage"), news["cap"].as_f64().unwrap());
+        assert!(now.0 >= before.0 && now.1 >= before.1 && now.2 >= before.2, "{before:?}, then {now:?}");
+        before = now;
+    }
+    std::fs::remove_dir_all(folder).unwrap();
+}
+
 #[test]
 fn one_that_stood_still_is_replaced_and_is_not_obeyed_when_it_comes_back() {
     let (folder, a, b) = (folder("standby"), free(), free());
--- a/crates/controller/src/serve.rs
+++ b/crates/controller/src/serve.rs
@@ -100,6 +100,22 @@
     seen: (Option<String>, Instant),
     look_at: Instant,
     stopping: bool,
+    /// Batches so far that had something to keep.
+    #[cfg(feature = "sabotage")]
+    batches: u64,
+}
+
+/// A step at which a controller dies on purpose, at the `n`th batch from 1: what a kill at that very moment
+/// would do, without the luck that it takes.
+#[cfg(feature = "sabotage")]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DieAt {
+    /// Decided, and not handed to the journal.
+    Decided(u64),
+    /// Durable, and nobody was told.
+    Durable(u64),
+    /// Announced and answered.
+    Announced(u64),
 }
 
 /// What a controller did.
@@ -113,6 +129,30 @@
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64
 }
 
+/// The same, dying at a step.
+#[cfg(feature = "sabotage")]
+pub fn serve_until(
+    settings: Settings,
+    state: &Path,
+    die_at: Option<DieAt>,
+    ready: impl FnOnce(SocketAddr),
+) -> Result<Summary, String> {
+    DIE_AT.set(die_at);
+    serve(settings, state, None, ready)
+}
+
+#[cfg(feature = "sabotage")]
+thread_local! {
+    static DIE_AT: std::cell::Cell<Option<DieAt>> = const { std::cell::Cell::new(None) };
+}
+
+#[cfg(feature = "sabotage")]
+fn step(at: DieAt) {
+    if DIE_AT.get() == Some(at) {
+        std::process::abort();
+    }
+}
+
 /// Runs a controller until SIGTERM or SIGINT, or for `stop_after`. `ready` hears where it listens.
 pub fn serve(
     settings: Settings,
@@ -169,6 +209,8 @@
         seen: (None, now),
         look_at: now,
         stopping: false,
+        #[cfg(feature = "sabotage")]
+        batches: 0,
         settings,
     };
     ready(addr);
@@ -339,6 +381,11 @@
             term.tick_at = tick_at(&term.release, now);
             return self.answer(replies);
         }
+        #[cfg(feature = "sabotage")]
+        {
+            self.batches += 1;
+            step(DieAt::Decided(self.batches));
+        }
         let job = Job { bytes, events, state: next.clone() };
         if term.to_keeper.send(job).is_err() {
             return self.step_down("the journal's thread is gone");
@@ -352,6 +399,8 @@
         let Some((next, replies)) = term.keeping.take() else { return };
         match kept {
             Ok(()) => {
+                #[cfg(feature = "sabotage")]
+                step(DieAt::Durable(self.batches));
                 let before = term.release.news();
                 term.release = *next;
                 term.trouble = None;
@@ -369,6 +418,11 @@
                     tracing::info!("{}", term.release.standing());
                 }
                 self.answer(replies);
+                #[cfg(feature = "sabotage")]
+                {
+                    self.tell_all(now);
+                    step(DieAt::Announced(self.batches));
+                }
             }
             Err(NotKept::Superseded) => self.step_down("another controller has begun a later term"),
             Err(NotKept::Failed(why)) => {
