The controller closes silent connections and bodies that are too long for a vote

A connection that neither watches nor asks for 30 beats is closed; only reports of places may be long.

--- a/crates/cli/tests/controller.rs
+++ b/crates/cli/tests/controller.rs
@@ -446,6 +446,15 @@
         stream.write_all(bytes).unwrap();
         let _ = stream.read(&mut [0; 256]);
     }
+    // A body that is too long for a vote, and a connection that says nothing, are closed.
+    let mut long = TcpStream::connect(addr).unwrap();
+    long.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+    long.write_all(b"POST /v1/vote HTTP/1.1\r\nhost: t\r\ncontent-length: 90000\r\n\r\n").unwrap();
+    let _ = long.write_all(&[b'x'; 9_000]);
+    assert!(!matches!(long.read(&mut [0; 64]), Ok(1..)), "a long body was answered");
+    let mut silent = TcpStream::connect(addr).unwrap();
+    silent.set_read_timeout(Some(Duration::from_secs(15))).unwrap();
+    assert_eq!(silent.read(&mut [0; 64]).unwrap(), 0, "a silent connection is kept for ever");
     let plan = folder.join("bad.star");
     std::fs::write(&plan, PLAN.replace("cap = 0.25", "cap = 0.9")).unwrap();
     let (code, told) = controller.say(&["offer", plan.to_str().unwrap()]);
--- a/crates/controller/src/serve.rs
+++ b/crates/controller/src/serve.rs
@@ -26,8 +26,10 @@
 use violetseam_site::desk::{self, PhaseName, VerdictName, VoteOutcome, VoteReply};
 use violetseam_site::places::{self, StateName, Wanted};
 
-/// Connections at once; further ones wait in the kernel.
+/// Connections at once; further ones are closed.
 const CONNECTIONS_MOST: usize = 4_096;
+/// A connection that neither watches nor asks for so many beats is closed, so that silent ones keep nobody out.
+const QUIET_BEATS: u32 = 30;
 /// Events in one batch.
 const BATCH_MOST: usize = 4_096;
 /// Bytes that wait for a watcher that does not read; past it, the watch closes.
@@ -575,7 +577,15 @@
                     conn.body.clear();
                     conn.head = Some(head);
                 }
-                Some(ServerEvent::Body(bytes)) => conn.body.extend_from_slice(&bytes),
+                Some(ServerEvent::Body(bytes)) => {
+                    // Only the platform's reports are long.
+                    let reports = conn.head.as_ref().is_some_and(|h| h.target.starts_with("/v1/places"));
+                    let most = if reports { places::LINE_MOST } else { desk::LINE_MOST };
+                    if conn.body.len() + bytes.len() > most {
+                        return self.close(key);
+                    }
+                    conn.body.extend_from_slice(&bytes);
+                }
                 Some(ServerEvent::End) => self.request(key),
                 Some(ServerEvent::Fault(_)) => return self.close(key),
             }
@@ -588,6 +598,7 @@
         let Some(conn) = self.conns.get_mut(key) else { return };
         let (Some(head), body) = (conn.head.take(), std::mem::take(&mut conn.body)) else { return };
         let generation = conn.generation;
+        conn.told_at = Instant::now();
         let (path, query) = head.target.split_once('?').unwrap_or((&head.target, ""));
         let Some(term) = &mut self.term else {
             return self.respond(key, StatusCode::SERVICE_UNAVAILABLE, b"");
@@ -607,11 +618,11 @@
                 self.answer_vote(key, generation, VoteOutcome::Full);
             }
             (&Method::POST, "/v1/vote") => match desk::Vote::parse(&body) {
-                Ok(vote) if body.len() <= desk::LINE_MOST => {
+                Ok(vote) => {
                     let event = Event::Vote(vote_of(&vote));
                     term.queue.push((event, From::Vote(key, generation)));
                 }
-                _ => self.answer_vote(key, generation, VoteOutcome::Error),
+                Err(_) => self.answer_vote(key, generation, VoteOutcome::Error),
             },
             (&Method::POST, "/v1/places") => match places::parse_reports(&body) {
                 Ok(reports) => {
@@ -675,7 +686,11 @@
     /// Watchers hear what changed, and otherwise now and then that the watch lives.
     fn tell_all(&mut self, now: Instant) {
         let news = self.news();
-        let (beat, Some(term)) = (self.settings.beat, &mut self.term) else { return };
+        let beat = self.settings.beat;
+        let silent = |c: &Conn| c.watch == Watch::None && now >= c.told_at + beat * QUIET_BEATS;
+        let silent: Vec<usize> = self.conns.iter().filter(|(_, c)| silent(c)).map(|(key, _)| key).collect();
+        silent.into_iter().for_each(|key| self.close(key));
+        let Some(term) = &mut self.term else { return };
         if now >= term.wanted_at + WANTED_AGAIN {
             term.wanted_at = now;
             term.wanted_version += 1;
