--- /dev/null
+++ b/crates/emulator/src/world.rs
@@ -0,0 +1,344 @@
+//! The world of a run: machines that stand in places, the roster, and each proxy with what it was told.
+
+use crate::agenda::{Agenda, Happening};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use violetseam_audit::record::{Arrival, Finish, Start, State as RuleState};
+use violetseam_audit::{End, Entry, Record};
+use violetseam_proxy::engine::Engine;
+use violetseam_site::roster::{Line, Roster as Held, State};
+use violetseam_standin::day::{Day, Effect, Kind, Trouble};
+use violetseam_standin::model::Rng as Draws;
+use violetseam_standin::model::roster::Roster;
+use violetseam_standin::model::server::{Build, Job, KeyMemory, Reply, Server, Strain};
+
+/// Between a proxy and a server, one way, in microseconds.
+pub const NETWORK: u64 = 250;
+
+/// A machine in a place.
+pub struct Machine {
+    pub server: Server,
+    pub draining: bool,
+    /// Its number among the day's servers, with those that stood in its place before it.
+    pub index: usize,
+    pub up: bool,
+    next_pause: u64,
+}
+
+/// One attempt on its way.
+#[derive(Clone, Copy, Debug)]
+pub struct Attempt {
+    pub proxy: usize,
+    pub request: u64,
+    pub attempt: usize,
+    pub server: u64,
+    pub class: usize,
+    pub key: u64,
+    pub work: u64,
+    /// The client's request that it is for.
+    pub asked: u64,
+    /// It has reached its server.
+    pub arrived: bool,
+}
+
+/// One proxy.
+pub struct Proxy {
+    pub engine: Engine,
+    pub held: Held,
+    /// The roster's version that it has been told.
+    pub version: Option<u64>,
+    pub follows: bool,
+    /// The client's request of each of its own.
+    pub requests: HashMap<u64, u64>,
+    pub due: u64,
+}
+
+pub struct World {
+    pub day: Day,
+    pub rng: Draws,
+    pub now: u64,
+    pub agenda: Agenda,
+    pub machines: BTreeMap<u64, Machine>,
+    pub by_place: BTreeMap<(u32, u16), u64>,
+    pub next_machine: u64,
+    generations: Vec<usize>,
+    pub roster: Roster,
+    pub attempts: BTreeMap<u64, Attempt>,
+    pub next_attempt: u64,
+    memories: BTreeMap<u32, KeyMemory>,
+    pub entries: Vec<Entry>,
+    pub newest: u16,
+    pub lately: (f64, f64),
+}
+
+impl World {
+    pub fn new(day: Day, rng: Draws) -> World {
+        let places = day.servers.len();
+        let mut world = World {
+            rng,
+            now: 0,
+            agenda: Agenda::default(),
+            machines: BTreeMap::new(),
+            by_place: BTreeMap::new(),
+            next_machine: 1,
+            generations: vec![0; places],
+            roster: Roster::default(),
+            attempts: BTreeMap::new(),
+            next_attempt: 1,
+            memories: BTreeMap::new(),
+            entries: Vec::new(),
+            newest: day.rollout.first_build,
+            lately: (0.0, 1.0),
+            day,
+        };
+        for place in 0..places {
+            world.start(place as u32, world.day.rollout.first_build, true);
+        }
+        world
+    }
+
+    pub fn see(&mut self, record: Record) {
+        self.entries.push(Entry { at: self.now, record });
+    }
+
+    /// A trouble of this kind that is going on.
+    pub fn active(&self, kind: Kind) -> Option<&Trouble> {
+        let now = self.now;
+        self.day.troubles.iter().find(|t| t.kind == kind && t.at <= now && now < t.at + t.len)
+    }
+
+    pub fn build(&self, number: u16) -> Build {
+        let first = self.day.rollout.first_build;
+        match self.day.releases.get(usize::from(number - first).wrapping_sub(1)) {
+            Some(release) => Build::offered(number, release),
+            None => Build::sound(number),
+        }
+    }
+
+    /// A machine starts in a place; the roster lists it a while later, or at once before the day.
+    pub fn start(&mut self, place: u32, build: u16, warm: bool) {
+        let (n, machine) = (self.day.servers.len(), self.next_machine);
+        self.next_machine += 1;
+        let index = place as usize + n * self.generations[place as usize];
+        self.generations[place as usize] += 1;
+        let spec = match index.checked_sub(n) {
+            Some(i) if !self.day.spares.is_empty() => self.day.spares[i % self.day.spares.len()].clone(),
+            Some(i) => self.day.servers[i % n].clone(),
+            None => self.day.servers[index].clone(),
+        };
+        let server = Server::start(spec, self.build(build), self.now, warm);
+        if !warm {
+            let (cold_from, cold_span) = (server.spec.cold_from, server.spec.cold_span);
+            let start = Start { capacity: server.capacity(), cold_from, cold_span };
+            self.see(Record::Started { server: machine, start });
+        }
+        let entry = Machine { server, draining: false, index, up: true, next_pause: 0 };
+        self.machines.insert(machine, entry);
+        self.by_place.insert((place, build), machine);
+        let at = if warm { self.now } else { self.now + self.day.roster.add };
+        self.list(at, machine, State::Ready);
+    }
+
+    /// A machine drains, and later ends.
+    pub fn drain(&mut self, place: u32, build: u16) {
+        let Some(machine) = self.by_place.get(&(place, build)).copied() else { return };
+        if let Some(m) = self.machines.get_mut(&machine) {
+            m.draining = true;
+        }
+        self.list(self.now + self.day.roster.notice, machine, State::Draining);
+    }
+
+    pub fn end(&mut self, place: u32, build: u16) {
+        let Some(machine) = self.by_place.remove(&(place, build)) else { return };
+        self.list(self.now + self.day.roster.notice, machine, State::Gone);
+        self.lose(machine);
+        self.machines.remove(&machine);
+    }
+
+    /// Everything that a machine held is lost, and its proxies notice at once.
+    pub fn lose(&mut self, machine: u64) {
+        let lost: Vec<u64> =
+            self.attempts.iter().filter(|(_, a)| a.server == machine && a.arrived).map(|(n, _)| *n).collect();
+        for number in lost {
+            self.see(Record::Ended(Finish { number, end: End::Lost }));
+            self.agenda.at(self.now + NETWORK, Happening::Unreachable(number));
+        }
+    }
+
+    fn list(&mut self, at: u64, machine: u64, state: State) {
+        let Some(m) = self.machines.get(&machine) else { return };
+        let late = self.active(Kind::RosterLate).map_or(0, |t| (t.size * 1e6) as u64);
+        let octets = machine.to_be_bytes();
+        let line = Line {
+            id: machine,
+            // Nobody connects to it: it only has to be one.
+            addr: std::net::SocketAddr::from(([127, octets[5], octets[6], octets[7]], 1)),
+            build: m.server.build.number,
+            state,
+            zone: m.server.spec.zone,
+            cell: m.server.spec.cell,
+            size: m.server.spec.cores,
+            age_us: None,
+        };
+        let started = if m.server.warmth(m.server.born) < 1.0 { m.server.born } else { 0 };
+        self.roster.change(at + late, line, started);
+        self.agenda.at(at + late, Happening::Roster);
+    }
+
+    /// An attempt reaches its server.
+    pub fn reaches(&mut self, number: u64) {
+        let Some(attempt) = self.attempts.get_mut(&number) else { return };
+        let Attempt { proxy, server, class, key, work, asked, .. } = *attempt;
+        let back = self.now + NETWORK;
+        let Some(m) = self.machines.get_mut(&server).filter(|m| m.up && !m.server.collapsed) else {
+            return self.agenda.at(back, Happening::Unreachable(number));
+        };
+        attempt.arrived = true;
+        let (build, zone, cell) = (m.server.build.number, m.server.spec.zone, m.server.spec.cell);
+        let newest = build > self.day.rollout.first_build && build == self.newest;
+        self.lately = (self.lately.0 + f64::from(u8::from(newest)), self.lately.1 + 1.0);
+        let arrival = Arrival {
+            number,
+            request: asked,
+            proxy: proxy as u32,
+            server,
+            build,
+            place: (zone, cell),
+            class,
+            key,
+            work,
+        };
+        let draining = m.draining;
+        self.see(Record::Arrived(arrival));
+        if draining {
+            return self.reply(number, Reply::NotRun);
+        }
+        let spec = &self.day.classes[class];
+        let group = match spec.effect {
+            Effect::KeyedAll => Some(0),
+            Effect::KeyedZone => Some(1 + u32::from(zone)),
+            Effect::KeyedCell => Some(100_000 + u32::from(cell)),
+            Effect::Safe | Effect::Unsafe => None,
+        };
+        let window = spec.window;
+        let memory = group.filter(|_| key != 0).map(|g| self.memories.entry(g).or_default());
+        let repeat = memory.is_some_and(|m| m.is_repeat(self.now, class, key, window));
+        let job = Job { id: number, class, key, work: work as f64 };
+        let bears = (self.day.contract.fall_multiple, self.day.contract.fall_span);
+        let Some(m) = self.machines.get_mut(&server) else { return };
+        let (at_once, due) = (m.server.arrive(self.now, job, repeat, bears, &mut self.rng), m.server.due());
+        if let Some(reply) = at_once {
+            self.reply(number, reply);
+        } else if self.machines.get(&server).is_some_and(|m| m.server.collapsed) {
+            self.lose(server);
+        } else if let Some(due) = due {
+            self.agenda.at(due, Happening::Server(server));
+        }
+    }
+
+    /// A server's replies that are due.
+    pub fn serve(&mut self, machine: u64) {
+        let Some(m) = self.machines.get_mut(&machine).filter(|m| m.up) else { return };
+        let mut replies = Vec::new();
+        m.server.advance(self.now, &mut replies);
+        let due = m.server.due();
+        if let Some(due) = due {
+            self.agenda.at(due.max(self.now + 1), Happening::Server(machine));
+        }
+        for (number, reply) in replies {
+            self.reply(number, reply);
+        }
+    }
+
+    fn reply(&mut self, number: u64, reply: Reply) {
+        let end = match reply {
+            Reply::Ok { .. } => End::Ok,
+            Reply::Error => End::Error,
+            Reply::NotRun => End::NotRun,
+        };
+        self.see(Record::Ended(Finish { number, end }));
+        self.agenda.at(self.now + NETWORK, Happening::Returns(number, reply));
+    }
+
+    /// A server notices that a proxy went away.
+    pub fn given_up(&mut self, number: u64) {
+        let Some(attempt) = self.attempts.remove(&number).filter(|a| a.arrived) else { return };
+        if let Some(m) = self.machines.get_mut(&attempt.server) {
+            m.server.cancel(self.now, number);
+            if let Some(due) = m.server.due() {
+                self.agenda.at(due.max(self.now + 1), Happening::Server(attempt.server));
+            }
+        }
+        self.see(Record::Ended(Finish { number, end: End::Lost }));
+    }
+
+    /// Troubles that go on now, as they strike each machine.
+    pub fn strike(&mut self) {
+        let drag = self.build(self.newest).drag(self.lately.0 / self.lately.1.max(1e-9));
+        self.lately = (self.lately.0 * 0.98, self.lately.1 * 0.98 + 0.01);
+        let now = self.now;
+        let going: Vec<Trouble> =
+            self.day.troubles.iter().filter(|t| t.at <= now && now < t.at + t.len).cloned().collect();
+        let mut lost = Vec::new();
+        let mut back = BTreeSet::new();
+        for (&machine, m) in &mut self.machines {
+            let mut strain = Strain { slow: drag, ..Strain::default() };
+            let mut down = false;
+            for t in &going {
+                let hit = t.on.contains(&m.index);
+                match t.kind {
+                    Kind::Slow if hit => strain.slow *= t.size,
+                    Kind::SharedSlow => strain.slow *= t.size,
+                    Kind::SlowClass => strain.slow_class = Some((t.which, t.size)),
+                    Kind::FastErrors if hit => strain.fast_errors = t.size,
+                    Kind::Neighbour if hit => {
+                        let period = (t.extra.max(0.1) * 1e6) as u64;
+                        let phase = (now - t.at + m.index as u64 * period / 3) / period;
+                        strain.taken = if phase.is_multiple_of(2) { t.size } else { 0.0 };
+                    }
+                    Kind::Pauses if hit && now >= m.next_pause => {
+                        m.server.pause_until(now + (t.size * 1e3) as u64);
+                        m.next_pause = now + (t.extra.max(0.2) * 1e6) as u64;
+                    }
+                    Kind::Crash if hit => down = true,
+                    _ => {}
+                }
+            }
+            m.server.set_strain(strain);
+            if m.up && down {
+                m.up = false;
+                lost.push(machine);
+            } else if !m.up && !down {
+                back.insert(machine);
+            }
+        }
+        for machine in lost {
+            self.lose(machine);
+            self.list(now + self.day.roster.silent_notice, machine, State::Gone);
+        }
+        for machine in back {
+            self.come_back(machine);
+        }
+    }
+
+    /// A machine that died is there again, cold.
+    fn come_back(&mut self, machine: u64) {
+        let now = self.now;
+        let Some(m) = self.machines.get_mut(&machine) else { return };
+        m.server = Server::start(m.server.spec.clone(), m.server.build.clone(), now, false);
+        m.up = true;
+        let state = if m.draining { State::Draining } else { State::Ready };
+        let (cold_from, cold_span) = (m.server.spec.cold_from, m.server.spec.cold_span);
+        let start = Start { capacity: m.server.capacity(), cold_from, cold_span };
+        self.see(Record::Started { server: machine, start });
+        self.list(now + self.day.roster.add, machine, state);
+    }
+}
+
+/// A state as the checker knows it.
+pub fn rule_state(state: State) -> RuleState {
+    match state {
+        State::Ready => RuleState::Ready,
+        State::Draining => RuleState::Draining,
+        State::Gone => RuleState::Gone,
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -10,6 +10,7 @@
 mod proxies;
 pub mod report;
 mod run;
-mod script;
+pub mod script;
 
+pub use controller::plan;
 pub use run::{Lab, Outcome};
--- a/crates/release/src/machine.rs
+++ b/crates/release/src/machine.rs
@@ -96,7 +96,7 @@
         std::mem::replace(&mut self.open, open) != open || over
     }
 
-    /// Whether a wave may begin, as far as people and windows go. `before`: the wave that it follows.
+    /// Whether a wave may begin, as far as people and windows go.
     fn may_begin(&self, now: Now, wave: usize) -> bool {
         let held = match (hold_before(&self.plan, wave), self.held) {
             (None, _) | (_, Some(Held::Left)) => false,
