A log on a full disk no longer ends a daemon

Both daemons keep a log's failure to themselves now. The full-disk tests write the log to the same disk, so that they see it wherever they run.

--- a/crates/cli/src/controller.rs
+++ b/crates/cli/src/controller.rs
@@ -50,7 +50,13 @@
     let settings = violetseam_controller::settings::read_file(&args.settings, &args.set);
     let settings = settings.map_err(|e| e.to_string())?;
     let filter = EnvFilter::try_new(&args.log).map_err(|e| format!("--log: {e}"))?;
-    tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).with_ansi(false).init();
+    // As for `serve`: a log on a full disk must not end the process.
+    tracing_subscriber::fmt()
+        .log_internal_errors(false)
+        .with_env_filter(filter)
+        .with_writer(std::io::stderr)
+        .with_ansi(false)
+        .init();
     let name = settings.name.clone();
     let stop_after = args.stop_after.map(Duration::from_secs);
     #[cfg(feature = "sabotage")]
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -115,7 +115,12 @@
 fn start_logs(args: &Args) -> Result<SetLog, String> {
     let filter = EnvFilter::try_new(&args.log).map_err(|e| format!("--log: {e}"))?;
     let (filter, handle) = reload::Layer::<EnvFilter, Registry>::new(filter);
-    let lines = tracing_subscriber::fmt::layer().with_writer(std::io::stderr).with_ansi(false);
+    // A log that cannot be written is lost, and nothing else: with a full disk under it, the layer's own word on
+    // that would go to the same place, and panic there.
+    let lines = tracing_subscriber::fmt::layer()
+        .log_internal_errors(false)
+        .with_writer(std::io::stderr)
+        .with_ansi(false);
     let lines = match args.log_format {
         LogFormat::Text => lines.boxed(),
         LogFormat::Json => lines.json().boxed(),
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -179,7 +179,10 @@
 #[test]
 fn with_a_full_disk_commands_are_refused_and_change_nothing_until_there_is_room() {
     // Writes past a limit of 0 bytes fail as on a full disk; the signal that comes with it is ignored.
-    let fleet = Fleet::start_with("c-full", "trap '' XFSZ;", 1);
+    // The log is on the same full disk.
+    let log = std::env::temp_dir().join(format!("vs-c-full-{}.log", std::process::id()));
+    let launch = format!("trap '' XFSZ; exec 2>>{};", log.display());
+    let fleet = Fleet::start_with("c-full", &launch, 1);
     let pid = fleet.daemons[0].pid();
     let limit = |most| {
         let _ = prlimit(Some(pid), Resource::Fsize, Rlimit { current: most, maximum: None }).unwrap();
@@ -187,6 +190,8 @@
     limit(Some(0));
     let refused = fleet.raw(0, &pause("no-room", "now", 0));
     assert!(why(&refused).contains("cannot be kept"), "{refused}");
+    // Something to be logged while nothing can be.
+    kill_process(pid, Signal::HUP).unwrap();
     assert!(fleet.state(0)["paused"].is_null(), "a command that was refused took effect");
     assert!(fleet.daemons[0].ask(Duration::from_secs(2)).is_some_and(|a| a.ends_with("ok")));
     assert!(why(&fleet.raw(0, &pause("still-none", "now", 0))).contains("kept"));
@@ -194,6 +199,7 @@
     assert!(agreed(&fleet.raw(0, &pause("room", "now", 0))), "room again, and commands still refused");
     assert!(!fleet.state(0)["paused"].is_null());
     fleet.end();
+    std::fs::remove_file(log).unwrap();
 }
 
 /// Starts a process that takes over, under a launcher; how it ended.
--- a/crates/cli/tests/controller.rs
+++ b/crates/cli/tests/controller.rs
@@ -368,7 +368,9 @@
 #[test]
 fn without_room_nothing_counts_and_with_room_it_goes_on() {
     let (folder, addr) = (folder("room"), free());
-    let controller = start(&folder, "one", addr, "trap '' XFSZ;");
+    // The log is on the same full disk.
+    let launch = format!("trap '' XFSZ; exec 2>>{}/log;", folder.display());
+    let controller = start(&folder, "one", addr, &launch);
     controller.wait_to_speak();
     assert_eq!(offer(&folder, &controller).0, 0);
     wait_for("the first wave", || controller.state()["news"]["build"] == 7);
