--- a/crates/controller/src/control.rs
+++ b/crates/controller/src/control.rs
@@ -95,7 +95,8 @@
     Event(Event, Answering<Answer>),
 }
 
-fn wall_us() -> u64 {
+/// Microseconds since 1970.
+pub(crate) fn wall_clock() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64
 }
 
@@ -140,7 +141,7 @@
     let plain = |text: &str| !text.is_empty() && text.len() <= 128 && !text.chars().any(char::is_control);
     let asked = match word {
         Word::State => Asked::State(tell),
-        Word::Offer { name, text } => match violetseam_plan::read_text(&name, &text, &[], wall_us()) {
+        Word::Offer { name, text } => match violetseam_plan::read_text(&name, &text, &[], wall_clock()) {
             Ok(plan) => Asked::Event(Event::Offer(Box::new(plan)), tell),
             Err(faults) => return say(Answer::Faults(faults.into_iter().map(|f| f.0).collect())),
         },
--- a/crates/controller/src/keeper.rs
+++ b/crates/controller/src/keeper.rs
@@ -2,13 +2,14 @@
 
 use crate::journal::{NotKept, Writer};
 use calloop::channel::Sender;
+use std::sync::Arc;
 use violetseam_release::Release;
 
 /// Lines that belong together, and the state after them.
 pub struct Job {
     pub bytes: Vec<u8>,
     pub events: usize,
-    pub state: Box<Release>,
+    pub state: Arc<Release>,
 }
 
 /// What became of a job.
--- a/crates/controller/src/serve.rs
+++ b/crates/controller/src/serve.rs
@@ -17,8 +17,9 @@
 use std::collections::BTreeSet;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::Path;
+use std::sync::Arc;
 use std::sync::mpsc::Sender as Answering;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 use violetseam_http1::server::{ServerConn, ServerEvent};
 use violetseam_http1::{Framing, Limits, RequestHead};
 use violetseam_loopio::{Got, Socket};
@@ -66,12 +67,12 @@
 }
 
 /// A batch on its way to the disk: the state after it, and who waits for what became of it.
-type Batch = (Box<Release>, Vec<(From, Reply)>);
+type Batch = (Arc<Release>, Vec<(From, Reply)>);
 
 /// What one holds who may speak.
 struct Term {
     number: u64,
-    release: Release,
+    release: Arc<Release>,
     wanted: BTreeSet<(u32, u16)>,
     /// Counts changes of what is wanted.
     wanted_version: u64,
@@ -127,10 +128,6 @@
     pub term: u64,
 }
 
-fn wall() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64
-}
-
 /// The same, dying at a step.
 #[cfg(feature = "sabotage")]
 pub fn serve_until(
@@ -237,7 +234,7 @@
 
 impl Controller {
     fn now(&self) -> Now {
-        Now { wall: wall(), steady: self.started.elapsed().as_micros() as u64 }
+        Now { wall: control::wall_clock(), steady: self.started.elapsed().as_micros() as u64 }
     }
 
     /// Until when nothing is due by time alone.
@@ -307,7 +304,7 @@
             wanted: release.wanted(),
             wanted_version: 1,
             wanted_at: now,
-            release,
+            release: Arc::new(release),
             allowance,
             queue: Vec::new(),
             to_keeper,
@@ -363,7 +360,7 @@
         if term.keeping.is_some() || !due || now < term.not_before {
             return;
         }
-        let mut next = Box::new(term.release.clone());
+        let mut next = Release::clone(&term.release);
         let (mut bytes, mut events, mut replies) = (Vec::new(), 0, Vec::new());
         let many = term.queue.len().min(BATCH_MOST);
         let tick = (Event::Tick, From::Nobody);
@@ -379,7 +376,7 @@
             replies.push((from, reply));
         }
         if events == 0 {
-            term.release = *next;
+            term.release = Arc::new(next);
             term.tick_at = tick_at(&term.release, now);
             return self.answer(replies);
         }
@@ -388,6 +385,7 @@
             self.batches += 1;
             step(DieAt::Decided(self.batches));
         }
+        let next = Arc::new(next);
         let job = Job { bytes, events, state: next.clone() };
         if term.to_keeper.send(job).is_err() {
             return self.step_down("the journal's thread is gone");
@@ -404,7 +402,7 @@
                 #[cfg(feature = "sabotage")]
                 step(DieAt::Durable(self.batches));
                 let before = term.release.news();
-                term.release = *next;
+                term.release = next;
                 term.trouble = None;
                 term.tick_at = tick_at(&term.release, now);
                 if let Some(plan) = term.release.plan() {
--- a/crates/site/src/desk.rs
+++ b/crates/site/src/desk.rs
@@ -45,7 +45,7 @@
 impl News {
     /// Reads one line: the news and the fencing number of whoever says so.
     pub fn parse(line: &[u8]) -> Result<(StageNews, u64), Malformed> {
-        let news: News = serde_json::from_slice(line).map_err(|e| Malformed(format!("desk: {e}")))?;
+        let news = News::read(line)?;
         Ok((news.check()?, news.fence))
     }
 
@@ -152,8 +152,7 @@
 impl VoteReply {
     /// Reads a reply: how it ended and the news that came with it.
     pub fn parse(body: &[u8]) -> Result<(Outcome, Option<(StageNews, u64)>), Malformed> {
-        let reply: VoteReply =
-            serde_json::from_slice(body).map_err(|e| Malformed(format!("vote reply: {e}")))?;
+        let reply = VoteReply::read(body)?;
         let outcome = match reply.outcome {
             VoteOutcome::Ok => Outcome::Ok,
             VoteOutcome::Moot => Outcome::Moot,
