--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -9,7 +9,7 @@
 use violetseam_standin::day::{Day, Effect, Kind, Trouble};
 use violetseam_standin::model::Rng as Draws;
 use violetseam_standin::model::roster::Roster;
-use violetseam_standin::model::server::{Build, Job, KeyMemory, Reply, Server, Strain};
+use violetseam_standin::model::server::{Build, Job, KeyMemory, Reply, Server, strike};
 
 /// Between a proxy and a server, one way, in microseconds.
 pub const NETWORK: u64 = 250;
@@ -281,28 +281,8 @@
         let mut lost = Vec::new();
         let mut back = BTreeSet::new();
         for (&machine, m) in &mut self.machines {
-            let mut strain = Strain { slow: drag, ..Strain::default() };
-            let mut down = false;
-            for t in &going {
-                let hit = t.on.contains(&m.index);
-                match t.kind {
-                    Kind::Slow if hit => strain.slow *= t.size,
-                    Kind::SharedSlow => strain.slow *= t.size,
-                    Kind::SlowClass => strain.slow_class = Some((t.which, t.size)),
-                    Kind::FastErrors if hit => strain.fast_errors = t.size,
-                    Kind::Neighbour if hit => {
-                        let period = (t.extra.max(0.1) * 1e6) as u64;
-                        let phase = (now - t.at + m.index as u64 * period / 3) / period;
-                        strain.taken = if phase.is_multiple_of(2) { t.size } else { 0.0 };
-                    }
-                    Kind::Pauses if hit && now >= m.next_pause => {
-                        m.server.pause_until(now + (t.size * 1e3) as u64);
-                        m.next_pause = now + (t.extra.max(0.2) * 1e6) as u64;
-                    }
-                    Kind::Crash if hit => down = true,
-                    _ => {}
-                }
-            }
+            let down = going.iter().any(|t| t.kind == Kind::Crash && t.on.contains(&m.index));
+            let strain = strike(&mut m.server, &mut m.next_pause, m.index, drag, now, going.iter());
             m.server.set_strain(strain);
             if m.up && down {
                 m.up = false;
--- a/crates/standin/src/drive/site.rs
+++ b/crates/standin/src/drive/site.rs
@@ -12,7 +12,7 @@
 use crate::model::Rng;
 use crate::model::desk::{Command, Desk, Fate};
 use crate::model::roster::Roster;
-use crate::model::server::{Build, KeyMemory, Reply, Server, Strain};
+use crate::model::server::{Build, KeyMemory, Reply, Server, strike};
 use calloop::generic::Generic;
 use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, RegistrationToken};
 use rand::SeedableRng;
@@ -409,26 +409,9 @@
             newest.drag(self.lately.0 / self.lately.1.max(1e-9))
         };
         for machine in self.machines.values_mut() {
-            let mut strain = Strain { slow: drag, ..Strain::default() };
-            for t in day.troubles.iter().filter(|t| t.at <= now && now < t.at + t.len) {
-                let hit = t.on.contains(&machine.index);
-                match t.kind {
-                    Kind::Slow if hit => strain.slow *= t.size,
-                    Kind::SharedSlow => strain.slow *= t.size,
-                    Kind::SlowClass => strain.slow_class = Some((t.which, t.size)),
-                    Kind::FastErrors if hit => strain.fast_errors = t.size,
-                    Kind::Neighbour if hit => {
-                        let period = (t.extra.max(0.1) * 1e6) as u64;
-                        let phase = (now - t.at + machine.index as u64 * period / 3) / period;
-                        strain.taken = if phase.is_multiple_of(2) { t.size } else { 0.0 };
-                    }
-                    Kind::Pauses if hit && now >= machine.next_pause => {
-                        machine.server.pause_until(now + (t.size * 1e3) as u64);
-                        machine.next_pause = now + (t.extra.max(0.2) * 1e6) as u64;
-                    }
-                    _ => {}
-                }
-            }
+            let going = day.troubles.iter().filter(|t| t.at <= now && now < t.at + t.len);
+            let index = machine.index;
+            let strain = strike(&mut machine.server, &mut machine.next_pause, index, drag, now, going);
             machine.server.set_strain(strain);
         }
         self.collapse();
--- a/crates/standin/src/model/server.rs
+++ b/crates/standin/src/model/server.rs
@@ -1,7 +1,7 @@
 //! A server: slots, a waiting room, a cold start, memory of keys, its build's faults and its troubles.
 
 use super::Rng;
-use crate::day::{Fault, Release, ServerSpec};
+use crate::day::{Fault, Kind, Release, ServerSpec, Trouble};
 use rand::RngExt;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
@@ -25,6 +25,39 @@
     }
 }
 
+/// What the troubles that go on do to a server now; pauses begin. `index` names it among those that troubles
+/// name, `drag` is what its build does to all, `next_pause` when it may stand still again.
+pub fn strike<'a>(
+    server: &mut Server,
+    next_pause: &mut u64,
+    index: usize,
+    drag: f64,
+    now: u64,
+    going: impl Iterator<Item = &'a Trouble>,
+) -> Strain {
+    let mut strain = Strain { slow: drag, ..Strain::default() };
+    for t in going {
+        let hit = t.on.contains(&index);
+        match t.kind {
+            Kind::Slow if hit => strain.slow *= t.size,
+            Kind::SharedSlow => strain.slow *= t.size,
+            Kind::SlowClass => strain.slow_class = Some((t.which, t.size)),
+            Kind::FastErrors if hit => strain.fast_errors = t.size,
+            Kind::Neighbour if hit => {
+                let period = (t.extra.max(0.1) * 1e6) as u64;
+                let phase = (now - t.at + index as u64 * period / 3) / period;
+                strain.taken = if phase.is_multiple_of(2) { t.size } else { 0.0 };
+            }
+            Kind::Pauses if hit && now >= *next_pause => {
+                server.pause_until(now + (t.size * 1e3) as u64);
+                *next_pause = now + (t.extra.max(0.2) * 1e6) as u64;
+            }
+            _ => {}
+        }
+    }
+    strain
+}
+
 /// A request at a server.
 #[derive(Clone, Copy, Debug)]
 pub struct Job {
