--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,6 +4,7 @@
 mod fleet;
 mod lab;
 mod plan;
+mod platform;
 mod serve;
 
 use clap::{Parser, Subcommand};
--- /dev/null
+++ b/crates/cli/src/platform.rs
@@ -0,0 +1,26 @@
+//! `violetseam serve --platform`: one proxy on the platform's protocol, as its environment tells.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use violetseam_platform::config::Config;
+
+/// Runs until SIGTERM, and then what is owed.
+pub fn run() -> Result<ExitCode, String> {
+    let variable =
+        |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty()).ok_or(format!("{name} is not set"));
+    let (name, listen) = (variable("PROXY_NAME")?, variable("PROXY_LISTEN")?);
+    let discovery = variable("PROXY_DISCOVERY")?;
+    let file = PathBuf::from(variable("PROXY_CONFIG")?);
+    let address = |name: &str, text: &str| text.parse().map_err(|e| format!("{name}: {text:?}: {e}"));
+    let text = std::fs::read(&file).map_err(|e| format!("{}: {e}", file.display()))?;
+    let mut config = Config::parse(&text).map_err(|e| format!("{}: {e}", file.display()))?;
+    config.name = name;
+    config.listen = address("PROXY_LISTEN", &listen)?;
+    config.discovery = address("PROXY_DISCOVERY", &discovery)?;
+    let summary = violetseam_platform_proxy::serve(config, file).map_err(|e| e.to_string())?;
+    if summary.owed > 0 {
+        eprintln!("violetseam: ended with {} requests unanswered", summary.owed);
+        return Ok(ExitCode::FAILURE);
+    }
+    Ok(ExitCode::SUCCESS)
+}
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -19,8 +19,11 @@
 #[derive(ClapArgs)]
 pub struct Args {
     /// The settings script
-    #[arg(long)]
-    settings: PathBuf,
+    #[arg(long, required_unless_present = "platform")]
+    settings: Option<PathBuf>,
+    /// Serve on the platform's protocol, as the environment and PROXY_CONFIG tell; nothing else is opened
+    #[arg(long, conflicts_with_all = ["settings", "set", "record", "time_module", "takeover", "stop_after"])]
+    platform: bool,
     /// A value for the script's option(...): NAME=VALUE
     #[arg(long = "set", value_parser = pair)]
     set: Vec<(String, String)>,
@@ -73,7 +76,12 @@
 
 /// Runs a proxy until it is told to stop.
 pub fn run(args: &Args) -> Result<ExitCode, String> {
-    let settings = read_file(&args.settings, &args.set).map_err(|e| e.to_string())?;
+    if args.platform {
+        let _ = start_logs(args)?;
+        return crate::platform::run();
+    }
+    let file = args.settings.as_ref().ok_or("--settings is wanted")?;
+    let settings = read_file(file, &args.set).map_err(|e| e.to_string())?;
     let set_log = start_logs(args)?;
     let bounds = Bounds { total: args.record_most, ..Bounds::default() };
     let options = Options {
@@ -94,7 +102,7 @@
         (true, Some(control)) => Some(inherit(control)?),
         (true, None) => return Err("--takeover needs a control socket in the settings".into()),
     };
-    let operators = operators(args, &settings, set_log)?;
+    let operators = operators(args, file, &settings, set_log)?;
     let summary = serve_operated(settings, options, operators, inherited, |addresses| {
         for addr in addresses {
             println!("{name} takes clients on {addr}");
@@ -133,7 +141,12 @@
 }
 
 /// What makes the proxy a daemon, where its settings name a control socket.
-fn operators(args: &Args, settings: &ProxySettings, set_log: SetLog) -> Result<Option<Operators>, String> {
+fn operators(
+    args: &Args,
+    file: &Path,
+    settings: &ProxySettings,
+    set_log: SetLog,
+) -> Result<Option<Operators>, String> {
     let (Some(socket), Some(folder)) = (settings.control.clone(), &settings.state_dir) else {
         return Ok(None);
     };
@@ -141,7 +154,7 @@
     let (folder, position) = (folder.clone(), settings.decisions.position);
     let keys = keys_of(settings)?;
     let opened = open_store(&folder, position, now, args.takeover)?;
-    let (file, set) = (args.settings.clone(), args.set.clone());
+    let (file, set) = (file.to_owned(), args.set.clone());
     let reload = move || {
         let settings = read_file(&file, &set).map_err(|e| e.to_string())?;
         let keys = keys_of(&settings)?;
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -1,11 +1,12 @@
-//! The settings text of a fresh instance: JSON with the wire's names, read into the interface's types.
+//! The settings of a fresh instance: JSON with the wire's names, read into the interface's types. The
+//! simulator's adapter and the proxy on sockets both read them here, so that neither can take one differently.
 //!
 //! Unknown keys are skipped. A missing optional figure gets its neutral meaning: nothing permitted, no
 //! bound that the site did not state, one class of one kind.
 
 use serde::Deserialize;
 use violetseam::interface::{
-    Class, Contract, DedupGroup, Effect, GateMode, Limits, Rollout, Settings, Tenant,
+    Class, Contract, DedupGroup, Effect, GateMode, Limits, Micros, Rollout, Settings, Tenant,
 };
 
 #[derive(Deserialize, Default)]
@@ -18,6 +19,7 @@
     family_info: Family,
     fleet_size: usize,
     granularity: u64,
+    localities: Vec<String>,
     over_share_worth: Option<f64>,
     position: usize,
     tenants: Vec<TenantInfo>,
@@ -30,10 +32,13 @@
 struct Caps {
     attempts_cap: Option<usize>,
     cancelling: bool,
+    connect_timeout: Option<u64>,
+    idle_close: Option<u64>,
     max_retry_after: u64,
     may_duplicate: bool,
     may_probe: bool,
     may_tell: bool,
+    open_cap: Option<usize>,
     retry_after: bool,
 }
 
@@ -45,6 +50,7 @@
     group: String,
     hard_limit: u64,
     late_worth: f64,
+    name: String,
     objective: u64,
     stream: bool,
     window: u64,
@@ -84,9 +90,34 @@
 #[derive(Deserialize, Default)]
 #[serde(rename_all = "PascalCase", default)]
 struct TenantInfo {
+    name: String,
     quota_per_s: f64,
 }
 
+/// All that the text tells: what the decisions need, and what only a driver of sockets does.
+#[derive(Clone, Debug, Default)]
+pub struct Instance {
+    /// For the decision module.
+    pub decisions: Settings,
+    /// Names of the classes, by index.
+    pub classes: Vec<String>,
+    /// Names of the tenants, by index.
+    pub tenants: Vec<String>,
+    /// Names of the zones, by index.
+    pub zones: Vec<String>,
+    /// A connection that is not up by then counts as failed.
+    pub connect_timeout: Micros,
+    /// A connection that stood idle for so long is closed by its server.
+    pub idle_close: Micros,
+    /// Requests that may be open at once.
+    pub open_cap: usize,
+}
+
+/// Where a site states no bound on connecting.
+const CONNECT_TIMEOUT: Micros = 250_000;
+/// Where a site does not say when idle connections close.
+const IDLE_CLOSE: Micros = 5_000_000;
+
 fn class(info: ClassInfo) -> Result<Class, String> {
     let effect = match info.effect.as_str() {
         "retryable" => Effect::Retryable,
@@ -112,8 +143,13 @@
     })
 }
 
-/// Reads the settings text.
+/// Reads the settings text for the decision module alone.
 pub fn parse(text: &[u8]) -> Result<Settings, String> {
+    read(text).map(|instance| instance.decisions)
+}
+
+/// Reads the settings text.
+pub fn read(text: &[u8]) -> Result<Instance, String> {
     let info: Info = serde_json::from_slice(text).map_err(|e| format!("settings: {e}"))?;
     let family = info.family_info;
     let gate = match family.gate_mode.as_str() {
@@ -122,7 +158,13 @@
         "timer" => GateMode::Timer,
         other => return Err(format!("unknown gate mode {other:?}")),
     };
-    Ok(Settings {
+    let names = |classes: &[ClassInfo]| classes.iter().map(|c| c.name.clone()).collect();
+    let (classes, zones) = (names(&info.classes), info.localities);
+    let tenants = info.tenants.iter().map(|t| t.name.clone()).collect();
+    let connect_timeout = info.caps.connect_timeout.unwrap_or(CONNECT_TIMEOUT);
+    let idle_close = info.caps.idle_close.unwrap_or(IDLE_CLOSE);
+    let open_cap = info.caps.open_cap.unwrap_or(usize::MAX);
+    let decisions = Settings {
         classes: info.classes.into_iter().map(class).collect::<Result<_, _>>()?,
         tenants: info.tenants.into_iter().map(|t| Tenant { quota_per_s: t.quota_per_s }).collect(),
         rollout: Rollout {
@@ -166,5 +208,6 @@
         tick: info.granularity,
         over_share_worth: info.over_share_worth.unwrap_or(1.0),
         sizes_known: !matches!(info.weights.as_str(), "silent" | ""),
-    })
+    };
+    Ok(Instance { decisions, classes, tenants, zones, connect_timeout, idle_close, open_cap })
 }
--- a/crates/loopio/src/lib.rs
+++ b/crates/loopio/src/lib.rs
@@ -1,6 +1,8 @@
 //! A connection (TCP or a Unix-domain stream) on a `calloop` loop: a source whose interest can change while it is registered, and the
 //! bytes that wait to be written. Used by the proxy and by the stand-ins.
 
+pub mod timers;
+
 use calloop::generic::Generic;
 use calloop::{
     EventSource, Interest, LoopHandle, Mode, Poll, PostAction, Readiness, RegistrationToken, Token,
--- /dev/null
+++ b/crates/platform-proxy/src/clients.rs
@@ -0,0 +1,433 @@
+//! Client connections: from bytes to a whole call for the engine, and from an answer to bytes.
+//!
+//! Answers go out in the order of a connection's commands. What is no sound call is answered with an error
+//! here, and the connection ends after that: nothing of it reaches the decisions or a server.
+
+use super::{Proxy, What};
+use calloop::generic::Generic;
+use calloop::{Interest, Mode, PostAction, Readiness};
+use std::collections::VecDeque;
+use std::net::{TcpListener, TcpStream};
+use std::rc::Rc;
+use violetseam::interface::{Micros, Request, RequestId};
+use violetseam_loopio::{Got, HIGH_WATER, Socket};
+use violetseam_platform::answer;
+use violetseam_platform::call::{self, Call, Command};
+use violetseam_proxy::engine::Final;
+use violetseam_resp::command;
+
+/// Connections accepted in one turn of the loop.
+const ACCEPTS_MOST: usize = 64;
+/// A listener that ran out of room or descriptors pauses so long.
+const ACCEPT_PAUSE: Micros = 20_000;
+/// Commands of one connection that wait for their answers at once.
+const PIPELINED_MOST: usize = 64;
+/// A connection that has not sent one whole command by then is closed.
+const UNPROVEN: Micros = 1_500_000;
+/// A command must be whole so long after its first byte.
+const HALF_COMMAND: Micros = 1_500_000;
+/// After the last answer a connection is read and its input dropped for so long and so many bytes: closed at
+/// once over unread bytes, it would be reset, and the answer could be lost with it.
+const LINGER: Micros = 300_000;
+const LINGER_BYTES: usize = 256 * 1024;
+/// Answers that a client does not take are held for so long.
+const UNREAD: Micros = 3_000_000;
+
+/// A client connection.
+pub(super) struct Client {
+    generation: u64,
+    socket: Socket,
+    /// Input that no command has taken yet.
+    input: Vec<u8>,
+    /// Answers in the order of their commands.
+    owed: VecDeque<Owed>,
+    state: State,
+    /// Its input is being taken apart, and lies elsewhere meanwhile.
+    reading: bool,
+    /// A whole sound command has come.
+    proven: bool,
+    /// Since when nothing has been owed, or the present command is on its way.
+    quiet_since: Micros,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Open,
+    /// Nothing more is read: the connection ends after the answers that are owed.
+    Closing,
+    /// All is written and this side is closed; so many bytes have been dropped.
+    Lingering(usize),
+}
+
+/// A place in the order of answers.
+enum Owed {
+    Request(RequestId),
+    Ready(Vec<u8>),
+}
+
+/// A request that the engine has: what it takes to send it, and where its answer goes.
+pub(super) struct Held {
+    client: usize,
+    client_generation: u64,
+    pub call: Call,
+    /// Connections of the attempts, by number.
+    pub attempts: Vec<Option<usize>>,
+}
+
+impl Client {
+    /// A whole sound command has come on it.
+    pub fn is_proven(&self) -> bool {
+        self.proven
+    }
+
+    /// It may be closed without a request's loss.
+    pub fn is_free(&self) -> bool {
+        self.owed.is_empty() && !self.socket.waits() && !self.reading
+    }
+
+    /// Since when nothing has been owed on it.
+    pub fn quiet_since(&self) -> Micros {
+        self.quiet_since
+    }
+}
+
+impl Proxy {
+    pub(super) fn listen(&mut self) -> std::io::Result<()> {
+        let addr = self.config.listen;
+        let domain = socket2::Domain::for_address(addr);
+        let socket = socket2::Socket::new(domain, socket2::Type::STREAM, Some(socket2::Protocol::TCP))?;
+        socket.set_reuse_address(true)?;
+        let refuse = |e: std::io::Error| std::io::Error::new(e.kind(), format!("{addr}: {e}"));
+        socket.bind(&addr.into()).map_err(refuse)?;
+        socket.listen(1024)?;
+        socket.set_nonblocking(true)?;
+        let listener: Rc<TcpListener> = Rc::new(socket.into());
+        let source = Generic::new(listener.clone(), Interest::READ, Mode::Level);
+        let token = self
+            .handle
+            .insert_source(source, |_, listener, proxy: &mut Proxy| {
+                proxy.accept(listener);
+                Ok(PostAction::Continue)
+            })
+            .map_err(|e| std::io::Error::other(e.to_string()))?;
+        self.listener = Some((listener, token));
+        Ok(())
+    }
+
+    fn accept(&mut self, listener: &TcpListener) {
+        for _ in 0..ACCEPTS_MOST {
+            if !self.room_for_client() {
+                return self.pause_accepting();
+            }
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    if let Err(e) = self.add_client(stream)
+                        && self.may_say()
+                    {
+                        tracing::warn!("client not taken: {e}");
+                    }
+                }
+                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return,
+                // The client left before it was accepted.
+                Err(e) if e.kind() == std::io::ErrorKind::ConnectionAborted => {}
+                Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
+                // Out of descriptors or memory: connections wait in the kernel's queue, none is lost.
+                Err(e) => {
+                    if self.may_say() {
+                        tracing::warn!("accepting pauses: {e}");
+                    }
+                    return self.pause_accepting();
+                }
+            }
+        }
+    }
+
+    fn pause_accepting(&mut self) {
+        if let Some((_, token)) = &self.listener
+            && std::mem::replace(&mut self.accepting, false)
+        {
+            drop(self.handle.disable(token));
+            self.timers.set(self.now() + ACCEPT_PAUSE, What::Accept);
+        }
+    }
+
+    pub(super) fn accept_again(&mut self) {
+        if let Some((_, token)) = &self.listener {
+            drop(self.handle.enable(token));
+            self.accepting = true;
+        }
+    }
+
+    fn add_client(&mut self, stream: TcpStream) -> std::io::Result<()> {
+        stream.set_nonblocking(true)?;
+        stream.set_nodelay(true)?;
+        let (generation, quiet_since) = (self.next_generation(), self.now());
+        let entry = self.clients.vacant_entry();
+        let key = entry.key();
+        let on_ready = move |readiness: Readiness, proxy: &mut Proxy| proxy.on_client(key, readiness);
+        let socket = Socket::register(&self.handle, stream, Interest::READ, on_ready)?;
+        entry.insert(Client {
+            generation,
+            socket,
+            input: Vec::new(),
+            owed: VecDeque::new(),
+            state: State::Open,
+            reading: false,
+            proven: false,
+            quiet_since,
+        });
+        Ok(())
+    }
+
+    /// Takes a connection off the loop and tells nobody.
+    pub(super) fn close_client(&mut self, key: usize) {
+        if let Some(client) = self.clients.try_remove(key) {
+            client.socket.remove(&self.handle);
+        }
+    }
+
+    /// The connection broke, or its client closed it: nothing is owed any more.
+    fn client_gone(&mut self, key: usize) {
+        let Some(client) = self.clients.try_remove(key) else { return };
+        client.socket.remove(&self.handle);
+        let now = self.now();
+        for owed in client.owed {
+            if let Owed::Request(id) = owed {
+                self.engine.client_gone(now, id);
+            }
+        }
+    }
+
+    fn on_client(&mut self, key: usize, readiness: Readiness) {
+        if readiness.writable {
+            self.flush_client(key);
+        }
+        if readiness.readable || readiness.error {
+            self.read_client(key);
+        }
+        self.pump();
+    }
+
+    fn read_client(&mut self, key: usize) {
+        let mut scratch = std::mem::take(&mut self.scratch);
+        if let Some(client) = self.clients.get_mut(key) {
+            match (client.socket.read(&mut scratch), client.state) {
+                (Got::Bytes(n), State::Open) => {
+                    client.input.extend_from_slice(&scratch[..n]);
+                    self.client_commands(key);
+                }
+                (Got::Bytes(n), State::Lingering(dropped)) if dropped + n < LINGER_BYTES => {
+                    client.state = State::Lingering(dropped + n);
+                }
+                (Got::Bytes(_), State::Lingering(_)) => self.close_client(key),
+                (Got::Bytes(_) | Got::Nothing, _) => {}
+                (Got::Closed | Got::Broken, _) => self.client_gone(key),
+            }
+        }
+        self.scratch = scratch;
+        self.rest_client(key);
+    }
+
+    /// Takes the commands that the input holds.
+    fn client_commands(&mut self, key: usize) {
+        let Some(client) = self.clients.get_mut(key) else { return };
+        let input = std::mem::take(&mut client.input);
+        client.reading = true;
+        let mut used = 0;
+        while let Some(client) = self.clients.get_mut(key).filter(|c| c.state == State::Open) {
+            let words = match command::read(&input[used..], &self.bounds) {
+                Ok(Some((words, length))) => {
+                    used += length;
+                    words
+                }
+                Ok(None) => break,
+                Err(fault) => {
+                    self.decline(key, &fault.to_string());
+                    break;
+                }
+            };
+            if client.owed.len() >= PIPELINED_MOST {
+                self.decline(key, "too many commands at once");
+                break;
+            }
+            match call::read(&words, &self.config.instance) {
+                Ok(Command::Ping) if self.roster.is_empty() => {
+                    self.reply(key, b"-LOADING no server list yet\r\n")
+                }
+                Ok(Command::Ping) => self.reply(key, b"+PONG\r\n"),
+                Ok(Command::Courtesy) => self.reply(key, b"+OK\r\n"),
+                Ok(Command::Call(call)) => self.take_call(key, *call),
+                Err(why) => self.decline(key, &why.0),
+            }
+        }
+        let now = self.now();
+        if let Some(client) = self.clients.get_mut(key) {
+            client.reading = false;
+            if client.state == State::Open {
+                client.quiet_since = if used > 0 { now } else { client.quiet_since };
+                client.input = if used == 0 { input } else { input[used..].to_vec() };
+            }
+        }
+        self.flush_client(key);
+    }
+
+    /// Answers at once what is no request.
+    fn reply(&mut self, key: usize, bytes: &[u8]) {
+        if let Some(client) = self.clients.get_mut(key) {
+            client.owed.push_back(Owed::Ready(bytes.to_vec()));
+        }
+    }
+
+    /// Answers what cannot be taken, and ends the connection after that.
+    fn decline(&mut self, key: usize, why: &str) {
+        tracing::debug!(client = key, "declined: {why}");
+        if let Some(client) = self.clients.get_mut(key) {
+            let mut bytes = Vec::new();
+            answer::write_malformed(&mut bytes, why);
+            client.owed.push_back(Owed::Ready(bytes));
+            client.state = State::Closing;
+        }
+    }
+
+    fn take_call(&mut self, key: usize, call: Call) {
+        if self.open_ids.contains_key(&call.id) {
+            return self.decline(key, "a request with this id is open");
+        }
+        let Some(client) = self.clients.get_mut(key) else { return };
+        client.proven = true;
+        let client_generation = client.generation;
+        if self.held.len() >= self.budgets.open || self.held_bytes + call.size() > self.budgets.held_bytes {
+            // Bounds of this process, not of the service: it never ran.
+            return self.reply(key, b"-BUSY\r\n");
+        }
+        let now = self.now();
+        let request = Request {
+            id: 0,
+            deadline: now + call.wait,
+            class: call.class,
+            hint: None,
+            key: Some(call.key),
+            tenant: call.tenant,
+            is_retry: call.is_retry,
+        };
+        self.held_bytes += call.size();
+        let id = self.engine.request(now, request, true);
+        tracing::debug!(request = id, client = key, "request");
+        self.open_ids.insert(call.id.clone(), id);
+        self.held.insert(id, Held { client: key, client_generation, call, attempts: Vec::new() });
+        if let Some(client) = self.clients.get_mut(key) {
+            client.owed.push_back(Owed::Request(id));
+        }
+        self.pump();
+    }
+
+    /// A final answer of the proxy's own.
+    pub(super) fn answer_own(&mut self, request: RequestId, last: Final) {
+        let mut bytes = Vec::new();
+        match last {
+            Final::Refused { come_back } => answer::write_refused(&mut bytes, come_back),
+            Final::Failed { .. } => answer::write_failed(&mut bytes),
+        }
+        self.answer(request, bytes);
+    }
+
+    /// Puts a final answer in its place and writes what is in turn.
+    pub(super) fn answer(&mut self, request: RequestId, bytes: Vec<u8>) {
+        let Some(held) = self.held.get(&request) else { return };
+        let (key, generation) = (held.client, held.client_generation);
+        let Some(client) = self.clients.get_mut(key).filter(|c| c.generation == generation) else { return };
+        let place = client.owed.iter_mut().find(|o| matches!(o, Owed::Request(id) if *id == request));
+        if let Some(place) = place {
+            *place = Owed::Ready(bytes);
+        }
+        self.flush_client(key);
+        self.rest_client(key);
+    }
+
+    /// Nothing about the request is in hand any more.
+    pub(super) fn forget(&mut self, request: RequestId) {
+        if let Some(held) = self.held.remove(&request) {
+            self.held_bytes -= held.call.size();
+            self.open_ids.remove(&held.call.id);
+        }
+    }
+
+    /// Writes the answers that are in turn.
+    fn flush_client(&mut self, key: usize) {
+        let now = self.now();
+        let Some(client) = self.clients.get_mut(key) else { return };
+        let mut moved = false;
+        while let Some(Owed::Ready(_)) = client.owed.front() {
+            if let Some(Owed::Ready(bytes)) = client.owed.pop_front() {
+                client.socket.out().extend_from_slice(&bytes);
+                moved = true;
+            }
+        }
+        if moved || client.socket.waits() {
+            client.quiet_since = now;
+        }
+        if client.socket.flush().is_err() {
+            return self.client_gone(key);
+        }
+        if client.owed.is_empty() && !client.socket.waits() {
+            if client.state == State::Closing {
+                client.socket.close_write();
+                client.state = State::Lingering(0);
+            } else if self.leaving
+                && client.state == State::Open
+                && !client.reading
+                && client.input.is_empty()
+            {
+                self.close_client(key);
+            }
+        }
+    }
+
+    /// Sets what the connection is to be woken for.
+    fn rest_client(&mut self, key: usize) {
+        let Some(client) = self.clients.get_mut(key) else { return };
+        let full = client.owed.len() >= PIPELINED_MOST || client.socket.unwritten() > HIGH_WATER;
+        let read = match client.state {
+            State::Open => !full,
+            // What comes now is read for its end only.
+            State::Closing => false,
+            State::Lingering(_) => true,
+        };
+        client.socket.want(&self.handle, read);
+    }
+
+    /// Closes what has had its time: silent connections, half commands, answers that nobody takes.
+    pub(super) fn clients_upkeep(&mut self, now: Micros) {
+        let over = |c: &Client| {
+            let quiet = now.saturating_sub(c.quiet_since);
+            match c.state {
+                State::Lingering(_) => quiet >= LINGER,
+                _ if c.socket.waits() => quiet >= UNREAD,
+                _ if !c.owed.is_empty() => false,
+                _ if !c.proven => quiet >= UNPROVEN,
+                _ => !c.input.is_empty() && quiet >= HALF_COMMAND,
+            }
+        };
+        let over: Vec<usize> = self.clients.iter().filter(|(_, c)| over(c)).map(|(key, _)| key).collect();
+        over.into_iter().for_each(|key| self.client_gone(key));
+    }
+
+    /// Stops accepting for good: a connection that waits in the kernel's queue is taken first, as it would
+    /// be neither taken nor free to go elsewhere. Idle connections close, the others after their answers.
+    pub(super) fn leave(&mut self) {
+        self.leaving = true;
+        if let Some((listener, token)) = self.listener.take() {
+            self.accept(&listener);
+            self.handle.remove(token);
+        }
+        let free: Vec<usize> = self.clients.iter().filter(|(_, c)| c.is_free()).map(|(key, _)| key).collect();
+        for key in free {
+            // What has come is read first.
+            self.read_client(key);
+            if self.clients.get(key).is_some_and(Client::is_free) {
+                self.close_client(key);
+            }
+        }
+        self.pump();
+    }
+}
--- /dev/null
+++ b/crates/platform-proxy/src/lib.rs
@@ -0,0 +1,321 @@
+//! The proxy on the platform's protocol: sockets, datagrams, signals and the clock on one `calloop` loop, for
+//! one [`Engine`]. All decisions are the module's; what is bounded here (descriptors, bytes, how long a
+//! connection may come up or say nothing) is no judgement on servers or builds.
+//!
+//! - `clients.rs`: the listener and client connections, up to a whole call and from an answer on
+//! - `servers.rs`: connections to servers and the attempts on them
+//! - `discovery.rs`: the server list, asked for and watched
+//! - `pipeline.rs`: the release service: news and votes
+//! - `peers.rs`: datagrams
+//! - `budgets.rs`: what the limits leave for each of these, and who gives way when one is used up
+
+mod budgets;
+mod clients;
+mod discovery;
+mod peers;
+mod pipeline;
+mod servers;
+
+use budgets::Budgets;
+use calloop::signals::{Signal, Signals};
+use calloop::{EventLoop, LoopHandle, RegistrationToken};
+use clients::{Client, Held};
+use discovery::Discovery;
+use pipeline::Pipeline;
+use rand::{RngExt, SeedableRng};
+use servers::Server;
+use slab::Slab;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net::{TcpListener, UdpSocket};
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use violetseam::interface::*;
+use violetseam_loopio::timers::{RateLimit, Timers};
+use violetseam_platform::config::Config;
+use violetseam_platform::discovery::Roster;
+use violetseam_proxy::engine::{Counts, Engine, Order};
+use violetseam_resp::Bounds;
+
+/// One read takes at most so much.
+const READ_MOST: usize = 32 * 1024;
+/// Between two rounds of upkeep.
+const UPKEEP: Micros = 50_000;
+/// After SIGTERM new connections still come for a while, and clients go on with those that they have.
+const TAKING_ON: Micros = 500_000;
+
+/// What comes due. Connections are named by their place and generation, as places are used again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum What {
+    /// A connection to a server should be up.
+    Connect(usize, u64),
+    /// A call to discovery has had its time.
+    Discovery(u64),
+    /// The watch of the pipeline has said nothing for long.
+    PipelineSilence(u64),
+    /// Open the watch of the pipeline again.
+    PipelineAgain,
+    /// A vote has had its time.
+    Vote(usize, u64),
+    /// Accept again.
+    Accept,
+    /// Stop accepting for good.
+    Leave,
+    /// Slow upkeep.
+    Upkeep,
+}
+
+/// What a proxy did, told when it stops.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Summary {
+    /// Requests and attempts.
+    pub counts: Counts,
+    /// Requests still owed an answer: 0 unless it was cut short.
+    pub owed: usize,
+}
+
+/// One proxy on its loop.
+struct Proxy {
+    config: Config,
+    /// Read again at SIGHUP.
+    config_file: PathBuf,
+    engine: Engine,
+    handle: LoopHandle<'static, Proxy>,
+    started: Instant,
+    /// Unix time at the start: the loop's clock counts on from there, so that the platform's times are times
+    /// of this clock, whatever becomes of the machine's wall clock later.
+    origin: Micros,
+    listener: Option<(Rc<TcpListener>, RegistrationToken)>,
+    accepting: bool,
+    clients: Slab<Client>,
+    held: HashMap<RequestId, Held>,
+    /// Ids of the requests that are open, as the clients wrote them.
+    open_ids: HashMap<Box<[u8]>, RequestId>,
+    /// Bytes that open requests hold.
+    held_bytes: usize,
+    servers: Slab<Server>,
+    /// Idle connections by server, the one that has rested longest first.
+    idle: BTreeMap<ServerId, VecDeque<usize>>,
+    roster: Roster,
+    discovery: Discovery,
+    pipeline: Pipeline,
+    udp: Option<Rc<UdpSocket>>,
+    timers: Timers<What>,
+    budgets: Budgets,
+    bounds: Bounds,
+    scratch: Vec<u8>,
+    rng: rand_pcg::Pcg64,
+    generation: u64,
+    pumping: bool,
+    /// SIGTERM has come.
+    ending: bool,
+    /// Nothing new is accepted, answered connections close.
+    leaving: bool,
+    stopping: bool,
+    quiet: RateLimit,
+}
+
+/// Binds everything and serves until SIGTERM or SIGINT, and then what is owed. SIGHUP reads the file again.
+pub fn serve(config: Config, config_file: PathBuf) -> std::io::Result<Summary> {
+    let mut event_loop: EventLoop<'static, Proxy> = EventLoop::try_new().map_err(std::io::Error::other)?;
+    let heard = [Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP];
+    let signals = Signals::new(&heard).map_err(std::io::Error::other)?;
+    event_loop
+        .handle()
+        .insert_source(signals, |event, (), proxy: &mut Proxy| match event.signal() {
+            Signal::SIGHUP => proxy.reload(),
+            _ => proxy.end(),
+        })
+        .map_err(|e| std::io::Error::other(e.to_string()))?;
+    let mut proxy = Proxy::new(config, config_file, event_loop.handle());
+    proxy.bind_peers()?;
+    // First events, then clients: nothing is taken before the list and the news are known.
+    proxy.begin();
+    proxy.listen()?;
+    while !proxy.stopping {
+        let timeout = proxy.timeout();
+        event_loop.dispatch(timeout, &mut proxy).map_err(std::io::Error::other)?;
+        // What came over sockets first: an answer that was there before its time-out was noticed counts.
+        proxy.on_time();
+    }
+    let summary = Summary { counts: proxy.engine.counts(), owed: proxy.engine.owed() };
+    proxy.tell_counts("stopped");
+    Ok(summary)
+}
+
+impl Proxy {
+    fn new(config: Config, config_file: PathBuf, handle: LoopHandle<'static, Proxy>) -> Self {
+        let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+        let decisions = config.instance.decisions.clone();
+        let budgets = Budgets::new(&config.limits, config.instance.open_cap);
+        Proxy {
+            engine: Engine::new(decisions, config.seed, None),
+            config_file,
+            handle,
+            started: Instant::now(),
+            origin: unix.as_micros() as Micros,
+            listener: None,
+            accepting: true,
+            clients: Slab::new(),
+            held: HashMap::new(),
+            open_ids: HashMap::new(),
+            held_bytes: 0,
+            servers: Slab::new(),
+            idle: BTreeMap::new(),
+            roster: Roster::new(config.instance.zones.clone()),
+            discovery: Discovery::new(config.discovery),
+            pipeline: Pipeline::new(config.pipeline),
+            udp: None,
+            timers: Timers::default(),
+            budgets,
+            bounds: Bounds::default(),
+            scratch: vec![0; READ_MOST],
+            rng: rand_pcg::Pcg64::seed_from_u64(config.seed),
+            generation: 0,
+            pumping: false,
+            ending: false,
+            leaving: false,
+            stopping: false,
+            quiet: RateLimit::default(),
+            config,
+        }
+    }
+
+    /// First events: the list as last held, which may be stale, and where the newest build stood.
+    fn begin(&mut self) {
+        let now = self.now();
+        let known = self.config.known.take();
+        let applied = known.and_then(|list| self.roster.apply(&list).ok());
+        let entries = applied.map(|applied| applied.entries).unwrap_or_default();
+        self.engine.list(now, ListKind::Cached, &entries);
+        match self.config.news.map(|news| news.read()) {
+            Some(Ok(news)) => self.engine.stage(now, news),
+            Some(Err(why)) => tracing::warn!("{why}"),
+            None => {}
+        }
+        self.open_watch();
+        self.timers.set(now + UPKEEP, What::Upkeep);
+        let name = &self.config.name;
+        tracing::info!(%name, servers = entries.len(), listen = %self.config.listen, "started");
+        self.pump();
+    }
+
+    fn now(&self) -> Micros {
+        self.origin + self.started.elapsed().as_micros() as Micros
+    }
+
+    fn next_generation(&mut self) -> u64 {
+        self.generation += 1;
+        self.generation
+    }
+
+    fn timeout(&self) -> Duration {
+        let due = self.engine.due().into_iter().chain(self.timers.due()).min().unwrap_or(Micros::MAX);
+        Duration::from_micros(due.saturating_sub(self.now()).min(1_000_000))
+    }
+
+    fn on_time(&mut self) {
+        let now = self.now();
+        self.engine.on_due(now);
+        self.pump();
+        while let Some(what) = self.timers.pop(now) {
+            match what {
+                What::Connect(key, generation) => self.connect_timeout(key, generation),
+                What::Discovery(generation) => self.discovery_timeout(generation),
+                What::PipelineSilence(generation) => self.watch_silent(generation),
+                What::PipelineAgain => self.open_watch(),
+                What::Vote(key, generation) => self.vote_timeout(key, generation),
+                What::Accept => self.accept_again(),
+                What::Leave => self.leave(),
+                What::Upkeep => self.upkeep(now),
+            }
+            self.pump();
+        }
+        if self.leaving && self.clients.is_empty() && self.engine.owed() == 0 {
+            self.stopping = true;
+        }
+    }
+
+    /// Does what the engine ordered, and what comes of that, until nothing is left. Called from within, it
+    /// leaves that to the call it came from.
+    fn pump(&mut self) {
+        if std::mem::replace(&mut self.pumping, true) {
+            return;
+        }
+        while let Some(order) = self.engine.next_order() {
+            self.obey(order);
+        }
+        self.pumping = false;
+    }
+
+    fn obey(&mut self, order: Order) {
+        match order {
+            Order::Start { request, attempt, server } => self.start_attempt(request, attempt, server),
+            Order::Drop { request, attempt } => self.drop_attempt(request, attempt),
+            Order::Answer { request, answer } => self.answer_own(request, answer),
+            Order::Forget { request } => self.forget(request),
+            Order::FollowList => self.follow_list(),
+            Order::FetchList => self.fetch_list(),
+            Order::Vote { build, stage, verdict } => self.call_vote(build, stage, verdict),
+            Order::Tell { to, payload } => self.tell_peers(to, &payload),
+            Order::Note(text) => tracing::info!(target: "verdict", "{text}"),
+        }
+    }
+
+    fn upkeep(&mut self, now: Micros) {
+        self.timers.set(now + UPKEEP, What::Upkeep);
+        self.clients_upkeep(now);
+        self.servers_upkeep(now);
+    }
+
+    /// SIGHUP: the new addresses are in force at once. A file that cannot be read leaves the old ones.
+    fn reload(&mut self) {
+        let text = std::fs::read(&self.config_file).map_err(|e| e.to_string());
+        let read = text.and_then(|text| Config::parse(&text).map_err(|e| e.to_string()));
+        match read {
+            Err(why) => tracing::error!("reload: {why}; the old configuration stays"),
+            Ok(config) => {
+                tracing::info!(discovery = %config.discovery, pipeline = %config.pipeline, "reload");
+                self.move_discovery(config.discovery);
+                self.move_pipeline(config.pipeline);
+            }
+        }
+        self.pump();
+    }
+
+    /// SIGTERM: connections still come for a moment, and are served.
+    fn end(&mut self) {
+        if !std::mem::replace(&mut self.ending, true) {
+            self.tell_counts("ending");
+            self.timers.set(self.now() + TAKING_ON, What::Leave);
+        }
+    }
+
+    fn tell_counts(&self, what: &str) {
+        let c = self.engine.counts();
+        tracing::info!(
+            taken = c.taken,
+            served = c.served,
+            refused = c.refused,
+            failed = c.failed,
+            gone = c.gone,
+            attempts = c.attempts,
+            overdue = c.overdue,
+            owed = self.engine.owed(),
+            clients = self.clients.len(),
+            servers = self.servers.len(),
+            "{what}"
+        );
+    }
+
+    /// A wait between half and one and a half times the span: proxies lose a service together.
+    fn jittered(&mut self, span: Micros) -> Micros {
+        span / 2 + self.rng.random_range(0..span.max(1))
+    }
+
+    /// Whether a log line of a kind that can come often may be written.
+    fn may_say(&mut self) -> bool {
+        let now = self.now();
+        self.quiet.allows(now, |lines| tracing::warn!(lines, "log lines kept back"))
+    }
+}
--- a/crates/proxy/src/driver/clients.rs
+++ b/crates/proxy/src/driver/clients.rs
@@ -170,7 +170,7 @@
 
     fn pause_accepting(&mut self, why: &str) {
         let now = self.now();
-        if self.quiet.allows(now) {
+        if self.may_say(now) {
             tracing::warn!(open = self.clients.len(), "accepting pauses: {why}");
         }
         self.set_accepting(false);
--- a/crates/proxy/src/driver/control.rs
+++ b/crates/proxy/src/driver/control.rs
@@ -442,7 +442,7 @@
         let (path, aside) = (folder.join(self.roster_file()), folder.join(self.roster_file() + ".new"));
         let saved = std::fs::write(&aside, bytes).and_then(|()| std::fs::rename(&aside, &path));
         if let Err(e) = saved
-            && self.quiet.allows(now)
+            && self.may_say(now)
         {
             tracing::warn!("roster not saved: {e}");
         }
--- a/crates/proxy/src/driver/mod.rs
+++ b/crates/proxy/src/driver/mod.rs
@@ -44,8 +44,6 @@
 
 /// One read takes at most so much.
 const READ_MOST: usize = 64 * 1024;
-/// Log lines a second of one kind; more are counted and told together.
-const LINES_PER_SECOND: u32 = 5;
 
 /// How a proxy is started beside its settings.
 #[derive(Clone, Debug, Default)]
@@ -132,7 +130,7 @@
     /// Ends once nothing is left in hand.
     ending: bool,
     stopping: bool,
-    quiet: RateLimit,
+    quiet: violetseam_loopio::timers::RateLimit,
     /// Clients whose input waits for its turn.
     resumed: Vec<(usize, u64)>,
     pumping: bool,
@@ -147,28 +145,6 @@
     sabotage: Option<Sabotage>,
 }
 
-/// Bounds log lines: the first few of each second are told, the rest counted.
-#[derive(Debug, Default)]
-struct RateLimit {
-    second: u64,
-    told: u32,
-    kept_back: u64,
-}
-
-impl RateLimit {
-    fn allows(&mut self, now: Micros) -> bool {
-        if now / 1_000_000 != self.second {
-            if self.kept_back > 0 {
-                tracing::warn!(lines = self.kept_back, "log lines kept back");
-            }
-            (self.second, self.told, self.kept_back) = (now / 1_000_000, 0, 0);
-        }
-        self.told += 1;
-        self.kept_back += u64::from(self.told > LINES_PER_SECOND);
-        self.told <= LINES_PER_SECOND
-    }
-}
-
 /// Binds everything and runs until told to stop; SIGTERM and SIGINT drain first. `ready` hears the
 /// addresses that clients can connect to.
 pub fn serve(
@@ -312,7 +288,7 @@
             draining: false,
             ending: false,
             stopping: false,
-            quiet: RateLimit::default(),
+            quiet: Default::default(),
             resumed: Vec::new(),
             pumping: false,
             last_vote: None,
@@ -335,7 +311,7 @@
         self.engine.list(now, ListKind::Cached, &entries);
         self.pause_standing();
         self.open_desk_stream();
-        self.timers.upkeep(now);
+        self.timers.set(now + timers::UPKEEP, timers::What::Upkeep);
         self.pump();
     }
 
@@ -418,7 +394,7 @@
     fn answer(&mut self, request: RequestId, answer: Final) {
         #[cfg(feature = "sabotage")]
         if self.sabotage == Some(Sabotage::LateAnswer) {
-            return self.timers.late_answer(self.now() + 2_000_000, request, answer);
+            return self.late_answer(self.now() + 2_000_000, request, answer);
         }
         self.answer_now(request, answer);
     }
@@ -489,6 +465,11 @@
         summary
     }
 
+    /// Whether a log line of a kind that can come often may be written.
+    fn may_say(&mut self, now: Micros) -> bool {
+        self.quiet.allows(now, |lines| tracing::warn!(lines, "log lines kept back"))
+    }
+
     /// A draw for an answer's id or a wait.
     fn draw(&mut self) -> u64 {
         self.rng.random()
--- a/crates/proxy/src/driver/timers.rs
+++ b/crates/proxy/src/driver/timers.rs
@@ -2,14 +2,12 @@
 
 #[cfg(feature = "sabotage")]
 use crate::engine::Final;
-use std::cmp::Reverse;
-use std::collections::BinaryHeap;
 #[cfg(feature = "sabotage")]
 use violetseam::interface::RequestId;
 use violetseam::interface::{Micros, Outcome};
 
 /// Between two rounds of upkeep.
-const UPKEEP: Micros = 200_000;
+pub const UPKEEP: Micros = 200_000;
 /// A listener that ran out of descriptors pauses so long.
 pub const ACCEPT_PAUSE: Micros = 50_000;
 
@@ -38,41 +36,7 @@
 }
 
 /// All of them, by time.
-#[derive(Debug, Default)]
-pub struct Timers {
-    heap: BinaryHeap<Reverse<(Micros, What)>>,
-}
-
-impl Timers {
-    /// The next one's time.
-    pub fn due(&self) -> Option<Micros> {
-        self.heap.peek().map(|Reverse((at, _))| *at)
-    }
-
-    /// Sets one.
-    pub fn set(&mut self, at: Micros, what: What) {
-        self.heap.push(Reverse((at, what)));
-    }
-
-    /// Sets the next round of upkeep.
-    pub fn upkeep(&mut self, now: Micros) {
-        self.set(now + UPKEEP, What::Upkeep);
-    }
-
-    #[cfg(feature = "sabotage")]
-    pub fn late_answer(&mut self, at: Micros, request: RequestId, answer: Final) {
-        let (come_back, timed_out) = match answer {
-            Final::Refused { come_back } => (Some(come_back), false),
-            Final::Failed { timed_out } => (None, timed_out),
-        };
-        self.set(at, What::Late(request, come_back, timed_out));
-    }
-
-    fn pop(&mut self, now: Micros) -> Option<What> {
-        self.heap.peek().filter(|Reverse((at, _))| *at <= now)?;
-        self.heap.pop().map(|Reverse((_, what))| what)
-    }
-}
+pub type Timers = violetseam_loopio::timers::Timers<What>;
 
 impl super::Proxy {
     /// Plays the driver's time-outs that are due.
@@ -103,7 +67,7 @@
     }
 
     fn upkeep(&mut self, now: Micros) {
-        self.timers.upkeep(now);
+        self.timers.set(now + UPKEEP, What::Upkeep);
         self.operators_upkeep();
         if let Some(recorder) = self.engine.recorder() {
             recorder.flush();
@@ -113,6 +77,15 @@
         }
     }
 
+    #[cfg(feature = "sabotage")]
+    pub(super) fn late_answer(&mut self, at: Micros, request: RequestId, answer: Final) {
+        let (come_back, timed_out) = match answer {
+            Final::Refused { come_back } => (Some(come_back), false),
+            Final::Failed { timed_out } => (None, timed_out),
+        };
+        self.timers.set(at, What::Late(request, come_back, timed_out));
+    }
+
     /// An attempt's end, told to the engine; what it orders is done by the caller's `pump`.
     pub(super) fn end_attempt(&mut self, request: u64, attempt: usize, outcome: Outcome) -> bool {
         let now = self.now();
--- a/crates/proxy/src/engine.rs
+++ b/crates/proxy/src/engine.rs
@@ -339,6 +339,16 @@
         true
     }
 
+    /// A platform that names the server itself tells of a wrong answer.
+    pub fn answer_flagged(&mut self, now: Micros, server: ServerId, class: usize, since: Micros) {
+        self.feed(now, Event::AnswerFlagged { server, class, since });
+    }
+
+    /// When an awaited attempt will be dropped.
+    pub fn cut_at(&self, id: RequestId, number: usize) -> Option<Micros> {
+        self.requests.get(&id)?.attempts.get(number).filter(|a| !a.over).map(|a| a.cut_at)
+    }
+
     /// The client left; nothing is owed any more.
     pub fn client_gone(&mut self, now: Micros, id: RequestId) {
         let Some(r) = self.requests.get_mut(&id).filter(|r| !r.finished) else { return };
--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -1,7 +1,6 @@
 //! Hosts many isolated balancers: batches in, replies out.
 
 use crate::codec::{Reader, Record, record, write_action, write_by, write_give_in};
-use crate::settings;
 use std::collections::BTreeMap;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use violetseam::balance::Balancer;
@@ -31,7 +30,7 @@
                     self.ledgers.insert(sheet, entries);
                 }
                 Record::Born(seed, info) => {
-                    self.balancers.insert(current()?, Balancer::new(settings::parse(info)?, seed));
+                    self.balancers.insert(current()?, Balancer::new(violetseam_instance::parse(info)?, seed));
                 }
                 Record::Kill => {
                     self.balancers.remove(&current()?);
--- a/crates/wirehost/src/lib.rs
+++ b/crates/wirehost/src/lib.rs
@@ -2,4 +2,3 @@
 
 pub mod codec;
 pub mod host;
-pub mod settings;
