--- a/crates/platform-proxy/src/servers.rs
+++ b/crates/platform-proxy/src/servers.rs
@@ -64,6 +64,8 @@
         }
         let Some(held) = self.held.get_mut(&request) else { return };
         held.attempts.resize(attempt + 1, None);
+        let key = held.call.key;
+        tracing::debug!(request, attempt, server = id, key, "attempt");
         let job = Job { request, attempt };
         // The one that has rested longest: what may still follow an answer on it has come by now, and is
         // seen before the connection is used.
