A key counts as answered though the new build's answer was not read; bursts are declined whole

Faulty line: on_attempt_ended marked a key on Ok only, where the platform counts a good answer that could not be read, too. Change: any end that may have run, but for an error, marks the key with the next step (at most 100 ms later), so that the retry after a cut may still go anywhere; cleared with the keys. Test in tests/rules.rs, seen to fail without the change.

A read with more commands than a client sends at once is now declined before any is taken.

--- a/crates/platform-proxy/src/clients.rs
+++ b/crates/platform-proxy/src/clients.rs
@@ -20,8 +20,9 @@
 const ACCEPTS_MOST: usize = 64;
 /// A listener that ran out of room or descriptors pauses so long.
 const ACCEPT_PAUSE: Micros = 20_000;
-/// Commands of one connection that wait for their answers at once.
-const PIPELINED_MOST: usize = 64;
+/// Commands of one connection that wait for their answers at once, and that one read may bring: clients open
+/// more connections where all are busy, so a burst of more is none of theirs.
+const PIPELINED_MOST: usize = 32;
 /// A connection that has not sent one whole command by then is closed.
 const UNPROVEN: Micros = 1_500_000;
 /// A command must be whole so long after its first byte.
@@ -234,6 +235,10 @@
         let input = std::mem::take(&mut client.input);
         client.reading = true;
         let mut used = 0;
+        if self.is_burst(&input) {
+            // Known before any of them is taken: what is taken must be answered.
+            self.decline(key, "too many commands at once");
+        }
         while let Some(client) = self.clients.get_mut(key).filter(|c| c.state == State::Open) {
             let words = match command::read(&input[used..], &self.bounds) {
                 Ok(Some((words, length))) => {
@@ -271,6 +276,18 @@
         self.flush_client(key);
     }
 
+    /// Whether the input holds more whole commands than one client sends at once.
+    fn is_burst(&self, input: &[u8]) -> bool {
+        let mut used = 0;
+        for _ in 0..=PIPELINED_MOST {
+            match command::read(&input[used..], &self.bounds) {
+                Ok(Some((_, length))) => used += length,
+                _ => return false,
+            }
+        }
+        true
+    }
+
     /// Answers at once what is no request.
     fn reply(&mut self, key: usize, bytes: &[u8]) {
         if let Some(client) = self.clients.get_mut(key) {
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -266,7 +266,11 @@
         }
         let newest = self.m.news.filter(|n| n.build == attempt.to.build);
         let live = newest.is_some_and(|n| matches!(n.phase, Phase::Trial | Phase::Released));
-        self.m.keys.extend(key.filter(|_| live && self.set.rollout.one_way && outcome == Outcome::Ok));
+        let key = key.filter(|_| live && self.set.rollout.one_way);
+        self.m.keys.extend(key.filter(|_| outcome == Outcome::Ok));
+        // An answer may be good and yet not be read here: spoilt on its way, or crossed by the cut.
+        let unread = outcome.may_have_run() && !matches!(outcome, Outcome::Ok | Outcome::Error);
+        self.m.keys_unread.extend(key.filter(|_| unread));
         let Some(open) = self.m.open.get(&id) else { return };
         if settled || open.done {
             self.finish(id, out);
@@ -495,6 +499,7 @@
         let other = before.is_none_or(|b| b.build != news.build);
         if other || matches!(news.phase, Phase::RollingBack | Phase::Withdrawn) {
             self.m.keys.clear();
+            self.m.keys_unread.clear();
         }
         if other {
             self.m.owed = self.m.rng.unit();
@@ -799,6 +804,8 @@
 
     fn step(&mut self, now: Micros) {
         self.m.next_step = now + STEP;
+        // Not at once: the retry that follows a cut may still go where the answer cannot have been known.
+        self.m.keys.append(&mut self.m.keys_unread);
         self.m.typical.iter_mut().for_each(Typical::refresh);
         self.m.servers.values_mut().for_each(|s| s.relax(FADING));
         self.m.late_by.values_mut().chain([&mut self.m.late]).for_each(|share| *share *= LATE_KEPT);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -130,6 +130,34 @@
     assert_eq!((sends(&actions).len(), finals(&actions, id)), (0, (1, 0)));
 }
 
+/// On sockets an answer may be good and not readable here, or cross the cut: the key counts all the same.
+#[test]
+fn a_key_that_the_new_build_may_have_answered_unread_goes_to_no_earlier_one() {
+    let mut set = settings();
+    set.rollout.one_way = true;
+    let mut rig = Rig::new(set, &fleet(5, 5), news(2, 2, Phase::Trial, 1.0));
+    let mut bound = BTreeSet::new();
+    let ends = [Outcome::Reset, Outcome::Timeout, Outcome::Cancelled, Outcome::Error];
+    let mut free = 0;
+    for i in 0..2_000u64 {
+        let key = 1 + i * 7919 % 97;
+        let (id, actions) = rig.keyed(SAFE, Some(key));
+        let Some(&(_, server)) = sends(&actions).first() else { continue };
+        assert!(server >= 100 || !bound.contains(&key), "key {key} sent back");
+        rig.run(5 * MS);
+        let end = if server >= 100 { ends[(i % 4) as usize] } else { Outcome::Ok };
+        rig.end(id, 0, server, end, 20 * MS);
+        rig.feed(Event::ClientGone { request: id });
+        // On sockets such a key counts 150 ms after the answer was written.
+        rig.run(150 * MS);
+        if server >= 100 && end != Outcome::Error {
+            bound.insert(key);
+        }
+        free += usize::from(server < 100);
+    }
+    assert!(bound.len() > 10 && free > 10, "{} bound, {free} at the earlier build", bound.len());
+}
+
 /// Guards: a popular key would pile onto the new build's few machines, and bound keys stay bound.
 #[test]
 fn a_key_answered_by_the_new_build_goes_to_no_earlier_one() {
