--- a/src/balance.rs
+++ b/src/balance.rs
@@ -268,8 +268,8 @@
         let live = newest.is_some_and(|n| matches!(n.phase, Phase::Trial | Phase::Released));
         let key = key.filter(|_| live && self.set.rollout.one_way);
         self.m.keys.extend(key.filter(|_| outcome == Outcome::Ok));
-        // An answer may be good and yet not be read here: spoilt on its way, or crossed by the cut.
-        let unread = outcome.may_have_run() && !matches!(outcome, Outcome::Ok | Outcome::Error);
+        // An answer may be good and yet not be read here: spoilt on its way, or come after the end.
+        let unread = matches!(outcome, Outcome::Reset | Outcome::Timeout);
         self.m.keys_unread.extend(key.filter(|_| unread));
         let Some(open) = self.m.open.get(&id) else { return };
         if settled || open.done {
