--- a/crates/platform-proxy/src/clients.rs
+++ b/crates/platform-proxy/src/clients.rs
@@ -328,8 +328,9 @@
             is_retry: call.is_retry,
         };
         self.held_bytes += call.size();
+        let (class, wait, is_retry) = (call.class, call.wait, call.is_retry);
         let id = self.engine.request(now, request, true);
-        tracing::debug!(request = id, client = key, "request");
+        tracing::debug!(request = id, client = key, class, wait, is_retry, "request");
         self.open_ids.insert(call.id.clone(), id);
         self.held.insert(id, Held { client: key, client_generation, call, attempts: Vec::new() });
         if let Some(client) = self.clients.get_mut(key) {
@@ -341,6 +342,7 @@
     /// A final answer of the proxy's own.
     pub(super) fn answer_own(&mut self, request: RequestId, last: Final) {
         let mut bytes = Vec::new();
+        tracing::debug!(request, ?last, "own answer");
         match last {
             Final::Refused { come_back } => answer::write_refused(&mut bytes, come_back),
             Final::Failed { .. } => answer::write_failed(&mut bytes),
--- a/crates/platform-proxy/src/servers.rs
+++ b/crates/platform-proxy/src/servers.rs
@@ -245,7 +245,9 @@
     /// The engine gave an attempt up: its connection closes, as its answer could come at any time.
     pub(super) fn drop_attempt(&mut self, request: RequestId, attempt: usize) {
         let place = self.held.get_mut(&request).and_then(|h| h.attempts.get_mut(attempt));
-        place.and_then(Option::take).into_iter().for_each(|key| self.close_server(key));
+        let key = place.and_then(Option::take);
+        tracing::debug!(request, attempt, out = key.is_some(), "given up");
+        key.into_iter().for_each(|key| self.close_server(key));
     }
 
     /// The connection is gone: what that says of its attempt depends on whether all of it was written.
