A key sent to the new build counts as answered from 0.1 s after the send

Marking keys when an attempt ends is too late by up to its whole time (one key went back 320 ms after the send, 30 ms after the cut). Faulty place: on_attempt_ended was the only one to mark keys. Change: 'send' notes the key and the time, build_admits counts it from 0.1 s on, an end that proves that nothing good was answered takes it back. Test in tests/rules.rs, also with the attempt still out.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -202,6 +202,11 @@
         let Some(server) = self.m.servers.get(&to) else { return };
         let (entry, cold) = (server.entry, server.warmth(now, &self.set.contract) < 1.0);
         let Some((class, deadline)) = self.m.start_attempt(now, id, entry, cold) else { return };
+        let key = self.m.open.get(&id).and_then(|open| open.request.key);
+        let newest = self.m.news.is_some_and(|n| n.build == entry.build);
+        if let Some(key) = key.filter(|_| newest && self.set.rollout.one_way) {
+            self.m.keys_unread.entry(key).or_insert(now);
+        }
         if self.on_trial(entry.build) {
             let (span, per_class) = (self.set.rollout.counted_over * 2, self.set.rollout.per_class);
             self.m.exposure_of(entry.build, class, per_class).spend(now, span);
@@ -259,12 +264,8 @@
             let alone = *own > self.m.late + LATE_ALONE;
             smooth(&mut self.m.late, lateness, if alone { 0.0 } else { LATE_WEIGHT });
         }
-        let silent = self.m.servers.get(&end.server).is_some_and(|s| s.waiting_since <= attempt.sent_at);
         self.learn_server(now, class, attempt.beside, end);
-        // What was slow or failed is bound to the new build by that: no fair sample of it from then on.
-        if !key.is_some_and(|k| self.m.keys_unread.contains_key(&k) && !self.m.keys.contains(&k)) {
-            self.learn_build(&attempt, class, unit, late, end);
-        }
+        self.learn_build(&attempt, class, unit, late, end);
         if outcome == Outcome::Ok && !attempt.cold {
             self.m.served.add(now, cost);
         }
@@ -272,12 +273,10 @@
         let live = newest.is_some_and(|n| matches!(n.phase, Phase::Trial | Phase::Released));
         let key = key.filter(|_| live && self.set.rollout.one_way);
         self.m.keys.extend(key.filter(|_| outcome == Outcome::Ok));
-        // An answer may be good and yet not be read here: spoilt on its way, or lost. A cut is heard by a server
-        // that is there, and stops it; one that has been silent since the send may be cut off and have answered.
-        let lost = outcome == Outcome::Cancelled && silent;
-        let unread = lost || matches!(outcome, Outcome::Reset | Outcome::Timeout);
-        if let Some(key) = key.filter(|_| unread) {
-            self.m.keys_unread.entry(key).or_insert(now);
+        // A good answer may have come to nobody: spoilt, late, or written to a connection that fell silent.
+        let unread = matches!(outcome, Outcome::Reset | Outcome::Timeout | Outcome::Cancelled);
+        if let Some(key) = key.filter(|k| !unread && self.m.keys_unread.get(k) == Some(&attempt.sent_at)) {
+            self.m.keys_unread.remove(&key);
         }
         let Some(open) = self.m.open.get(&id) else { return };
         if settled || open.done {
@@ -474,7 +473,7 @@
     fn build_admits(&self, now: Micros, build: Build, open: &Open) -> bool {
         if let (true, Some(key)) = (self.set.rollout.one_way, open.request.key) {
             let newest = self.m.news.map_or(0, |n| n.build);
-            // Kept only while the newest build is live; the retry right after a cut is still free.
+            // Kept only while the newest build is live. One sent there counts soon, answered or not.
             let unread = self.m.keys_unread.get(&key).is_some_and(|&since| now >= since + STEP);
             let bound = unread || self.m.keys.contains(&key);
             let kept = self.m.keys.len() + self.m.keys_unread.len();
--- a/src/state.rs
+++ b/src/state.rs
@@ -333,7 +333,7 @@
     pub key_counts: KeyCounts,
     /// Keys that the new build has answered.
     pub keys: BTreeSet<u64>,
-    /// Keys that it may have answered unread, and since when.
+    /// Keys sent to it whose good answer was not read, and since when.
     pub keys_unread: BTreeMap<u64, Micros>,
     /// When the present stage was heard of.
     pub stage_since: Micros,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -130,7 +130,8 @@
     assert_eq!((sends(&actions).len(), finals(&actions, id)), (0, (1, 0)));
 }
 
-/// On sockets an answer may be good and not readable here, or come too late: the key counts all the same.
+/// On sockets an answer may be good and never read here: spoilt, late, or written to a connection that fell silent.
+/// From 150 ms after the send the key counts, whatever becomes of the attempt, unless that proves otherwise.
 #[test]
 fn a_key_that_the_new_build_may_have_answered_unread_goes_to_no_earlier_one() {
     let mut set = settings();
@@ -144,11 +145,17 @@
         let (id, actions) = rig.keyed(SAFE, Some(key));
         let Some(&(_, server)) = sends(&actions).first() else { continue };
         assert!(server >= 100 || !bound.contains(&key), "key {key} sent back");
-        rig.run(5 * MS);
         let end = if server >= 100 { ends[(i % 4) as usize] } else { Outcome::Ok };
+        // Some are still out when the key comes again.
+        let waits = if i % 3 == 0 { 150 * MS } else { 5 * MS };
+        rig.run(waits);
+        if waits > 100 * MS && server >= 100 {
+            let (again, actions) = rig.keyed(SAFE, Some(key));
+            assert!(sends(&actions).iter().all(|s| s.1 >= 100), "key {key} sent back with its attempt out");
+            rig.feed(Event::ClientGone { request: again });
+        }
         rig.end(id, 0, server, end, 20 * MS);
         rig.feed(Event::ClientGone { request: id });
-        // On sockets such a key counts 150 ms after the answer was written.
         rig.run(150 * MS);
         if server >= 100 && end != Outcome::Error {
             bound.insert(key);
