--- a/crates/platform-proxy/src/discovery.rs
+++ b/crates/platform-proxy/src/discovery.rs
@@ -129,10 +129,11 @@
 
     fn on_discovery(&mut self, generation: u64, readiness: Readiness) {
         let Some(call) = self.discovery.call(generation) else { return };
-        if readiness.writable && call.socket.waits() {
-            if call.socket.connect_error().is_some() || call.socket.flush().is_err() {
-                return self.discovery_ended(generation, "no connection");
-            }
+        if readiness.writable
+            && call.socket.waits()
+            && (call.socket.connect_error().is_some() || call.socket.flush().is_err())
+        {
+            return self.discovery_ended(generation, "no connection");
         }
         if readiness.writable {
             let handle = self.handle.clone();
