--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -16,17 +16,7 @@
 pub mod discovery;
 pub mod pipeline;
 
-/// Why something was not taken.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Malformed(pub String);
-
-impl std::fmt::Display for Malformed {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str(&self.0)
-    }
-}
-
-impl std::error::Error for Malformed {}
+pub use violetseam_site::Malformed;
 
 pub(crate) fn malformed<T>(reason: impl Into<String>) -> Result<T, Malformed> {
     Err(Malformed(reason.into()))
