--- a/crates/platform-proxy/src/servers.rs
+++ b/crates/platform-proxy/src/servers.rs
@@ -12,9 +12,6 @@
 use violetseam_loopio::{Got, Socket, connect};
 use violetseam_platform::answer::{self, Answer, answer};
 
-/// An idle connection rests so long before it is used again: a server that closes after its answer has been
-/// heard by then, and a request written across that would be lost.
-const REST_LEAST: Micros = 30_000;
 /// An idle connection is closed this long before its server would.
 const IDLE_MARGIN: f64 = 0.8;
 
@@ -72,13 +69,8 @@
         let job = Job { request, attempt };
         // The one that has rested longest: what may still follow an answer on it has come by now, and is
         // seen before the connection is used.
-        let now = self.now();
-        while let Some(key) = self.idle.get(&id).and_then(|keys| keys.front().copied()) {
-            let Some(server) = self.servers.get_mut(key) else { break };
-            if now < server.idle_since + REST_LEAST {
-                break;
-            }
-            self.idle.get_mut(&id).and_then(|keys| keys.pop_front());
+        while let Some(key) = self.idle.get_mut(&id).and_then(|keys| keys.pop_front()) {
+            let Some(server) = self.servers.get_mut(key) else { continue };
             if server.socket.is_stale() {
                 self.close_server(key);
                 continue;
