One listener, log bound, loop wait and key number for all drivers; less written twice

Cause: a rereading of the platform's proxy found what the project had already. Change: the listening socket (written in three packages), the wait of a loop and the bound on log lines stand in loopio once, which logs what it kept back itself, so that the old driver calls it as before; a key's number is site's for both drivers, not a second hash; the longest payload is site's; a report of a wrong answer goes to the module by one way; the configuration is read by one function at start and at SIGHUP. A client's read is taken apart once, where the look for bursts did it a second time; no clock is read for a debug line; the loop's handle is no longer copied on each wake; attach and detach are one.

Behaviour is as before, but for the words of two log lines and the stand-ins naming their address in a bind that fails.

--- a/crates/cli/src/platform.rs
+++ b/crates/cli/src/platform.rs
@@ -2,7 +2,6 @@
 
 use std::path::PathBuf;
 use std::process::ExitCode;
-use violetseam_platform::config::Config;
 
 /// Runs until SIGTERM, and then what is owed.
 pub fn run() -> Result<ExitCode, String> {
@@ -12,8 +11,7 @@
     let discovery = variable("PROXY_DISCOVERY")?;
     let file = PathBuf::from(variable("PROXY_CONFIG")?);
     let address = |name: &str, text: &str| text.parse().map_err(|e| format!("{name}: {text:?}: {e}"));
-    let text = std::fs::read(&file).map_err(|e| format!("{}: {e}", file.display()))?;
-    let mut config = Config::parse(&text).map_err(|e| format!("{}: {e}", file.display()))?;
+    let mut config = violetseam_platform_proxy::read_config(&file)?;
     config.name = name;
     config.listen = address("PROXY_LISTEN", &listen)?;
     config.discovery = address("PROXY_DISCOVERY", &discovery)?;
--- a/crates/loopio/src/lib.rs
+++ b/crates/loopio/src/lib.rs
@@ -1,6 +1,7 @@
 //! A connection (TCP or a Unix-domain stream) on a `calloop` loop: a source whose interest can change while it is registered, and the
 //! bytes that wait to be written. Used by the proxy and by the stand-ins.
 
+pub mod quiet;
 pub mod timers;
 
 use calloop::generic::Generic;
@@ -10,7 +11,7 @@
 };
 use std::cell::Cell;
 use std::io::{ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsFd;
 use std::rc::Rc;
 
@@ -206,6 +207,17 @@
     }
 }
 
+/// A listener that does not block and takes an address again at once after a restart.
+pub fn listen(addr: SocketAddr, backlog: i32) -> std::io::Result<TcpListener> {
+    let domain = socket2::Domain::for_address(addr);
+    let socket = socket2::Socket::new(domain, socket2::Type::STREAM, Some(socket2::Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&addr.into()).map_err(|e| std::io::Error::new(e.kind(), format!("{addr}: {e}")))?;
+    socket.listen(backlog)?;
+    socket.set_nonblocking(true)?;
+    Ok(socket.into())
+}
+
 /// Begins a connection without waiting for it.
 pub fn connect(to: SocketAddr) -> std::io::Result<TcpStream> {
     let domain = socket2::Domain::for_address(to);
--- a/crates/loopio/src/timers.rs
+++ b/crates/loopio/src/timers.rs
@@ -3,6 +3,7 @@
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
+use std::time::Duration;
 
 /// Microseconds on the loop's clock.
 type Micros = u64;
@@ -25,6 +26,12 @@
         self.heap.peek().map(|Reverse((at, _))| *at)
     }
 
+    /// How long the loop may wait from `now` on for the next of these and `other`: a second at most.
+    pub fn wait(&self, now: Micros, other: Option<Micros>) -> Duration {
+        let due = other.into_iter().chain(self.due()).min().unwrap_or(Micros::MAX);
+        Duration::from_micros(due.saturating_sub(now).min(1_000_000))
+    }
+
     /// Sets one.
     pub fn set(&mut self, at: Micros, what: W) {
         self.heap.push(Reverse((at, what)));
@@ -36,29 +43,3 @@
         self.heap.pop().map(|Reverse((_, what))| what)
     }
 }
-
-/// Bounds log lines: the first few of each second are told, the rest counted.
-#[derive(Debug, Default)]
-pub struct RateLimit {
-    second: u64,
-    told: u32,
-    kept_back: u64,
-}
-
-/// Log lines a second of one kind; more are counted and told together.
-const LINES_PER_SECOND: u32 = 5;
-
-impl RateLimit {
-    /// Whether a line may be written now; `told` hears how many were kept back before.
-    pub fn allows(&mut self, now: Micros, told: impl FnOnce(u64)) -> bool {
-        if now / 1_000_000 != self.second {
-            if self.kept_back > 0 {
-                told(self.kept_back);
-            }
-            (self.second, self.told, self.kept_back) = (now / 1_000_000, 0, 0);
-        }
-        self.told += 1;
-        self.kept_back += u64::from(self.told > LINES_PER_SECOND);
-        self.told <= LINES_PER_SECOND
-    }
-}
--- a/crates/platform-proxy/src/budgets.rs
+++ b/crates/platform-proxy/src/budgets.rs
@@ -21,7 +21,7 @@
     pub servers: usize,
     /// Requests open at once.
     pub open: usize,
-    /// Bytes that open requests and unread input may hold.
+    /// Bytes that open requests may hold.
     pub held_bytes: usize,
 }
 
--- a/crates/platform-proxy/src/clients.rs
+++ b/crates/platform-proxy/src/clients.rs
@@ -10,7 +10,7 @@
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 use violetseam::interface::{Micros, Request, RequestId};
-use violetseam_loopio::{Got, HIGH_WATER, Socket};
+use violetseam_loopio::{Got, HIGH_WATER, Socket, listen};
 use violetseam_platform::answer;
 use violetseam_platform::call::{self, Call, Command};
 use violetseam_proxy::engine::Final;
@@ -94,15 +94,7 @@
 
 impl Proxy {
     pub(super) fn listen(&mut self) -> std::io::Result<()> {
-        let addr = self.config.listen;
-        let domain = socket2::Domain::for_address(addr);
-        let socket = socket2::Socket::new(domain, socket2::Type::STREAM, Some(socket2::Protocol::TCP))?;
-        socket.set_reuse_address(true)?;
-        let refuse = |e: std::io::Error| std::io::Error::new(e.kind(), format!("{addr}: {e}"));
-        socket.bind(&addr.into()).map_err(refuse)?;
-        socket.listen(1024)?;
-        socket.set_nonblocking(true)?;
-        let listener: Rc<TcpListener> = Rc::new(socket.into());
+        let listener: Rc<TcpListener> = Rc::new(listen(self.config.listen, 1024)?);
         let source = Generic::new(listener.clone(), Interest::READ, Mode::Level);
         let token = self
             .handle
@@ -229,41 +221,34 @@
         self.rest_client(key);
     }
 
-    /// Takes the commands that the input holds.
+    /// Takes the commands that the input holds. All are read before the first is taken, as what is taken must
+    /// be answered: of a burst none is.
     fn client_commands(&mut self, key: usize) {
         let Some(client) = self.clients.get_mut(key) else { return };
         let input = std::mem::take(&mut client.input);
         client.reading = true;
-        let mut used = 0;
-        if self.is_burst(&input) {
-            // Known before any of them is taken: what is taken must be answered.
-            self.decline(key, "too many commands at once");
-        }
-        while let Some(client) = self.clients.get_mut(key).filter(|c| c.state == State::Open) {
-            let words = match command::read(&input[used..], &self.bounds) {
+        let (mut commands, mut used) = (Vec::new(), 0);
+        let fault = loop {
+            match command::read(&input[used..], &self.bounds) {
                 Ok(Some((words, length))) => {
                     used += length;
-                    words
-                }
-                Ok(None) => break,
-                Err(fault) => {
-                    self.decline(key, &fault.to_string());
-                    break;
+                    commands.push(words);
                 }
-            };
-            if client.owed.len() >= PIPELINED_MOST {
-                self.decline(key, "too many commands at once");
-                break;
+                Ok(None) => break None,
+                Err(fault) => break Some(fault.to_string()),
             }
-            match call::read(&words, &self.config.instance) {
-                Ok(Command::Ping) if self.roster.is_empty() => {
-                    self.reply(key, b"-LOADING no server list yet\r\n")
-                }
-                Ok(Command::Ping) => self.reply(key, b"+PONG\r\n"),
-                Ok(Command::Courtesy) => self.reply(key, b"+OK\r\n"),
-                Ok(Command::Call(call)) => self.take_call(key, *call),
-                Err(why) => self.decline(key, &why.0),
+            if commands.len() > PIPELINED_MOST {
+                commands.clear();
+                break Some("too many commands at once".into());
             }
+        };
+        for words in commands {
+            self.client_command(key, &words);
+        }
+        if let Some(why) = fault
+            && self.is_open(key)
+        {
+            self.decline(key, &why);
         }
         let now = self.now();
         if let Some(client) = self.clients.get_mut(key) {
@@ -276,16 +261,26 @@
         self.flush_client(key);
     }
 
-    /// Whether the input holds more whole commands than one client sends at once.
-    fn is_burst(&self, input: &[u8]) -> bool {
-        let mut used = 0;
-        for _ in 0..=PIPELINED_MOST {
-            match command::read(&input[used..], &self.bounds) {
-                Ok(Some((_, length))) => used += length,
-                _ => return false,
+    fn is_open(&self, key: usize) -> bool {
+        self.clients.get(key).is_some_and(|c| c.state == State::Open)
+    }
+
+    fn client_command(&mut self, key: usize, words: &[&[u8]]) {
+        if !self.is_open(key) {
+            return;
+        }
+        if self.clients[key].owed.len() >= PIPELINED_MOST {
+            return self.decline(key, "too many commands at once");
+        }
+        match call::read(words, &self.config.instance) {
+            Ok(Command::Ping) if self.roster.is_empty() => {
+                self.reply(key, b"-LOADING no server list yet\r\n");
             }
+            Ok(Command::Ping) => self.reply(key, b"+PONG\r\n"),
+            Ok(Command::Courtesy) => self.reply(key, b"+OK\r\n"),
+            Ok(Command::Call(call)) => self.take_call(key, *call),
+            Err(why) => self.decline(key, &why.0),
         }
-        true
     }
 
     /// Answers at once what is no request.
--- a/crates/platform-proxy/src/discovery.rs
+++ b/crates/platform-proxy/src/discovery.rs
@@ -12,7 +12,7 @@
 use violetseam_http1::Limits;
 use violetseam_http1::client::{ClientConn, ClientEvent};
 use violetseam_loopio::{Got, Socket, connect};
-use violetseam_platform::discovery::{ANSWER_MOST, List, watch_path, whole_path};
+use violetseam_platform::discovery::{ANSWER_MOST, List, WHOLE_PATH, watch_path};
 
 /// A watch asks discovery to wait so long.
 const WAIT: Micros = 20_000_000;
@@ -67,7 +67,7 @@
     /// Asks for the whole list; a call that is out already answers for this one too.
     pub(super) fn fetch_list(&mut self) {
         if self.discovery.whole.is_none() {
-            let call = self.call_discovery(&whole_path(), CALL_TIMEOUT, None);
+            let call = self.call_discovery(WHOLE_PATH, CALL_TIMEOUT, None);
             let failed = call.is_none();
             self.discovery.whole = call;
             if failed {
@@ -129,17 +129,11 @@
 
     fn on_discovery(&mut self, generation: u64, readiness: Readiness) {
         let Some(call) = self.discovery.call(generation) else { return };
-        if readiness.writable
-            && call.socket.waits()
-            && (call.socket.connect_error().is_some() || call.socket.flush().is_err())
-        {
-            return self.discovery_ended(generation, "no connection");
-        }
         if readiness.writable {
-            let handle = self.handle.clone();
-            if let Some(call) = self.discovery.call(generation) {
-                call.socket.want(&handle, true);
+            if call.socket.connect_error().is_some() || call.socket.flush().is_err() {
+                return self.discovery_ended(generation, "no connection");
             }
+            call.socket.want(&self.handle, true);
         }
         if readiness.readable || readiness.error {
             self.read_discovery(generation);
--- a/crates/platform-proxy/src/lib.rs
+++ b/crates/platform-proxy/src/lib.rs
@@ -27,11 +27,12 @@
 use slab::Slab;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::{TcpListener, UdpSocket};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use violetseam::interface::*;
-use violetseam_loopio::timers::{RateLimit, Timers};
+use violetseam_loopio::quiet::RateLimit;
+use violetseam_loopio::timers::Timers;
 use violetseam_platform::config::Config;
 use violetseam_platform::discovery::Roster;
 use violetseam_proxy::engine::{Counts, Engine, Order};
@@ -115,6 +116,12 @@
     quiet: RateLimit,
 }
 
+/// Reads the configuration, at the start and again at SIGHUP.
+pub fn read_config(file: &Path) -> Result<Config, String> {
+    let text = std::fs::read(file).map_err(|e| format!("{}: {e}", file.display()))?;
+    Config::parse(&text).map_err(|e| format!("{}: {e}", file.display()))
+}
+
 /// Binds everything and serves until SIGTERM or SIGINT, and then what is owed. SIGHUP reads the file again.
 pub fn serve(config: Config, config_file: PathBuf) -> std::io::Result<Summary> {
     let mut event_loop: EventLoop<'static, Proxy> = EventLoop::try_new().map_err(std::io::Error::other)?;
@@ -210,8 +217,7 @@
     }
 
     fn timeout(&self) -> Duration {
-        let due = self.engine.due().into_iter().chain(self.timers.due()).min().unwrap_or(Micros::MAX);
-        Duration::from_micros(due.saturating_sub(self.now()).min(1_000_000))
+        self.timers.wait(self.now(), self.engine.due())
     }
 
     fn on_time(&mut self) {
@@ -270,9 +276,7 @@
 
     /// SIGHUP: the new addresses are in force at once. A file that cannot be read leaves the old ones.
     fn reload(&mut self) {
-        let text = std::fs::read(&self.config_file).map_err(|e| e.to_string());
-        let read = text.and_then(|text| Config::parse(&text).map_err(|e| e.to_string()));
-        match read {
+        match read_config(&self.config_file) {
             Err(why) => tracing::error!("reload: {why}; the old configuration stays"),
             Ok(config) => {
                 tracing::info!(discovery = %config.discovery, pipeline = %config.pipeline, "reload");
@@ -316,6 +320,6 @@
     /// Whether a log line of a kind that can come often may be written.
     fn may_say(&mut self) -> bool {
         let now = self.now();
-        self.quiet.allows(now, |lines| tracing::warn!(lines, "log lines kept back"))
+        self.quiet.allows(now)
     }
 }
--- a/crates/platform-proxy/src/peers.rs
+++ b/crates/platform-proxy/src/peers.rs
@@ -6,9 +6,8 @@
 use calloop::{Interest, Mode, PostAction};
 use std::net::UdpSocket;
 use std::rc::Rc;
+use violetseam_site::peer::PAYLOAD_MOST;
 
-/// A longer datagram is none of a peer's.
-pub(super) const DATAGRAM_MOST: usize = 256;
 /// Datagrams taken in one turn of the loop.
 const TURN_MOST: usize = 64;
 
@@ -31,11 +30,11 @@
     }
 
     fn on_datagrams(&mut self, socket: &UdpSocket) {
-        let mut bytes = [0; DATAGRAM_MOST + 1];
+        let mut bytes = [0; PAYLOAD_MOST + 1];
         for _ in 0..TURN_MOST {
             let Ok((length, from)) = socket.recv_from(&mut bytes) else { return };
             let number = self.config.peers.iter().position(|peer| *peer == from);
-            let Some(number) = number.filter(|_| length <= DATAGRAM_MOST) else { continue };
+            let Some(number) = number.filter(|_| length <= PAYLOAD_MOST) else { continue };
             let now = self.now();
             self.engine.peer_message(now, number, &bytes[..length]);
             self.pump();
@@ -44,7 +43,7 @@
 
     pub(super) fn tell_peers(&mut self, to: Option<usize>, payload: &[u8]) {
         let Some(socket) = &self.udp else { return };
-        if payload.len() > DATAGRAM_MOST {
+        if payload.len() > PAYLOAD_MOST {
             tracing::error!(bytes = payload.len(), "a message to peers is too long and was not sent");
             return;
         }
--- a/crates/platform-proxy/src/pipeline.rs
+++ b/crates/platform-proxy/src/pipeline.rs
@@ -104,13 +104,12 @@
     }
 
     fn on_watch(&mut self, generation: u64, readiness: Readiness) {
-        let handle = self.handle.clone();
         let Some(watch) = self.pipeline.watch.as_mut().filter(|w| w.generation == generation) else { return };
         if readiness.writable {
             if watch.socket.connect_error().is_some() || watch.socket.flush().is_err() {
                 return self.watch_lost("no connection");
             }
-            watch.socket.want(&handle, true);
+            watch.socket.want(&self.handle, true);
         }
         if readiness.readable || readiness.error {
             self.read_watch();
@@ -205,7 +204,6 @@
     }
 
     fn on_vote(&mut self, key: usize, readiness: Readiness) {
-        let handle = self.handle.clone();
         if readiness.writable
             && let Some(vote) = self.pipeline.votes.get_mut(key)
         {
@@ -213,7 +211,7 @@
                 self.vote_broke(key);
                 return self.pump();
             }
-            vote.socket.want(&handle, true);
+            vote.socket.want(&self.handle, true);
         }
         if readiness.readable || readiness.error {
             self.read_vote(key);
--- a/crates/platform-proxy/src/servers.rs
+++ b/crates/platform-proxy/src/servers.rs
@@ -76,7 +76,7 @@
                 continue;
             }
             server.state = State::Busy(job);
-            self.attach(job, key);
+            self.place(job, Some(key));
             return self.send_request(key);
         }
         if !self.room_for_server() {
@@ -99,19 +99,16 @@
         entry.insert(Server { generation, id, socket, state, input: Vec::new(), idle_since: now });
         let until = now + self.config.instance.connect_timeout;
         self.timers.set(until, What::Connect(key, generation));
-        self.attach(job, key);
+        self.place(job, Some(key));
         Some(())
     }
 
-    fn attach(&mut self, job: Job, key: usize) {
+    /// Notes which connection an attempt is on, or that it is on none any more.
+    fn place(&mut self, job: Job, key: Option<usize>) {
         let held = self.held.get_mut(&job.request);
-        held.and_then(|h| h.attempts.get_mut(job.attempt)).into_iter().for_each(|place| *place = Some(key));
-    }
-
-    /// The attempt is no longer on a connection.
-    fn detach(&mut self, job: Job) {
-        let held = self.held.get_mut(&job.request);
-        held.and_then(|h| h.attempts.get_mut(job.attempt)).into_iter().for_each(|place| *place = None);
+        if let Some(place) = held.and_then(|h| h.attempts.get_mut(job.attempt)) {
+            *place = key;
+        }
     }
 
     fn end_attempt(&mut self, job: Job, outcome: Outcome) {
@@ -161,7 +158,6 @@
     }
 
     fn read_server(&mut self, key: usize) {
-        let now = self.now();
         let mut scratch = std::mem::take(&mut self.scratch);
         if let Some(server) = self.servers.get_mut(key) {
             match (server.socket.read(&mut scratch), &server.state) {
@@ -174,8 +170,9 @@
                 (Got::Bytes(_), _) => self.close_server(key),
                 (Got::Closed | Got::Broken, _) => {
                     if matches!(server.state, State::Idle) {
-                        let rested_us = now.saturating_sub(server.idle_since);
-                        tracing::debug!(server = server.id, rested_us, "closed while idle");
+                        let (id, since) = (server.id, server.idle_since);
+                        let rested_us = self.now().saturating_sub(since);
+                        tracing::debug!(server = id, rested_us, "closed while idle");
                     }
                     self.server_lost(key);
                 }
@@ -186,16 +183,15 @@
 
     /// Looks whether the answer is whole. What a server sends is held up to the bounds and one read.
     fn server_answer(&mut self, key: usize) {
-        let bounds = self.bounds;
         let Some(server) = self.servers.get_mut(key) else { return };
         let Some(job) = server.job() else { return };
         let input = std::mem::take(&mut server.input);
         let id = server.id;
         let waits = server.socket.waits();
-        match answer(&input, &bounds) {
+        match answer(&input, &self.bounds) {
             Answer::More => server.input = input,
             Answer::Served { value, reusable } => {
-                self.detach(job);
+                self.place(job, None);
                 self.rest_or_close(key, reusable && !waits);
                 let now = self.now();
                 if self.engine.attempt_ended(now, job.request, job.attempt, Outcome::Ok) {
@@ -210,13 +206,13 @@
                     let text = String::from_utf8_lossy(&input[..input.len().min(80)]).into_owned();
                     tracing::warn!(server = id, "an error that servers do not word so: {text:?}");
                 }
-                self.detach(job);
+                self.place(job, None);
                 self.rest_or_close(key, reusable && !waits);
                 self.end_attempt(job, outcome);
             }
             Answer::Spoilt(why) => {
                 tracing::debug!(request = job.request, server = id, "spoilt answer: {why}");
-                self.detach(job);
+                self.place(job, None);
                 self.close_server(key);
                 self.end_attempt(job, Outcome::Reset);
             }
@@ -266,7 +262,7 @@
         if let Some(job) = job {
             let outcome = if whole { Outcome::Reset } else { Outcome::ConnectFailed };
             tracing::debug!(request = job.request, attempt = job.attempt, server = id, ?outcome, "lost");
-            self.detach(job);
+            self.place(job, None);
             self.end_attempt(job, outcome);
         }
     }
--- a/crates/platform/src/call.rs
+++ b/crates/platform/src/call.rs
@@ -6,6 +6,7 @@
 use crate::{Malformed, malformed};
 use violetseam::interface::{Effect, Micros};
 use violetseam_instance::Instance;
+use violetseam_site::key_number;
 
 /// For classes that are safe to repeat.
 pub const GET: &[u8] = b"CALL.GET";
@@ -84,7 +85,7 @@
     Ok(Command::Call(Box::new(Call {
         class,
         tenant: tenant.unwrap_or(instance.tenants.len()),
-        key: hash(key),
+        key: key_number(key),
         id: id.into(),
         wait: wait * 1000,
         is_retry: values.retry,
@@ -138,13 +139,6 @@
     number.filter(|ms| (1..=WAIT_MOST).contains(ms)).ok_or(Malformed("d= is no time".into()))
 }
 
-/// FNV-1a: the module needs keys as numbers that are equal for equal words, the same at each start. 0 is
-/// kept for "no key".
-fn hash(word: &[u8]) -> u64 {
-    let fold = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(0x0000_0100_0000_01b3);
-    word.iter().fold(0xcbf2_9ce4_8422_2325, fold).max(1)
-}
-
 impl Call {
     /// Bytes held for it.
     pub fn size(&self) -> usize {
--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -87,13 +87,11 @@
 }
 
 /// The path of a call for the whole list.
-pub fn whole_path() -> String {
-    "/discovery/hosts".into()
-}
+pub const WHOLE_PATH: &str = "/discovery/hosts";
 
 /// The path of a watch for what is newer than `version`, for so long.
 pub fn watch_path(version: u64, wait: Micros) -> String {
-    format!("/discovery/hosts?index={version}&wait={}", wait / 1000)
+    format!("{WHOLE_PATH}?index={version}&wait={}", wait / 1000)
 }
 
 /// A server as this proxy knows it.
--- a/crates/proxy/src/driver/clients.rs
+++ b/crates/proxy/src/driver/clients.rs
@@ -7,16 +7,15 @@
 use calloop::{Interest, Mode, PostAction, Readiness};
 use http::header::{HeaderMap, HeaderName, RETRY_AFTER, VIA};
 use http::{Method, StatusCode};
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 use violetseam::interface::{Effect, Micros, Request, RequestId};
 use violetseam_http1::client::write_request_head;
 use violetseam_http1::server::{ServerConn, ServerEvent};
 use violetseam_http1::{Framing, RequestHead, ResponseHead, write_chunk, write_last_chunk};
-use violetseam_loopio::{Got, HIGH_WATER, Socket};
+use violetseam_loopio::{Got, HIGH_WATER, Socket, listen};
 use violetseam_settings::HalfClose;
-use violetseam_site::flag;
+use violetseam_site::{flag, key_number};
 
 /// Connections accepted in one turn of the loop.
 const ACCEPTS_MOST: usize = 128;
@@ -112,14 +111,7 @@
     pub(super) fn bind_listeners(&mut self) -> std::io::Result<()> {
         let settings = self.settings.clone();
         for addr in &settings.listen {
-            let domain = socket2::Domain::for_address(*addr);
-            let socket = socket2::Socket::new(domain, socket2::Type::STREAM, Some(socket2::Protocol::TCP))?;
-            socket.set_reuse_address(true)?;
-            let refuse = |e: std::io::Error| std::io::Error::new(e.kind(), format!("{addr}: {e}"));
-            socket.bind(&(*addr).into()).map_err(refuse)?;
-            socket.listen(4096)?;
-            socket.set_nonblocking(true)?;
-            self.add_listener(socket.into())?;
+            self.add_listener(listen(*addr, 4096)?)?;
         }
         Ok(())
     }
@@ -170,7 +162,7 @@
 
     fn pause_accepting(&mut self, why: &str) {
         let now = self.now();
-        if self.may_say(now) {
+        if self.quiet.allows(now) {
             tracing::warn!(open = self.clients.len(), "accepting pauses: {why}");
         }
         self.set_accepting(false);
@@ -682,10 +674,3 @@
         self.held.remove(&id);
     }
 }
-
-/// A key as the decisions know it: a number that is the same for the same bytes, never 0.
-fn key_number(key: &[u8]) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    key.hash(&mut hasher);
-    hasher.finish().max(1)
-}
--- a/crates/proxy/src/driver/control.rs
+++ b/crates/proxy/src/driver/control.rs
@@ -442,7 +442,7 @@
         let (path, aside) = (folder.join(self.roster_file()), folder.join(self.roster_file() + ".new"));
         let saved = std::fs::write(&aside, bytes).and_then(|()| std::fs::rename(&aside, &path));
         if let Err(e) = saved
-            && self.may_say(now)
+            && self.quiet.allows(now)
         {
             tracing::warn!("roster not saved: {e}");
         }
--- a/crates/proxy/src/driver/mod.rs
+++ b/crates/proxy/src/driver/mod.rs
@@ -38,6 +38,7 @@
 use timers::Timers;
 use violetseam::interface::*;
 use violetseam_http1::Limits as HeadLimits;
+use violetseam_loopio::quiet::RateLimit;
 use violetseam_recorder::{Bounds, Recorder};
 use violetseam_settings::ProxySettings;
 use violetseam_site::roster::Roster;
@@ -130,7 +131,7 @@
     /// Ends once nothing is left in hand.
     ending: bool,
     stopping: bool,
-    quiet: violetseam_loopio::timers::RateLimit,
+    quiet: RateLimit,
     /// Clients whose input waits for its turn.
     resumed: Vec<(usize, u64)>,
     pumping: bool,
@@ -288,7 +289,7 @@
             draining: false,
             ending: false,
             stopping: false,
-            quiet: Default::default(),
+            quiet: RateLimit::default(),
             resumed: Vec::new(),
             pumping: false,
             last_vote: None,
@@ -311,7 +312,7 @@
         self.engine.list(now, ListKind::Cached, &entries);
         self.pause_standing();
         self.open_desk_stream();
-        self.timers.set(now + timers::UPKEEP, timers::What::Upkeep);
+        self.next_upkeep(now);
         self.pump();
     }
 
@@ -331,8 +332,7 @@
     }
 
     fn timeout(&self) -> Duration {
-        let due = self.engine.due().into_iter().chain(self.timers.due()).min().unwrap_or(Micros::MAX);
-        Duration::from_micros(due.saturating_sub(self.now()).min(1_000_000))
+        self.timers.wait(self.now(), self.engine.due())
     }
 
     fn on_time(&mut self) {
@@ -465,11 +465,6 @@
         summary
     }
 
-    /// Whether a log line of a kind that can come often may be written.
-    fn may_say(&mut self, now: Micros) -> bool {
-        self.quiet.allows(now, |lines| tracing::warn!(lines, "log lines kept back"))
-    }
-
     /// A draw for an answer's id or a wait.
     fn draw(&mut self) -> u64 {
         self.rng.random()
--- a/crates/proxy/src/driver/peers.rs
+++ b/crates/proxy/src/driver/peers.rs
@@ -46,12 +46,12 @@
                     self.pump();
                 }
                 Ok((number, _)) => {
-                    if self.may_say(now) {
+                    if self.quiet.allows(now) {
                         tracing::warn!(number, %from, "datagram from an address that is not this peer's");
                     }
                 }
                 Err(fault) => {
-                    if self.may_say(now) {
+                    if self.quiet.allows(now) {
                         tracing::warn!(%from, "datagram dropped: {fault}");
                     }
                 }
--- a/crates/proxy/src/driver/takeover.rs
+++ b/crates/proxy/src/driver/takeover.rs
@@ -187,7 +187,7 @@
         self.engine.list(now, ListKind::Failed, &[]);
         self.pause_standing();
         self.open_desk_stream();
-        self.timers.set(now + super::timers::UPKEEP, super::timers::What::Upkeep);
+        self.next_upkeep(now);
         self.pump();
     }
 
--- a/crates/proxy/src/driver/timers.rs
+++ b/crates/proxy/src/driver/timers.rs
@@ -7,7 +7,7 @@
 use violetseam::interface::{Micros, Outcome};
 
 /// Between two rounds of upkeep.
-pub const UPKEEP: Micros = 200_000;
+const UPKEEP: Micros = 200_000;
 /// A listener that ran out of descriptors pauses so long.
 pub const ACCEPT_PAUSE: Micros = 50_000;
 
@@ -66,8 +66,13 @@
         }
     }
 
-    fn upkeep(&mut self, now: Micros) {
+    /// Sets the next round of upkeep.
+    pub(super) fn next_upkeep(&mut self, now: Micros) {
         self.timers.set(now + UPKEEP, What::Upkeep);
+    }
+
+    fn upkeep(&mut self, now: Micros) {
+        self.next_upkeep(now);
         self.operators_upkeep();
         if let Some(recorder) = self.engine.recorder() {
             recorder.flush();
--- a/crates/proxy/src/engine.rs
+++ b/crates/proxy/src/engine.rs
@@ -335,7 +335,7 @@
     /// A client reports an answer wrong. False if it is not known, or was reported before.
     pub fn flagged(&mut self, now: Micros, answer: u64) -> bool {
         let Some(Passed { server, class, sent_at }) = self.passed.remove(&answer) else { return false };
-        self.feed(now, Event::AnswerFlagged { server, class, since: now.saturating_sub(sent_at) });
+        self.answer_flagged(now, server, class, now.saturating_sub(sent_at));
         true
     }
 
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -11,6 +11,8 @@
 pub mod places;
 pub mod roster;
 
+use std::hash::{DefaultHasher, Hash, Hasher};
+
 /// Why a message was not taken.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Malformed(pub String);
@@ -26,3 +28,10 @@
 pub(crate) fn malformed<T>(reason: impl Into<String>) -> Result<T, Malformed> {
     Err(Malformed(reason.into()))
 }
+
+/// A key as the decisions know it: a number that is the same for the same bytes, never 0.
+pub fn key_number(key: &[u8]) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    key.hash(&mut hasher);
+    hasher.finish().max(1)
+}
--- a/crates/standin/src/drive/site.rs
+++ b/crates/standin/src/drive/site.rs
@@ -342,7 +342,7 @@
     }
 
     fn listen_server(&mut self, machine: u64) -> std::io::Result<(Rc<TcpListener>, RegistrationToken)> {
-        let listener = Rc::new(listen(self.net.machine(machine))?);
+        let listener = Rc::new(violetseam_loopio::listen(self.net.machine(machine), 1024)?);
         let source = Generic::new(listener.clone(), Interest::READ, Mode::Level);
         let token = self
             .handle
@@ -519,14 +519,3 @@
         State::Gone => RuleState::Gone,
     }
 }
-
-/// A listener that takes an address again at once.
-pub fn listen(addr: std::net::SocketAddr) -> std::io::Result<TcpListener> {
-    let domain = socket2::Domain::for_address(addr);
-    let socket = socket2::Socket::new(domain, socket2::Type::STREAM, Some(socket2::Protocol::TCP))?;
-    socket.set_reuse_address(true)?;
-    socket.bind(&addr.into())?;
-    socket.listen(1024)?;
-    socket.set_nonblocking(true)?;
-    Ok(socket.into())
-}
--- a/crates/standin/src/drive/site_http.rs
+++ b/crates/standin/src/drive/site_http.rs
@@ -1,7 +1,7 @@
 //! HTTP of the site: connections to servers, to the roster and to the release desk.
 
 use super::site::Releases;
-use super::site::{Site, listen, rule_state};
+use super::site::{Site, rule_state};
 use crate::day::{Effect, Kind};
 use crate::model::server::{Job, Reply};
 use calloop::generic::Generic;
@@ -105,7 +105,7 @@
 
 impl Site {
     pub(super) fn listen_http(&mut self, addr: SocketAddr, role: Role) -> std::io::Result<()> {
-        let source = Generic::new(listen(addr)?, Interest::READ, Mode::Level);
+        let source = Generic::new(violetseam_loopio::listen(addr, 1024)?, Interest::READ, Mode::Level);
         self.handle
             .insert_source(source, move |_, listener, site: &mut Site| {
                 while let Ok((stream, _)) = listener.accept() {
