A connection to a server ends before the next attempt is written, not after the callback

Observed: a scripted probe (two servers on one spinning thread, a tenth of 8,000 requests ended badly with the connection kept up) saw 503 of 775 further attempts at a server while the earlier attempt's connection was not yet ended by the proxy. Lines at fault: close_server in both drivers. Within a connection's own callback calloop holds the source, so that dropping the socket closes it only when the callback returns; Proxy::pump, called before that return, had by then written the next attempt.

Change: loopio's Socket::end shuts the connection down at once; both drivers end server connections so.

--- a/crates/cli/tests/common/platform.rs
+++ b/crates/cli/tests/common/platform.rs
@@ -36,7 +36,7 @@
 }
 
 /// Reads a command as a server does: `None` at the end or at anything else.
-fn command(reader: &mut BufReader<TcpStream>) -> Option<Vec<String>> {
+pub fn command(reader: &mut impl BufRead) -> Option<Vec<String>> {
     let parts: usize = line(reader)?.strip_prefix('*')?.parse().ok()?;
     let mut words = Vec::new();
     for _ in 0..parts {
--- a/crates/loopio/src/lib.rs
+++ b/crates/loopio/src/lib.rs
@@ -103,7 +103,8 @@
         Ok(Socket { stream, token, wanted, out: Vec::new(), written: 0 })
     }
 
-    /// Takes the connection off the loop; it closes when dropped.
+    /// Takes the connection off the loop; it closes when dropped, but within its own callback only once that
+    /// returns, as the loop holds the stream till then. [`Socket::end`] does not wait for that.
     pub fn remove<D>(&self, from: &LoopHandle<'static, D>) {
         from.remove(self.token);
     }
@@ -195,6 +196,14 @@
         let _ = self.stream.shutdown(std::net::Shutdown::Write);
     }
 
+    /// Takes the connection off the loop and ends it now, also within its own callback: whatever is written
+    /// elsewhere after this leaves after the end of this connection.
+    pub fn end<D>(&self, from: &LoopHandle<'static, D>) {
+        // Fails only for a connection that is not up or is gone: nothing of it is out.
+        let _ = self.stream.shutdown(std::net::Shutdown::Both);
+        self.remove(from);
+    }
+
     /// The error of a connection attempt that failed, if it did.
     pub fn connect_error(&self) -> Option<std::io::Error> {
         self.stream.take_error().unwrap_or_else(Some)
--- a/crates/platform-proxy/src/servers.rs
+++ b/crates/platform-proxy/src/servers.rs
@@ -233,10 +233,11 @@
         self.idle.entry(id).or_default().push_back(key);
     }
 
-    /// Closes a connection and tells nobody: its attempt, if any, has ended already.
+    /// Closes a connection and tells nobody: its attempt, if any, has ended already. It ends before anything
+    /// else is written, as the next attempt of the same request would be a second copy beside an open one.
     pub(super) fn close_server(&mut self, key: usize) {
         let Some(server) = self.servers.try_remove(key) else { return };
-        server.socket.remove(&self.handle);
+        server.socket.end(&self.handle);
         if let Some(idle) = self.idle.get_mut(&server.id) {
             idle.retain(|k| *k != key);
             if idle.is_empty() {
--- a/crates/proxy/src/driver/servers.rs
+++ b/crates/proxy/src/driver/servers.rs
@@ -224,13 +224,14 @@
         }
     }
 
-    /// Closes a connection and tells nobody: its attempt, if any, has ended already.
+    /// Closes a connection and tells nobody: its attempt, if any, has ended already. It ends before anything
+    /// else is written, as the next attempt of the same request would be a second copy beside an open one.
     fn close_server(&mut self, key: usize) {
         if !self.servers.contains(key) {
             return;
         }
         let server = self.servers.remove(key);
-        server.socket.remove(&self.handle);
+        server.socket.end(&self.handle);
         if let Some(idle) = self.idle.get_mut(&server.id) {
             idle.retain(|k| *k != key);
             if idle.is_empty() {
