Failures round the platform's proxy as tests: services, returns, kills, rolls, stops, strangers

Change: discovery and the release service as scripts that fall silent, refuse, say 503 or send noise, alone and together, and come back; ids that return with another address, build or start; three processes killed and started again under load; five ended one after another; a process stopped for 5 s; a flood of strangers' datagrams; a call written byte by byte. All wait for conditions.

--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod fleet;
 pub mod platform;
+pub mod services;
 
 use rustix::process::{Pid, Signal, kill_process};
 use std::io::{BufRead, BufReader, Read, Write};
--- a/crates/cli/tests/common/platform.rs
+++ b/crates/cli/tests/common/platform.rs
@@ -6,7 +6,7 @@
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::process::{Child, Command, ExitStatus};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -27,7 +27,7 @@
 }
 
 /// Reads a line without its end; `None` once the peer has closed.
-fn line(reader: &mut impl BufRead) -> Option<String> {
+pub fn line(reader: &mut impl BufRead) -> Option<String> {
     let mut text = Vec::new();
     match reader.read_until(b'\n', &mut text) {
         Ok(n) if n > 0 => Some(String::from_utf8_lossy(&text).trim_end().to_owned()),
@@ -187,12 +187,24 @@
 
 /// Starts the program and waits until it says that it serves.
 pub fn start(name: &str, config: &str) -> Proxy {
+    // Free a moment ago; nothing else here asks for a port by number.
+    let addr = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap().local_addr().unwrap();
+    start_at(name, config, addr)
+}
+
+/// Ends the process by a signal and starts its successor under its address and configuration.
+pub fn run_again(name: &str, old: &mut Proxy, signal: Signal) {
+    old.signal(signal);
+    old.await_end();
+    let config = std::fs::read_to_string(&old.file).unwrap();
+    *old = start_at(name, &config, old.addr);
+}
+
+fn start_at(name: &str, config: &str, addr: SocketAddr) -> Proxy {
     let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("platform-{name}"));
     std::fs::create_dir_all(&folder).unwrap();
     let file = folder.join("config.json");
     std::fs::write(&file, config).unwrap();
-    // Free a moment ago; nothing else here asks for a port by number.
-    let addr = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap().local_addr().unwrap();
     let text: serde_json::Value = serde_json::from_str(config).unwrap();
     let child = Command::new("/bin/sh")
         .args(["-c", &run_line()])
@@ -200,7 +212,7 @@
         .env("PROXY_LISTEN", addr.to_string())
         .env("PROXY_DISCOVERY", text["discovery"].as_str().unwrap())
         .env("PROXY_CONFIG", &file)
-        .stderr(Stdio::null())
+        .stderr(std::fs::File::create(folder.join("log")).unwrap())
         .spawn()
         .unwrap();
     let proxy = Proxy { child, addr, file };
@@ -220,9 +232,7 @@
 
 impl Proxy {
     pub fn open(&self) -> Client {
-        let stream = TcpStream::connect(self.addr).unwrap();
-        stream.set_read_timeout(Some(PATIENCE)).unwrap();
-        Client { reader: BufReader::new(stream.try_clone().unwrap()), stream }
+        Client::over(TcpStream::connect(self.addr).unwrap())
     }
 
     pub fn signal(&self, signal: Signal) {
@@ -231,6 +241,10 @@
 
     /// Waits until it has ended by itself.
     pub fn ended(mut self) -> ExitStatus {
+        self.await_end()
+    }
+
+    fn await_end(&mut self) -> ExitStatus {
         let until = Instant::now() + PATIENCE;
         loop {
             if let Some(status) = self.child.try_wait().unwrap() {
@@ -278,10 +292,20 @@
 
 /// A call that is safe to repeat.
 pub fn look(id: &str, wait_ms: u64) -> Vec<u8> {
-    words(&["CALL.GET", "key", id, &format!("c=look,t=one,d={wait_ms}")])
+    words(&["CALL.GET", &format!("key-{id}"), id, &format!("c=look,t=one,d={wait_ms}")])
 }
 
 impl Client {
+    pub fn over(stream: TcpStream) -> Client {
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        Client { reader: BufReader::new(stream.try_clone().unwrap()), stream }
+    }
+
+    /// Sends if the proxy still takes it.
+    pub fn try_send(&mut self, bytes: &[u8]) -> bool {
+        self.stream.write_all(bytes).is_ok()
+    }
+
     pub fn send(&mut self, bytes: &[u8]) {
         self.stream.write_all(bytes).unwrap();
     }
