Tests of the platform's proxy wait for a condition by one function

Cause: a rereading found wait_until written in two test files. Change: it stands once beside the scripted peers.

--- a/crates/cli/tests/common/platform.rs
+++ b/crates/cli/tests/common/platform.rs
@@ -14,6 +14,15 @@
 /// What waits for a condition gives up after so long.
 pub const PATIENCE: Duration = Duration::from_secs(10);
 
+/// Waits until something is so; `what` is said where it never is.
+pub fn wait_until(what: &str, mut is: impl FnMut() -> bool) {
+    let until = Instant::now() + PATIENCE;
+    while !is() {
+        assert!(Instant::now() < until, "{what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
 fn listen(serve: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
     let addr = listener.local_addr().unwrap();
--- a/crates/cli/tests/platform.rs
+++ b/crates/cli/tests/platform.rs
@@ -5,7 +5,7 @@
 
 use common::PROGRAM;
 use common::platform::{
-    Heard, PATIENCE, Say, Server, config, discovery, good, look, pipeline, server, start, value, words,
+    Heard, Say, Server, config, discovery, good, look, pipeline, server, start, value, wait_until, words,
 };
 use rustix::process::Signal;
 use std::net::SocketAddr;
@@ -17,14 +17,6 @@
     start(name, &config(discovery(&addrs), pipeline().0, &addrs, 256))
 }
 
-fn wait_until(what: &str, mut is: impl FnMut() -> bool) {
-    let until = Instant::now() + PATIENCE;
-    while !is() {
-        assert!(Instant::now() < until, "{what}");
-        std::thread::sleep(Duration::from_millis(10));
-    }
-}
-
 #[test]
 fn calls_go_on_as_they_came_and_answers_in_their_order() {
     // The first waits longer than the second.
--- a/crates/cli/tests/platform_faults.rs
+++ b/crates/cli/tests/platform_faults.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::platform::{
-    Heard, PATIENCE, Proxy, Say, Server, config, good, look, run_again, server, start, value, words,
+    Heard, Proxy, Say, Server, config, good, look, run_again, server, start, value, wait_until, words,
 };
 use common::services::{FAILURES, Member, Mood, Service, discovery, list, member, news, pipeline};
 use rustix::process::Signal;
@@ -14,14 +14,6 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-fn wait_until(what: &str, mut is: impl FnMut() -> bool) {
-    let until = Instant::now() + PATIENCE;
-    while !is() {
-        assert!(Instant::now() < until, "{what}");
-        std::thread::sleep(Duration::from_millis(5));
-    }
-}
-
 /// A server that answers well at once.
 fn sound() -> Server {
     server(|words, _| Say::Bytes(good(words)))
