A released build serves more one-way keys than a proxy remembers; before, it refused them

Observed: a test that asks with keys that are always new stood still after 200,000 of them: each further call waited its hold and was refused, for as long as the build stayed released (eight clients, some 30 calls a second for 20 minutes). A module test repeats it without sockets: "key 200001 was not sent". Cause: `build_admits` kept unknown keys from the newest build once KEYS_KEPT were held, as they could not be remembered; with only that build listed nothing else could take them. A service of 100 requests a second with new keys came to that 33 minutes after a release.

Change: on trial as before; a released build takes them, and from the first one that cannot be remembered every key counts as bound (rule 5 stays safe: nothing keyed goes to an earlier machine) until other news; the tables are emptied then, as they say nothing more.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -204,8 +204,12 @@
         let Some((class, deadline)) = self.m.start_attempt(now, id, entry, cold) else { return };
         let key = self.m.open.get(&id).and_then(|open| open.request.key);
         let newest = self.m.news.is_some_and(|n| n.build == entry.build);
-        if let Some(key) = key.filter(|_| newest && self.set.rollout.one_way) {
-            self.m.keys_unread.entry(key).or_insert(now);
+        if let Some(key) = key.filter(|_| newest && self.set.rollout.one_way && !self.m.keys_lost) {
+            if self.key_fits(key) {
+                self.m.keys_unread.entry(key).or_insert(now);
+            } else {
+                self.m.forget_keys(true); // one cannot be remembered: from here on all count as bound
+            }
         }
         if self.on_trial(entry.build) {
             let (span, per_class) = (self.set.rollout.counted_over * 2, self.set.rollout.per_class);
@@ -271,7 +275,7 @@
         }
         let newest = self.m.news.filter(|n| n.build == attempt.to.build);
         let live = newest.is_some_and(|n| matches!(n.phase, Phase::Trial | Phase::Released));
-        let key = key.filter(|_| live && self.set.rollout.one_way);
+        let key = key.filter(|_| live && self.set.rollout.one_way && !self.m.keys_lost);
         self.m.keys.extend(key.filter(|_| outcome == Outcome::Ok));
         // A good answer may have come to nobody: spoilt, late, or written to a connection that fell silent.
         let unread = matches!(outcome, Outcome::Reset | Outcome::Timeout | Outcome::Cancelled);
@@ -475,9 +479,10 @@
             let newest = self.m.news.map_or(0, |n| n.build);
             // Kept only while the newest build is live. One sent there counts soon, answered or not.
             let unread = self.m.keys_unread.get(&key).is_some_and(|&since| now >= since + STEP);
-            let bound = unread || self.m.keys.contains(&key);
-            let kept = self.m.keys.len() + self.m.keys_unread.len();
-            let full = kept >= KEYS_KEPT && !bound && build == newest;
+            let bound = unread || self.m.keys_lost || self.m.keys.contains(&key);
+            // A released build may have all keys, as nothing keyed has to go anywhere else.
+            let released = self.m.news.is_some_and(|n| n.phase == Phase::Released);
+            let full = !bound && build == newest && !released && !self.key_fits(key);
             // A build not announced yet gets no keys: what it answers would bind them unseen.
             if (bound && build < newest) || full || build > newest {
                 return false;
@@ -496,6 +501,12 @@
         self.cap(now, build) > 0.0 && !guarded && room <= free + 1e-9
     }
 
+    /// Whether a key is remembered, or may be.
+    fn key_fits(&self, key: u64) -> bool {
+        let (keys, unread) = (&self.m.keys, &self.m.keys_unread);
+        keys.len() + unread.len() < KEYS_KEPT || keys.contains(&key) || unread.contains_key(&key)
+    }
+
     fn on_news(&mut self, now: Micros, news: StageNews) {
         let before = self.m.news.replace(news);
         let place = |n: StageNews| (n.build, n.stage, n.phase);
@@ -508,8 +519,7 @@
         // Never vote on evidence of another stage or build: window, verdict and vote all start anew.
         let other = before.is_none_or(|b| b.build != news.build);
         if other || matches!(news.phase, Phase::RollingBack | Phase::Withdrawn) {
-            self.m.keys.clear();
-            self.m.keys_unread.clear();
+            self.m.forget_keys(false);
         }
         if other {
             self.m.owed = self.m.rng.unit();
--- a/src/state.rs
+++ b/src/state.rs
@@ -335,6 +335,8 @@
     pub keys: BTreeSet<u64>,
     /// Keys sent to it whose good answer was not read, and since when.
     pub keys_unread: BTreeMap<u64, Micros>,
+    /// More were sent there than are remembered: any may be one of them.
+    pub keys_lost: bool,
     /// When the present stage was heard of.
     pub stage_since: Micros,
     /// When the open window began.
@@ -394,6 +396,13 @@
         (self.notes <= most).then_some(Action::Note(text))
     }
 
+    /// Forgets which keys the new build has: none does, or (`lost`) any may be one of them.
+    pub fn forget_keys(&mut self, lost: bool) {
+        self.keys.clear();
+        self.keys_unread.clear();
+        self.keys_lost = lost;
+    }
+
     /// Forgets all requests held, their attempts and timers, and draws anew. Keys that are out at the newest
     /// build count as answered by it: the answers will be heard by the process that holds the requests only.
     pub fn leave_requests(&mut self, seed: u64) {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -187,6 +187,34 @@
     assert!(bound.len() > 10);
 }
 
+/// Seen on sockets with keys that are always new: after 200,000 of them a released build was refused to every further
+/// one, for ever. What can no longer be remembered counts as bound instead: nothing keyed goes back.
+#[test]
+fn a_released_build_serves_more_keys_than_are_remembered_and_none_goes_back() {
+    let mut set = settings();
+    set.rollout.one_way = true;
+    let mut rig = Rig::new(set, &fleet(0, 3), news(2, 3, Phase::Released, 1.0));
+    let served = |rig: &mut Rig, key: u64| {
+        let (id, actions) = rig.keyed(SAFE, Some(key));
+        let sent = sends(&actions);
+        sent.iter().for_each(|s| drop(rig.end(id, 0, s.1, Outcome::Ok, MS)));
+        sent.first().map(|s| s.1)
+    };
+    for key in 1..=200_500 {
+        assert!(served(&mut rig, key).is_some(), "key {key} was not sent");
+    }
+    // Machines of the earlier build are listed again, under the same news: no key is surely free for them.
+    let entries = fleet(3, 3);
+    rig.feed(Event::ServerList { kind: ListKind::Full, entries: &entries });
+    for key in (1..=200_500).step_by(997).chain(300_000..300_100) {
+        assert!(served(&mut rig, key).is_none_or(|server| server >= 100), "key {key} sent back");
+    }
+    // With another build all of it is forgotten, and the earlier machines take keys again.
+    rig.feed(Event::Stage(news(3, 0, Phase::Trial, 0.16)));
+    let free = (400_000..400_100).filter(|key| served(&mut rig, *key).is_some_and(|server| server < 100));
+    assert!(free.count() > 10);
+}
+
 /// Guards: a popular key bound to the new build early would bring its machines more than their share.
 #[test]
 fn a_popular_key_does_not_go_to_the_new_build_first() {
