--- a/crates/loopio/src/timers.rs
+++ b/crates/loopio/src/timers.rs
@@ -32,6 +32,13 @@
         Duration::from_micros(due.saturating_sub(now).min(1_000_000))
     }
 
+    /// How late the loop is at `now`: since when the first of these and `other` has been due and was not played. What is
+    /// read at this moment may have waited as long in the kernel, which tells of no bytes when they came. 0 where
+    /// nothing is due; between two dues nothing can be told.
+    pub fn behind(&self, now: Micros, other: Option<Micros>) -> Micros {
+        other.into_iter().chain(self.due()).min().map_or(0, |due| now.saturating_sub(due))
+    }
+
     /// Sets one.
     pub fn set(&mut self, at: Micros, what: W) {
         self.heap.push(Reverse((at, what)));
--- a/crates/platform-proxy/src/clients.rs
+++ b/crates/platform-proxy/src/clients.rs
@@ -313,9 +313,11 @@
             return self.reply(key, b"-BUSY\r\n");
         }
         let now = self.now();
+        // The client's wait began when it sent; how late this loop is, the call may have lain unread.
+        let unread = self.timers.behind(now, self.engine.due());
         let request = Request {
             id: 0,
-            deadline: now + call.wait,
+            deadline: now + call.wait.saturating_sub(unread),
             class: call.class,
             hint: None,
             key: Some(call.key),
@@ -325,7 +327,7 @@
         self.held_bytes += call.size();
         let (class, wait, is_retry) = (call.class, call.wait, call.is_retry);
         let id = self.engine.request(now, request, true);
-        tracing::debug!(request = id, client = key, class, wait, is_retry, "request");
+        tracing::debug!(request = id, client = key, class, wait, unread, is_retry, "request");
         self.open_ids.insert(call.id.clone(), id);
         self.held.insert(id, Held { client: key, client_generation, call, attempts: Vec::new() });
         if let Some(client) = self.clients.get_mut(key) {
--- a/crates/proxy/src/driver/clients.rs
+++ b/crates/proxy/src/driver/clients.rs
@@ -370,7 +370,9 @@
 
     fn on_head(&mut self, key: usize, head: RequestHead) {
         let purpose = self.purpose(&head);
-        let arrived = self.now();
+        // The client's wait began when it sent; how late this loop is, the head may have lain unread.
+        let now = self.now();
+        let arrived = now - self.timers.behind(now, self.engine.due());
         let Some(client) = self.clients.get_mut(key) else { return };
         if head.expects_continue {
             client.http.write_continue(client.socket.out());
