Budgets of a whole fleet as rights that are lent for a lease, never over the budget; begun

Need: the issue on shared state. Each proxy is blind to the others' retries, and a common rate can only be kept with static shares, of which most is left unspent. Change: `crates/shared`, without I/O or a clock: a floor for good, a lot that is lent on asking; leases count from the asking at the borrower and from the granting at the owner, each on its own clock less or plus the drift; the largest grant that may stand is set aside; a new life rests its lot for a lease. docs/shared.md: options weighed, sources, what is not bound.

Not there yet: the datagrams' layout, its place in the drivers, counts, judgements on servers, the rig. Nothing of it is on in `run`.

--- /dev/null
+++ b/crates/shared/src/lib.rs
@@ -0,0 +1,9 @@
+//! State that proxies of one fleet hold in common, without I/O and without a clock: time is passed in, messages go in
+//! and out as plain values, and a message may be lost, late, repeated or out of order.
+//!
+//! - [`rights`]: a budget of the whole fleet (so many a second), parted into rights that move between proxies
+//!
+//! What holds for all of it: whoever hears nothing takes the safe side, and whatever is shared may only sharpen what
+//! each proxy keeps alone, never loosen it. `docs/shared.md` says what was weighed.
+
+pub mod rights;
