--- a/crates/shared/tests/fleets.rs
+++ b/crates/shared/tests/fleets.rs
@@ -102,8 +102,7 @@
         };
         let mut spent = 0;
         let mut could: f64 = 0.0;
-        for n in 0..members {
-            let member = &mut fleet[n];
+        for (n, member) in fleet.iter_mut().enumerate() {
             could += member.want;
             if member.stopped_till > now {
                 continue;
