A key stays bound by each attempt that is still out or ended unread, not by the first alone

Two calls with one key are out at the new build; the first is proven not to have run and takes the entry with it, the second's answer is written and goes unread: nothing binds the key any more. Also where the second had ended unread before the first was proven.

Result: nine pairs of ends in the test, none sent back.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -61,6 +61,7 @@
 const REDRAWS: usize = 3; // further pairs drawn while the better server is busier than the pool's mean
 const KEY_POPULAR: f64 = 3.0; // times the mean: such a key is not bound to a trial build early
 const KEYS_KEPT: usize = 200_000; // one-way keys remembered; past that only known keys go to the new build
+const KEY_OUT_MOST: usize = 8; // attempts with one key that are told apart; past that it counts as answered
 const NOTES_MOST: u32 = 100; // log lines a life
 
 /// One load balancer's decisions: a deterministic state machine.
@@ -206,7 +207,7 @@
         let newest = self.m.news.is_some_and(|n| n.build == entry.build);
         if let Some(key) = key.filter(|_| newest && self.set.rollout.one_way && !self.m.keys_lost) {
             if self.key_fits(key) {
-                self.m.keys_unread.entry(key).or_insert(now);
+                self.m.key_sent(key, now, KEY_OUT_MOST);
             } else {
                 self.m.forget_keys(true); // one cannot be remembered: from here on all count as bound
             }
@@ -279,9 +280,7 @@
         self.m.keys.extend(key.filter(|_| outcome == Outcome::Ok));
         // A good answer may have come to nobody: spoilt, late, or written to a connection that fell silent.
         let unread = matches!(outcome, Outcome::Reset | Outcome::Timeout | Outcome::Cancelled);
-        if let Some(key) = key.filter(|k| !unread && self.m.keys_unread.get(k) == Some(&attempt.sent_at)) {
-            self.m.keys_unread.remove(&key);
-        }
+        key.filter(|_| !unread).into_iter().for_each(|key| self.m.key_settled(key, attempt.sent_at));
         let Some(open) = self.m.open.get(&id) else { return };
         if settled || open.done {
             self.finish(id, out);
@@ -478,7 +477,8 @@
         if let (true, Some(key)) = (self.set.rollout.one_way, open.request.key) {
             let newest = self.m.news.map_or(0, |n| n.build);
             // Kept only while the newest build is live. One sent there counts soon, answered or not.
-            let unread = self.m.keys_unread.get(&key).is_some_and(|&since| now >= since + STEP);
+            let oldest = self.m.keys_unread.get(&key).and_then(|sent| sent.first());
+            let unread = oldest.is_some_and(|&since| now >= since + STEP);
             let bound = unread || self.m.keys_lost || self.m.keys.contains(&key);
             // A released build may have all keys, as nothing keyed has to go anywhere else.
             let released = self.m.news.is_some_and(|n| n.phase == Phase::Released);
--- a/src/state.rs
+++ b/src/state.rs
@@ -333,8 +333,8 @@
     pub key_counts: KeyCounts,
     /// Keys that the new build has answered.
     pub keys: BTreeSet<u64>,
-    /// Keys sent to it whose good answer was not read, and since when.
-    pub keys_unread: BTreeMap<u64, Micros>,
+    /// Keys sent to it: when each attempt left that is still out, or whose good answer may have gone unread.
+    pub keys_unread: BTreeMap<u64, Vec<Micros>>,
     /// More were sent there than are remembered: any may be one of them.
     pub keys_lost: bool,
     /// When the present stage was heard of.
@@ -396,6 +396,27 @@
         (self.notes <= most).then_some(Action::Note(text))
     }
 
+    /// Notes that a key was sent to the new build; past `most` attempts it counts as answered there.
+    pub fn key_sent(&mut self, key: u64, now: Micros, most: usize) {
+        let sent = self.keys_unread.entry(key).or_default();
+        if sent.len() < most {
+            sent.push(now);
+        } else {
+            self.keys.insert(key);
+        }
+    }
+
+    /// An attempt with this key was answered and read, or proven not to have been: others with it may still be.
+    pub fn key_settled(&mut self, key: u64, sent_at: Micros) {
+        let Some(sent) = self.keys_unread.get_mut(&key) else { return };
+        if let Some(at) = sent.iter().position(|&at| at == sent_at) {
+            sent.remove(at);
+        }
+        if sent.is_empty() {
+            self.keys_unread.remove(&key);
+        }
+    }
+
     /// Forgets which keys the new build has: none does, or (`lost`) any may be one of them.
     pub fn forget_keys(&mut self, lost: bool) {
         self.keys.clear();
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -165,6 +165,40 @@
     assert!(bound.len() > 10 && free > 10, "{} bound, {free} at the earlier build", bound.len());
 }
 
+/// Two calls with one key are out at the new build; the first is proven not to have run, the answer to the second is
+/// written and not read. The key is bound by the second, whatever the first proves.
+#[test]
+fn a_key_stays_bound_by_the_attempt_that_is_still_out() {
+    let mut set = settings();
+    set.rollout.one_way = true;
+    for first in [Outcome::Error, Outcome::Rejected, Outcome::ConnectFailed] {
+        for second in [Outcome::Reset, Outcome::Timeout, Outcome::Cancelled] {
+            let mut rig = Rig::new(set.clone(), &fleet(0, 5), news(2, 2, Phase::Trial, 1.0));
+            let (one, actions) = rig.keyed(SAFE, Some(7));
+            let at = sends(&actions)[0].1;
+            rig.run(5 * MS);
+            let (other, actions) = rig.keyed(SAFE, Some(7));
+            let other_at = sends(&actions)[0].1;
+            rig.run(5 * MS);
+            rig.end(one, 0, at, first, 10 * MS);
+            rig.feed(Event::ClientGone { request: one });
+            rig.run(200 * MS);
+            rig.end(other, 0, other_at, second, 200 * MS);
+            rig.feed(Event::ClientGone { request: other });
+            // Machines of the earlier build come back, and none of them may have the key.
+            let entries = fleet(5, 5);
+            rig.feed(Event::ServerList { kind: ListKind::Full, entries: &entries });
+            for _ in 0..50 {
+                let (id, actions) = rig.keyed(SAFE, Some(7));
+                assert!(sends(&actions).iter().all(|s| s.1 >= 100), "sent back after {first:?}, {second:?}");
+                sends(&actions).iter().for_each(|s| drop(rig.end(id, 0, s.1, Outcome::Error, MS)));
+                rig.feed(Event::ClientGone { request: id });
+                rig.run(150 * MS);
+            }
+        }
+    }
+}
+
 /// Guards: a popular key would pile onto the new build's few machines, and bound keys stay bound.
 #[test]
 fn a_key_answered_by_the_new_build_goes_to_no_earlier_one() {
