A key is bound by an answer from a machine that was listed with the new build meanwhile

At fault: `on_attempt_ended` took the build as it was at the send for the one that answered.

Result: the module test sends none back, either order of list and news; without the change it does.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -133,7 +133,9 @@
             (self.m.list_heard, self.m.list_failures, self.m.list_retry) = (now, 0, None);
         }
         let subject = self.m.news.filter(|n| n.phase == Phase::Trial).map(|n| n.build);
-        if self.m.apply_list(kind, entries, subject) {
+        let more = self.m.apply_list(kind, entries, subject);
+        self.bind_relisted();
+        if more {
             // A stage is judged with its own machines: faults may show only under load or with time.
             self.start_window(now);
             self.m.verdict = if self.m.verdict == Verdict::On { Verdict::Withdraw } else { self.m.verdict };
@@ -501,6 +503,17 @@
         self.cap(now, build) > 0.0 && !guarded && room <= free + 1e-9
     }
 
+    /// A server may be listed with the newest build while an attempt is out there that left for the one before:
+    /// its answer counts as the newest's.
+    fn bind_relisted(&mut self) {
+        let Some(newest) = self.m.news.filter(|_| self.set.rollout.one_way).map(|n| n.build) else { return };
+        let listed = |a: &Attempt| self.m.servers.get(&a.to.id).map(|s| s.entry.build);
+        let was_other = |a: &Attempt| a.ended.is_none() && a.to.build != newest && listed(a) == Some(newest);
+        let open = self.m.open.values().filter(|open| open.attempts.iter().any(was_other));
+        let keys: Vec<u64> = open.filter_map(|open| open.request.key).collect();
+        self.m.keys.extend(keys);
+    }
+
     /// Whether a key is remembered, or may be.
     fn key_fits(&self, key: u64) -> bool {
         let (keys, unread) = (&self.m.keys, &self.m.keys_unread);
@@ -525,6 +538,7 @@
             self.m.owed = self.m.rng.unit();
             self.m.cap_before = (0.0, 0);
             self.m.exposure.retain(|&build, _| build >= news.build);
+            self.bind_relisted();
         }
         self.m.pool.restart(self.set.classes.len());
         self.m.life = self.m.life.wrapping_add(1);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -199,6 +199,35 @@
     }
 }
 
+/// Seen on the fleet's days: a call leaves for a machine of the earlier build and waits; the machine is listed with the new
+/// one; the answer that comes then is the new build's. Also where the news of that build come after the list.
+#[test]
+fn a_key_is_bound_by_an_answer_from_a_machine_that_was_listed_anew_meanwhile() {
+    let mut set = settings();
+    set.rollout.one_way = true;
+    for news_first in [true, false] {
+        let mut rig = Rig::new(set.clone(), &fleet(1, 0), RELEASED);
+        let (id, actions) = rig.keyed(SAFE, Some(7));
+        let at = sends(&actions)[0].1;
+        let again =
+            [server(at, 1), server(50, 1)].map(|s| ServerEntry { build: 1 + u16::from(s.id == at), ..s });
+        let trial = Event::Stage(news(2, 1, Phase::Trial, 1.0));
+        let list = Event::ServerList { kind: ListKind::Full, entries: &again };
+        for event in if news_first { [trial, list] } else { [list, trial] } {
+            rig.feed(event);
+        }
+        rig.run(20 * MS);
+        rig.end(id, 0, at, Outcome::Ok, 20 * MS);
+        for _ in 0..50 {
+            let (id, actions) = rig.keyed(SAFE, Some(7));
+            assert!(sends(&actions).iter().all(|s| s.1 == at), "sent back, news first: {news_first}");
+            sends(&actions).iter().for_each(|s| drop(rig.end(id, 0, s.1, Outcome::Ok, MS)));
+            rig.feed(Event::ClientGone { request: id });
+            rig.run(20 * MS);
+        }
+    }
+}
+
 /// Guards: a popular key would pile onto the new build's few machines, and bound keys stay bound.
 #[test]
 fn a_key_answered_by_the_new_build_goes_to_no_earlier_one() {
