Proxies keep further attempts within a budget of the whole fleet, as rights that they lend each other

Change: a class may have a budget of attempts beyond each request's first, a second, for the whole fleet (request_class(further), budgets(...)). The engine, which both drivers share, starts such an attempt only with a right to it; else the attempt ends as moot and the module answers, as it does where attempts are used up. Asks and grants travel as datagrams of a kind of their own (256 bytes, at most eight asks a class and lease whatever the fleet's size), and count only between members that part the same budgets alike. Where no class has a budget, as on the platform, nothing of it is on. violetseam fleet rights shows what each daemon holds, side by side.

Tried and taken out: an event that tells the module when nothing is left, so that it cuts no slow attempt which no other could follow (five lines of policy).

Result: module and interface as before.

--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -6,8 +6,9 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
+use violetseam_control::Reading;
 use violetseam_control::wire::{Act, Answer, Ask};
-use violetseam_fleet::{Fleet, pick, report, wall_clock};
+use violetseam_fleet::{Fleet, Silence, pick, report, wall_clock};
 
 #[derive(ClapArgs)]
 pub struct Args {
@@ -58,6 +59,8 @@
         #[arg(long)]
         count: Option<u64>,
     },
+    /// Show what each holds of the fleet's budgets, side by side
+    Rights,
     /// Show name, boot number and version of each
     Whoami,
     /// Withhold votes on the present stage, or hold its clock
@@ -85,7 +88,7 @@
 
 fn act(command: &Command) -> Option<Act> {
     Some(match command {
-        Command::State | Command::Watch { .. } | Command::Whoami => return None,
+        Command::State | Command::Watch { .. } | Command::Rights | Command::Whoami => return None,
         Command::Pause { span } => {
             Act::Pause { until_us: wall_clock() + (span.clamp(0.0, 86_400.0) * 1e6) as u64 }
         }
@@ -130,7 +133,7 @@
             let every = Duration::from_secs_f64(every.clamp(0.1, 3_600.0));
             let mut left = count.unwrap_or(u64::MAX);
             while left > 0 {
-                show_state(args, &fleet, &names, &mut |_| {})?;
+                show(args, report::state_table, &fleet, &names, &mut |_| {})?;
                 left -= 1;
                 if left > 0 {
                     std::thread::sleep(every);
@@ -138,7 +141,8 @@
             }
             Ok(ExitCode::SUCCESS)
         }
-        Command::State => show_state(args, &fleet, &names, &mut heard),
+        Command::State => show(args, report::state_table, &fleet, &names, &mut heard),
+        Command::Rights => show(args, report::rights_table, &fleet, &names, &mut heard),
         Command::Whoami => whoami(args, &fleet, &names, &mut heard),
         command => {
             let Some(act) = act(command) else { return Err("nothing to do".into()) };
@@ -159,8 +163,9 @@
     }
 }
 
-fn show_state(
+fn show(
     args: &Args,
+    table: impl Fn(&[String], &[Result<Reading, Silence>]) -> String,
     fleet: &Fleet,
     names: &[String],
     heard: &mut dyn FnMut(usize),
@@ -169,7 +174,7 @@
     if args.json {
         println!("{}", report::state_json(names, &readings));
     } else {
-        print!("{}", report::state_table(names, &readings));
+        print!("{}", table(names, &readings));
     }
     let silent = readings.iter().any(Result::is_err);
     Ok(ExitCode::from(if silent { report::status::SILENT } else { report::status::AGREED }))
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -66,6 +66,7 @@
     DoubleSend,
     LateAnswer,
     IgnoreDrains,
+    Spendthrift,
 }
 
 /// Reads `NAME=VALUE`.
@@ -94,6 +95,7 @@
             SabotageName::DoubleSend => violetseam_proxy::driver::Sabotage::DoubleSend,
             SabotageName::LateAnswer => violetseam_proxy::driver::Sabotage::LateAnswer,
             SabotageName::IgnoreDrains => violetseam_proxy::driver::Sabotage::IgnoreDrains,
+            SabotageName::Spendthrift => violetseam_proxy::driver::Sabotage::Spendthrift,
         }),
     };
     let name = format!("{}-{}", settings.name, settings.decisions.position);
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -36,6 +36,32 @@
     pub list_age_us: Option<u64>,
     /// Servers on the list.
     pub servers: u64,
+    /// What is held of the fleet's budgets of further attempts, by class; empty where none has one.
+    #[serde(default)]
+    pub rights: Vec<Rights>,
+}
+
+/// What a daemon holds of one budget of the fleet. Rates are in thousandths a second.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Rights {
+    /// The class's name.
+    pub class: String,
+    /// What the fleet has, as this daemon's settings say.
+    pub budget: u64,
+    /// The daemon's own under all circumstances.
+    pub floor: u64,
+    /// Its own beyond that, which it may lend.
+    pub lot: u64,
+    /// What of that is lent, or may have been by an earlier life.
+    pub lent: u64,
+    /// What it has borrowed.
+    pub borrowed: u64,
+    /// What it may spend.
+    pub rate: u64,
+    /// Spent since the start.
+    pub spent: u64,
+    /// Wanted in vain since the start.
+    pub denied: u64,
 }
 
 /// Where the newest build stands.
--- a/crates/emulator/src/run.rs
+++ b/crates/emulator/src/run.rs
@@ -405,6 +405,8 @@
                     let call = self.world.day.rollout.call;
                     self.world.agenda.at(now + call / 2, Happening::Vote(vote));
                 }
+                // The emulator's settings name no budget of the fleet yet.
+                Order::Rights { .. } => {}
                 Order::Tell { to, payload } => {
                     if self.world.active(Kind::PeersLost).is_some() {
                         continue;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,7 +6,8 @@
 pub mod call;
 pub mod report;
 
-use call::{Heard, Silence};
+use call::Heard;
+pub use call::Silence;
 use std::collections::{BTreeMap, VecDeque};
 use std::hash::{BuildHasher, Hasher, RandomState};
 use std::sync::mpsc::channel;
--- a/crates/fleet/src/report.rs
+++ b/crates/fleet/src/report.rs
@@ -4,6 +4,8 @@
 use crate::{Outcome, Told};
 use comfy_table::{Table, presets};
 use serde_json::{Value, json};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::Write as _;
 use violetseam_control::Reading;
 
 /// Exit statuses of the tool.
@@ -115,6 +117,78 @@
     format!("{rows}\n{} answered, {silent} never did\n", readings.len() - silent)
 }
 
+/// What each daemon holds of the fleet's budgets, class by class, and what they come to together. The readings are of
+/// moments close to each other, not of one: while rights move, their sum may be off by what moves.
+pub fn rights_table(names: &[String], readings: &[Result<Reading, Silence>]) -> String {
+    let mut rows = table(&[
+        "class",
+        "daemon",
+        "budget/s",
+        "floor",
+        "lot",
+        "lent",
+        "borrowed",
+        "may spend",
+        "spent",
+        "denied",
+    ]);
+    let a_second = |rate: u64| format!("{:.1}", rate as f64 / 1e3);
+    let held = || names.iter().zip(readings).filter_map(|(n, r)| Some((n, r.as_ref().ok()?)));
+    let classes: BTreeSet<&str> =
+        held().flat_map(|(_, r)| r.rights.iter().map(|r| r.class.as_str())).collect();
+    let silent: Vec<&str> =
+        names.iter().zip(readings).filter(|(_, r)| r.is_err()).map(|(n, _)| n.as_str()).collect();
+    let mut sums = String::new();
+    for class in classes {
+        let (mut may, mut budgets, mut without) = (0, BTreeMap::<u64, usize>::new(), 0);
+        for (name, reading) in held() {
+            let Some(r) = reading.rights.iter().find(|r| r.class == class) else {
+                without += 1;
+                continue;
+            };
+            may += r.rate;
+            *budgets.entry(r.budget).or_default() += 1;
+            rows.add_row([
+                class.to_owned(),
+                name.clone(),
+                a_second(r.budget),
+                a_second(r.floor),
+                a_second(r.lot),
+                a_second(r.lent),
+                a_second(r.borrowed),
+                a_second(r.rate),
+                r.spent.to_string(),
+                r.denied.to_string(),
+            ]);
+        }
+        let said: Vec<String> = budgets.iter().map(|(b, n)| format!("{} ({n})", a_second(*b))).collect();
+        let _ = write!(
+            sums,
+            "{class}: those that answered may spend {} of {} a second",
+            a_second(may),
+            said.join(", ")
+        );
+        if budgets.len() > 1 || without > 0 {
+            let _ = write!(
+                sums,
+                "; THEY DISAGREE on the budget, {without} have none: they neither ask nor lend each other"
+            );
+        }
+        sums.push('\n');
+    }
+    if sums.is_empty() {
+        sums.push_str("no class has a budget of the fleet\n");
+    }
+    if !silent.is_empty() {
+        let _ = writeln!(
+            sums,
+            "SILENT, may spend their floor, what they own and what they hold: {}",
+            silent.join(", ")
+        );
+    }
+    format!("{rows}\n{sums}")
+}
+
 /// States as data.
 pub fn state_json(names: &[String], readings: &[Result<Reading, Silence>]) -> Value {
     let row = |(name, reading): (&String, &Result<Reading, Silence>)| match reading {
--- a/crates/platform-proxy/src/lib.rs
+++ b/crates/platform-proxy/src/lib.rs
@@ -264,6 +264,8 @@
             Order::FetchList => self.fetch_list(),
             Order::Vote { build, stage, verdict } => self.call_vote(build, stage, verdict),
             Order::Tell { to, payload } => self.tell_peers(to, &payload),
+            // The platform's settings name no budget of the fleet, so that none is kept here.
+            Order::Rights { .. } => {}
             Order::Note(text) => tracing::info!(target: "verdict", "{text}"),
         }
     }
--- a/crates/proxy/src/driver/mod.rs
+++ b/crates/proxy/src/driver/mod.rs
@@ -41,6 +41,8 @@
 use violetseam_loopio::quiet::RateLimit;
 use violetseam_recorder::{Bounds, Recorder};
 use violetseam_settings::ProxySettings;
+use violetseam_shared::budgets::Budgets;
+use violetseam_site::peer::Kind;
 use violetseam_site::roster::Roster;
 
 /// One read takes at most so much.
@@ -73,6 +75,8 @@
     LateAnswer,
     /// The roster's word that a server drains is not heard.
     IgnoreDrains,
+    /// The fleet's budgets are not kept to.
+    Spendthrift,
 }
 
 /// What a proxy did, told when it stops.
@@ -198,6 +202,7 @@
             proxy.publish_control()?;
         }
     }
+    proxy.share_budgets();
     let addresses: Vec<SocketAddr> = proxy.listeners.iter().filter_map(|l| l.0.local_addr().ok()).collect();
     ready(&addresses);
     let stop_at = options.stop_after.map(|span| Instant::now() + span);
@@ -365,8 +370,14 @@
     }
 
     fn obey(&mut self, order: Order) {
-        let outward =
-            matches!(order, Order::FollowList | Order::FetchList | Order::Vote { .. } | Order::Tell { .. });
+        let outward = matches!(
+            order,
+            Order::FollowList
+                | Order::FetchList
+                | Order::Vote { .. }
+                | Order::Tell { .. }
+                | Order::Rights { .. }
+        );
         // These are the successor's now: two processes must not vote or speak as one proxy.
         if outward && self.handed_over {
             return;
@@ -382,7 +393,8 @@
                 self.note_vote(build, stage, verdict);
                 self.call_vote(build, stage, verdict);
             }
-            Order::Tell { to, payload } => self.tell_peers(to, &payload),
+            Order::Tell { to, payload } => self.tell_peers(to, Kind::Decisions, &payload),
+            Order::Rights { to, payload } => self.tell_peers(Some(to), Kind::Rights, &payload),
             Order::Note(text) => {
                 tracing::info!(target: "verdict", "{text}");
                 self.note_finding(text);
@@ -390,6 +402,20 @@
         }
     }
 
+    /// Begins a life's share of the fleet's budgets: from here on nothing of a process before this one is spent or lent.
+    fn share_budgets(&mut self) {
+        #[cfg(feature = "sabotage")]
+        if self.sabotage == Some(Sabotage::Spendthrift) {
+            return;
+        }
+        let Some(plan) = self.settings.budgets.clone() else { return };
+        // Of the moment and the process whatever the seed, as no two lives of a position may be alike.
+        let (now, drawn) = (self.now(), fresh_seed());
+        let life = (drawn ^ (drawn >> 32)) as u32;
+        self.engine.share(now, Budgets::new(now, plan, life));
+        self.pump();
+    }
+
     /// A final answer of the proxy's own, unless sabotage holds it back.
     fn answer(&mut self, request: RequestId, answer: Final) {
         #[cfg(feature = "sabotage")]
--- a/crates/proxy/src/driver/operators.rs
+++ b/crates/proxy/src/driver/operators.rs
@@ -21,10 +21,11 @@
 use std::sync::Arc;
 use violetseam::interface::{Build, Micros, Operator, Phase, ServerId, Verdict};
 use violetseam_control::book::{Book, Change, Durable, Present};
-use violetseam_control::state::{Counts, Reading, Release};
+use violetseam_control::state::{Counts, Reading, Release, Rights};
 use violetseam_control::wire::{self, Answer, Ask, Command, Reply};
 use violetseam_loopio::Got;
 use violetseam_settings::ProxySettings;
+use violetseam_shared::budgets::Sight;
 
 /// Operators' connections at once, of each kind, so that a flood from the network leaves the local socket
 /// free; further ones are closed unread.
@@ -623,6 +624,12 @@
         }
     }
 
+    fn rights(&self, sight: Sight) -> Rights {
+        let Sight { class, budget, floor, lot, lent, borrowed, rate, spent, denied } = sight;
+        let class = self.settings.class_names.get(class).cloned().unwrap_or_default();
+        Rights { class, budget, floor, lot, lent, borrowed, rate, spent, denied }
+    }
+
     /// The state at this moment: all of it from one turn of the loop.
     pub(super) fn reading(&self) -> Reading {
         let now = self.now();
@@ -667,6 +674,7 @@
             peers: self.peers_heard.values().filter(|at| **at + PEERS_RECENT > now).count() as u64,
             list_age_us: self.list_heard.map(|at| now.saturating_sub(at)),
             servers: self.roster_lines.len() as u64,
+            rights: self.engine.budgets(now).into_iter().map(|sight| self.rights(sight)).collect(),
         }
     }
 }
--- a/crates/proxy/src/driver/peers.rs
+++ b/crates/proxy/src/driver/peers.rs
@@ -5,7 +5,7 @@
 use calloop::{Interest, Mode, PostAction};
 use std::net::UdpSocket;
 use std::rc::Rc;
-use violetseam_site::peer;
+use violetseam_site::peer::{self, Kind};
 
 /// Datagrams taken in one turn of the loop; more wait for the next, or are dropped by the kernel.
 const TURN_MOST: usize = 256;
@@ -40,12 +40,18 @@
             let now = self.now();
             match peer::decode(self.settings.site, &bytes[..length]) {
                 // A number that does not come from its own address is somebody else's word.
-                Ok((number, payload)) if self.settings.peers.get(usize::from(number)) == Some(&from) => {
-                    self.peers_heard.insert(usize::from(number), now);
-                    self.engine.peer_message(now, usize::from(number), payload);
+                Ok((number, kind, payload))
+                    if self.settings.peers.get(usize::from(number)) == Some(&from) =>
+                {
+                    let number = usize::from(number);
+                    self.peers_heard.insert(number, now);
+                    match kind {
+                        Kind::Decisions => self.engine.peer_message(now, number, payload),
+                        Kind::Rights => self.engine.rights_message(now, number, payload),
+                    }
                     self.pump();
                 }
-                Ok((number, _)) => {
+                Ok((number, ..)) => {
                     if self.quiet.allows(now) {
                         tracing::warn!(number, %from, "datagram from an address that is not this peer's");
                     }
@@ -65,10 +71,10 @@
         self.udp_token.take().into_iter().for_each(|token| self.handle.remove(token));
     }
 
-    pub(super) fn tell_peers(&mut self, to: Option<usize>, payload: &[u8]) {
+    pub(super) fn tell_peers(&mut self, to: Option<usize>, kind: Kind, payload: &[u8]) {
         let own = self.settings.decisions.position;
         let (Some(socket), Ok(from)) = (&self.udp, u16::try_from(own)) else { return };
-        let Some(datagram) = peer::encode(self.settings.site, from, payload) else { return };
+        let Some(datagram) = peer::encode(self.settings.site, from, kind, payload) else { return };
         let told = self.settings.peers.iter().enumerate();
         for (_, addr) in told.filter(|(n, _)| *n != own && to.is_none_or(|to| to == *n)) {
             // One that is lost is like one that the network lost: counters only grow, the next makes up.
--- a/crates/proxy/src/engine.rs
+++ b/crates/proxy/src/engine.rs
@@ -10,6 +10,7 @@
 use violetseam::balance::Balancer;
 use violetseam::interface::*;
 use violetseam_recorder::Recorder;
+use violetseam_shared::budgets::{Budgets, Sight};
 
 /// Something the driver must do.
 #[derive(Clone, Debug, PartialEq)]
@@ -62,6 +63,13 @@
         /// The bytes.
         payload: Vec<u8>,
     },
+    /// Send a peer a word about the fleet's budgets.
+    Rights {
+        /// The peer.
+        to: usize,
+        /// The bytes.
+        payload: Vec<u8>,
+    },
     /// A line of the module's for the log.
     Note(String),
 }
@@ -127,6 +135,7 @@
     Cut(RequestId, usize),
     Timer(u64),
     Overdue(RequestId),
+    Budgets,
 }
 
 /// An answer that a client may still report wrong.
@@ -157,6 +166,8 @@
     later: VecDeque<Event<'static>>,
     busy: bool,
     starts_nothing: bool,
+    /// What this proxy may spend of the fleet's budgets of further attempts.
+    budgets: Option<Budgets>,
     counts: Counts,
     news: Option<StageNews>,
     module_time: std::time::Duration,
@@ -181,6 +192,7 @@
             later: VecDeque::new(),
             busy: false,
             starts_nothing: false,
+            budgets: None,
             counts: Counts::default(),
             news: None,
             module_time: std::time::Duration::ZERO,
@@ -204,6 +216,18 @@
         self.starts_nothing = nothing;
     }
 
+    /// Keeps to the fleet's budgets from now on: an attempt beyond a request's first is started only with a right to it,
+    /// whatever the module asks for. Before the first request of a life.
+    pub fn share(&mut self, now: Micros, budgets: Budgets) {
+        self.budgets = Some(budgets);
+        self.turn_budgets(now);
+    }
+
+    /// What is held of the fleet's budgets.
+    pub fn budgets(&self, now: Micros) -> Vec<Sight> {
+        self.budgets.as_ref().map_or_else(Vec::new, |b| b.sights(now))
+    }
+
     /// Measures from now on how long the module takes.
     pub fn time_module(&mut self) {
         self.timing = true;
@@ -392,6 +416,22 @@
         self.feed(now, Event::PeerMessage { from, payload });
     }
 
+    /// A peer's word about the fleet's budgets.
+    pub fn rights_message(&mut self, now: Micros, from: usize, payload: &[u8]) {
+        let Some(budgets) = &mut self.budgets else { return };
+        let answer = budgets.on_message(now, from, payload);
+        self.orders.extend(answer.map(|payload| Order::Rights { to: from, payload }));
+    }
+
+    /// Asks peers for rights where they are short, and looks again later.
+    fn turn_budgets(&mut self, now: Micros) {
+        let Some(budgets) = &mut self.budgets else { return };
+        let asks = budgets.turn(now);
+        let next = now + budgets.every();
+        self.orders.extend(asks.into_iter().map(|(to, payload)| Order::Rights { to, payload }));
+        self.schedule(next, Due::Budgets);
+    }
+
     /// When [`Engine::on_due`] must be called next.
     pub fn due(&self) -> Option<Micros> {
         self.dues.peek().map(|Reverse((at, ..))| *at)
@@ -406,6 +446,7 @@
                 Due::Timer(token) => self.feed(now, Event::Timer { token }),
                 Due::Cut(id, number) => self.cut(now, at, id, number),
                 Due::Overdue(id) => self.overdue(now, id),
+                Due::Budgets => self.turn_budgets(now),
             }
         }
     }
@@ -506,14 +547,17 @@
     }
 
     /// Starts an attempt, or ends it at once as moot where none may start: the request is finished or is
-    /// being passed on, its attempts are used up, its time is over, or its body is gone.
+    /// being passed on, its attempts are used up, its time is over, its body is gone, or the fleet's budget.
     fn start(&mut self, now: Micros, id: RequestId, server: ServerId, cut_at: Micros) {
         let most = self.settings.limits.max_attempts;
         let Some(r) = self.requests.get_mut(&id) else { return };
         let number = r.attempts.len();
         let cut_at = if cut_at == 0 { r.deadline } else { cut_at.min(r.deadline) };
         let spent = !r.repeatable && number > 0;
-        let moot = self.starts_nothing || r.finished || r.streaming.is_some() || number >= most || spent;
+        let idle = self.starts_nothing || r.finished || r.streaming.is_some() || number >= most || spent;
+        // A right is taken last, for an attempt that would leave now.
+        let mut has_right = |class| number == 0 || self.budgets.as_mut().is_none_or(|b| b.spend(now, class));
+        let moot = idle || (cut_at > now && !has_right(r.class));
         r.attempts.push(Attempt { server, sent_at: now, cut_at, over: false });
         if moot {
             self.attempt_ended(now, id, number, Outcome::Moot);
--- a/crates/proxy/tests/engine.rs
+++ b/crates/proxy/tests/engine.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use violetseam::interface::*;
 use violetseam_proxy::engine::{Engine, Final, Order};
+use violetseam_shared::budgets::{Budgets, Plan};
 
 const MS: Micros = 1_000;
 
@@ -143,3 +144,50 @@
     assert!(engine.flagged(1_200 * MS, 77));
     assert!(!engine.flagged(1_200 * MS, 77) && !engine.flagged(1_200 * MS, 78));
 }
+
+/// One class has two further attempts a second in a fleet of one; servers reset every attempt.
+#[test]
+fn attempts_beyond_the_first_need_a_right_and_the_rest_end_with_their_answer() {
+    let mut engine = engine(6);
+    let plan = Plan {
+        members: 1,
+        position: 0,
+        by_class: vec![2_000, 0],
+        floor_percent: 25,
+        lease: 1_000 * MS,
+        drift_ppm: 0,
+        burst: 2_000 * MS,
+    };
+    engine.share(2_000 * MS, Budgets::new(2_000 * MS, plan, 1));
+    let (mut further, mut answered, mut taken) = (Vec::new(), 0, 0);
+    for step in 0..1_000 {
+        let now = 2_000 * MS + step * 10 * MS;
+        engine.on_due(now);
+        engine.request(now, request(now, 0), true);
+        taken += 1;
+        let mut todo = orders(&mut engine);
+        while let Some(order) = todo.pop() {
+            match order {
+                Order::Start { request, attempt, .. } => {
+                    further.extend((attempt > 0).then_some(now));
+                    engine.attempt_ended(now, request, attempt, Outcome::Reset);
+                    todo.extend(orders(&mut engine));
+                }
+                Order::Answer { .. } => answered += 1,
+                _ => {}
+            }
+        }
+    }
+    // 10 s at two a second, and what two seconds may save up; asked for more than that all the while.
+    assert!((16..=24).contains(&further.len()), "{}", further.len());
+    let in_a_second =
+        |from: &Micros| further.iter().filter(|at| (*from..from + 1_000 * MS).contains(at)).count();
+    assert!(further.iter().map(in_a_second).max() <= Some(6), "{further:?}");
+    let sight = engine.budgets(12_000 * MS)[0];
+    assert_eq!(sight.spent, further.len() as u64);
+    assert!(sight.denied > 50, "{sight:?}");
+    // Nobody waits for a right: each request has its answer by its deadline.
+    engine.on_due(13_500 * MS);
+    answered += orders(&mut engine).iter().filter(|o| matches!(o, Order::Answer { .. })).count();
+    assert_eq!((answered, engine.owed()), (taken, 0));
+}
--- a/crates/proxy/tests/site.rs
+++ b/crates/proxy/tests/site.rs
@@ -138,14 +138,14 @@
     let proxy = Proxy::with(site, &text);
     wait_for("the list to be known", || outcome(&proxy.ask(READ, "")) == "served");
     let stranger = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
-    let sound = peer::encode(4, 1, &[0; 64]).unwrap();
+    let sound = peer::encode(4, 1, peer::Kind::Decisions, &[0; 64]).unwrap();
     for n in 0..2_000u32 {
         let mut bytes = sound.clone();
         match n % 5 {
             0 => bytes[2] = 9,
             1 => bytes.truncate((n % 60) as usize),
             2 => bytes[12 + (n % 60) as usize] ^= 0xff,
-            3 => bytes = peer::encode(4, n as u16, &[n as u8; 200]).unwrap(),
+            3 => bytes = peer::encode(4, n as u16, peer::Kind::Decisions, &[n as u8; 200]).unwrap(),
             _ => {}
         }
         stranger.send_to(&bytes, own).unwrap();
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -9,6 +9,7 @@
 use violetseam::interface as v;
 use violetseam::interface::Micros;
 use violetseam_script::{Fault, Placed, needed, one};
+use violetseam_shared::budgets::Plan;
 
 /// Requests with this method and path prefix are of this class.
 #[derive(Clone, Debug)]
@@ -116,10 +117,15 @@
     pub control: Option<PathBuf>,
     /// Control over TCP under mutual TLS: where it listens, and the daemon's files.
     pub control_tls: Option<(SocketAddr, Identity)>,
+    /// Budgets that the whole fleet keeps, if any class has one.
+    pub budgets: Option<Plan>,
     /// What the decisions run by.
     pub decisions: v::Settings,
 }
 
+/// The largest budget of further attempts, a second.
+const FURTHER_MOST: f64 = 1e6;
+
 pub(crate) fn check(script: &str, s: &Sections) -> Result<ProxySettings, Fault> {
     let fleet = needed(script, "fleet", &s.fleet)?;
     let roster = needed(script, "roster", &s.roster)?;
@@ -170,10 +176,43 @@
         state_dir: fleet.is.state_dir.as_ref().map(PathBuf::from),
         control: fleet.is.control.as_ref().map(PathBuf::from),
         control_tls: check_control_tls(fleet, one("control_tls", &s.control_tls)?)?,
+        budgets: check_budgets(fleet, &s.classes, one("budgets", &s.budgets)?)?,
         decisions: decisions(s, &fleet.is, &rollout.is, &contract.is, limits, peers.is_some()),
     })
 }
 
+/// The fleet's budgets; none where no class has one.
+fn check_budgets(
+    fleet: &Placed<Fleet>,
+    classes: &[Placed<RequestClass>],
+    parts: Option<&Placed<BudgetParts>>,
+) -> Result<Option<Plan>, Fault> {
+    if let Some(class) = classes.iter().find(|c| !(0.0..=FURTHER_MOST).contains(&c.is.further)) {
+        return class.fault(format!("request_class {:?}: further is 0 to {FURTHER_MOST}", class.is.name));
+    }
+    let by_class: Vec<u64> = classes.iter().map(|c| (c.is.further * 1e3).round() as u64).collect();
+    if by_class.iter().all(|budget| *budget == 0) {
+        return match parts {
+            Some(parts) => parts.fault("budgets: no request_class has a budget of further attempts"),
+            None => Ok(None),
+        };
+    }
+    let is = parts.map(|p| p.is.clone()).unwrap_or_default();
+    let plan = Plan {
+        members: fleet.is.size,
+        position: fleet.is.position,
+        by_class,
+        floor_percent: is.floor_percent,
+        lease: is.lease.0,
+        drift_ppm: is.drift_ppm,
+        burst: is.burst.0,
+    };
+    match plan.fault() {
+        Some((class, why)) => classes[class].fault(format!("budgets of {:?}: {why}", classes[class].is.name)),
+        None => Ok(Some(plan)),
+    }
+}
+
 /// What a fleet file says.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct FleetFile {
--- a/crates/settings/src/script.rs
+++ b/crates/settings/src/script.rs
@@ -6,7 +6,7 @@
 pub use violetseam_script::Fault;
 use violetseam_script::{Call, Placed, evaluate, evaluate_file};
 
-violetseam_script::functions! { functions: fleet, listen, roster, desk, peers, request_class, route, tenant, headers, rollout, limits, contract, connections, member, identity, control_tls }
+violetseam_script::functions! { functions: fleet, listen, roster, desk, peers, request_class, route, tenant, headers, budgets, rollout, limits, contract, connections, member, identity, control_tls }
 
 /// All sections of a script, as called.
 #[derive(Debug, Default)]
@@ -20,6 +20,7 @@
     pub routes: Vec<Placed<RouteTo>>,
     pub tenants: Vec<Placed<Tenant>>,
     pub headers: Vec<Placed<HeaderNames>>,
+    pub budgets: Vec<Placed<BudgetParts>>,
     pub rollout: Vec<Placed<Rollout>>,
     pub limits: Vec<Placed<Limits>>,
     pub contract: Vec<Placed<Contract>>,
@@ -42,6 +43,7 @@
             "route" => s.routes.push(call.read()?),
             "tenant" => s.tenants.push(call.read()?),
             "headers" => s.headers.push(call.read()?),
+            "budgets" => s.budgets.push(call.read()?),
             "rollout" => s.rollout.push(call.read()?),
             "limits" => s.limits.push(call.read()?),
             "contract" => s.contract.push(call.read()?),
--- a/crates/settings/src/sections.rs
+++ b/crates/settings/src/sections.rs
@@ -133,6 +133,25 @@
     pub late_worth: f64,
     #[serde(default)]
     pub stream: bool,
+    /// Further attempts a second of the whole fleet; 0: no budget.
+    #[serde(default)]
+    pub further: f64,
+}
+
+/// How the fleet's budgets are parted.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub(crate) struct BudgetParts {
+    pub floor_percent: u64,
+    pub lease: Span,
+    pub drift_ppm: u64,
+    pub burst: Span,
+}
+
+impl Default for BudgetParts {
+    fn default() -> Self {
+        BudgetParts { floor_percent: 25, lease: Span::ms(2_000), drift_ppm: 1_000, burst: Span::ms(1_000) }
+    }
 }
 
 #[derive(Clone, Debug, Deserialize)]
--- a/crates/site/src/peer.rs
+++ b/crates/site/src/peer.rs
@@ -3,7 +3,7 @@
 //! ```text
 //! 0  2  "VS"
 //! 2  1  version, 1
-//! 3  1  reserved, 0
+//! 3  1  kind: 0 the decisions' words, 1 rights (`violetseam-shared`)
 //! 4  4  site: a number that all proxies of one fleet share (little-endian, as all that follow)
 //! 8  2  from: the sender's number in the fleet
 //! 10 2  length of the payload
@@ -24,11 +24,20 @@
 pub const DATAGRAM_MOST: usize = HEADER + PAYLOAD_MOST + 4;
 const HEADER: usize = 12;
 
+/// Whose words a payload carries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// The decisions'.
+    Decisions = 0,
+    /// Asks and grants of the fleet's budgets.
+    Rights = 1,
+}
+
 /// Writes a datagram; none for a payload past the bound.
-pub fn encode(site: u32, from: u16, payload: &[u8]) -> Option<Vec<u8>> {
+pub fn encode(site: u32, from: u16, kind: Kind, payload: &[u8]) -> Option<Vec<u8>> {
     let length = u16::try_from(payload.len()).ok().filter(|&n| usize::from(n) <= PAYLOAD_MOST)?;
     let mut out = Vec::with_capacity(HEADER + payload.len() + 4);
-    out.extend_from_slice(&[b'V', b'S', VERSION, 0]);
+    out.extend_from_slice(&[b'V', b'S', VERSION, kind as u8]);
     out.extend_from_slice(&site.to_le_bytes());
     out.extend_from_slice(&from.to_le_bytes());
     out.extend_from_slice(&length.to_le_bytes());
@@ -38,17 +47,22 @@
     Some(out)
 }
 
-/// Reads a datagram: the sender's number and the payload.
-pub fn decode(site: u32, bytes: &[u8]) -> Result<(u16, &[u8]), Malformed> {
+/// Reads a datagram: the sender's number, the payload's kind and the payload.
+pub fn decode(site: u32, bytes: &[u8]) -> Result<(u16, Kind, &[u8]), Malformed> {
     if bytes.len() < HEADER + 4 || bytes.len() > DATAGRAM_MOST {
         return malformed("peer: wrong size");
     }
     if &bytes[..2] != b"VS" {
         return malformed("peer: not a peer's datagram");
     }
-    if bytes[2] != VERSION || bytes[3] != 0 {
+    if bytes[2] != VERSION {
         return malformed(format!("peer: version {}", bytes[2]));
     }
+    let kind = match bytes[3] {
+        0 => Kind::Decisions,
+        1 => Kind::Rights,
+        other => return malformed(format!("peer: kind {other}")),
+    };
     let (body, sum) = bytes.split_at(bytes.len() - 4);
     let word = |at: usize| u16::from_le_bytes([body[at], body[at + 1]]);
     if crc32fast::hash(body).to_le_bytes() != sum {
@@ -60,5 +74,5 @@
     if usize::from(word(10)) != body.len() - HEADER {
         return malformed("peer: length");
     }
-    Ok((word(8), &body[HEADER..]))
+    Ok((word(8), kind, &body[HEADER..]))
 }
--- a/crates/site/tests/protocols.rs
+++ b/crates/site/tests/protocols.rs
@@ -76,10 +76,10 @@
 
 #[test]
 fn datagrams_of_another_version_site_or_length_are_dropped() {
-    let sound = peer::encode(5, 3, b"payload").unwrap();
-    assert_eq!(peer::decode(5, &sound), Ok((3, &b"payload"[..])));
+    let sound = peer::encode(5, 3, peer::Kind::Rights, b"payload").unwrap();
+    assert_eq!(peer::decode(5, &sound), Ok((3, peer::Kind::Rights, &b"payload"[..])));
     assert!(peer::decode(6, &sound).is_err());
-    assert!(peer::encode(5, 3, &[0; 257]).is_none());
+    assert!(peer::encode(5, 3, peer::Kind::Decisions, &[0; 257]).is_none());
     let mut other = sound.clone();
     other[2] = 2;
     assert!(peer::decode(5, &other).unwrap_err().0.contains("version 2"));
@@ -89,7 +89,7 @@
 proptest! {
     #[test]
     fn any_single_damage_to_a_datagram_is_noticed(at in 0usize..23, flip in 1u8..) {
-        let mut bytes = peer::encode(5, 3, b"payload").unwrap();
+        let mut bytes = peer::encode(5, 3, peer::Kind::Decisions, b"payload").unwrap();
         let at = at % bytes.len();
         bytes[at] ^= flip;
         prop_assert!(peer::decode(5, &bytes).is_err());
