--- a/crates/audit/src/lib.rs
+++ b/crates/audit/src/lib.rs
@@ -11,8 +11,10 @@
 mod effects;
 mod exposure;
 mod finals;
+mod fleet;
 pub mod record;
 
+pub use fleet::Bound;
 pub use record::{Arrival, End, Entry, Finish, Record, Rules};
 
 use std::collections::BTreeMap;
@@ -37,12 +39,16 @@
     pub broken: [u64; 5],
     /// How much each rule had to look at: a rule that looked at nothing proves nothing.
     pub looked_at: [u64; 5],
+    /// Bounds of the whole fleet.
+    pub fleet: Vec<Bound>,
+    /// Where each that was broken first was: when, and what.
+    pub fleet_over: Vec<(u64, String)>,
 }
 
 impl Verdict {
-    /// No rule was broken.
+    /// No rule was broken, and no bound of the fleet.
     pub fn kept(&self) -> bool {
-        self.broken.iter().all(|n| *n == 0)
+        self.broken.iter().all(|n| *n == 0) && self.fleet.iter().all(|bound| bound.over == 0)
     }
 
     pub(crate) fn look(&mut self, rule: u8) {
@@ -69,6 +75,7 @@
     drain::check(rules, &run, &mut verdict);
     cold::check(rules, &run, &mut verdict);
     exposure::check(rules, &run, &mut verdict);
+    fleet::check(rules, &run, &mut verdict);
     verdict.violations.sort_by_key(|v| v.at);
     verdict
 }
@@ -116,6 +123,8 @@
     pub attempts: Vec<Attempt<'a>>,
     /// By proxy: when it was killed.
     pub killed: BTreeMap<u32, Vec<u64>>,
+    /// By proxy: when it stood still, from and to.
+    pub stops: BTreeMap<u32, Vec<(u64, u64)>>,
     /// By proxy and server.
     pub told: BTreeMap<(u32, u64), Vec<Told>>,
     /// By server: when it was listed so.
@@ -133,10 +142,27 @@
     pub last: u64,
 }
 
+/// By proxy: when it stood still. One that was killed in a standstill stands so to its end.
+fn stops(entries: &[&Entry]) -> BTreeMap<u32, Vec<(u64, u64)>> {
+    let mut stops: BTreeMap<u32, Vec<(u64, u64)>> = BTreeMap::new();
+    for entry in entries {
+        match entry.record {
+            Record::Stopped { proxy } => stops.entry(proxy).or_default().push((entry.at, u64::MAX / 2)),
+            Record::WentOn { proxy } | Record::Killed { proxy } => {
+                let last = stops.get_mut(&proxy).and_then(|s| s.last_mut());
+                last.into_iter().for_each(|last| last.1 = last.1.min(entry.at));
+            }
+            _ => {}
+        }
+    }
+    stops
+}
+
 impl<'a> Run<'a> {
     fn read(entries: &[&'a Entry]) -> Self {
         let mut run = Run::default();
         let mut open: BTreeMap<u64, usize> = BTreeMap::new();
+        run.stops = stops(entries);
         for entry in entries {
             let at = entry.at;
             run.last = run.last.max(at);
@@ -169,20 +195,37 @@
                     run.listed.entry(*server).or_default().push((at, *state));
                 }
                 Record::Told { proxy, server, state, started } => {
-                    let told = Told { at, state: *state, started: *started };
+                    let told = Told { at: run.heard(*proxy, at), state: *state, started: *started };
                     run.told.entry((*proxy, *server)).or_default().push(told);
                 }
                 Record::Called { proxy, call } => run.asked.entry(*proxy).or_default().push((at, *call)),
                 Record::News { proxy, build, stage, phase, cap } => {
+                    let at = run.heard(*proxy, at);
                     let news = News { at, build: *build, stage: *stage, phase: *phase, cap: *cap };
                     run.news.entry(*proxy).or_default().push(news);
                 }
                 Record::Killed { proxy } => run.killed.entry(*proxy).or_default().push(at),
+                Record::Stopped { .. } | Record::WentOn { .. } => {}
             }
         }
         run
     }
 
+    /// When a proxy heard what was told to it at a moment: one that stands still hears once it goes on.
+    fn heard(&self, proxy: u32, at: u64) -> u64 {
+        let stops = self.stops.get(&proxy).into_iter().flatten();
+        stops.copied().find(|&(from, to)| from <= at && at < to).map_or(at, |(_, to)| to)
+    }
+
+    /// How long a proxy stood still between two moments.
+    pub fn stood_within(&self, proxy: u32, from: u64, to: u64) -> u64 {
+        let stops = self.stops.get(&proxy).into_iter().flatten();
+        stops
+            .filter(|(began, ended)| *began <= to && *ended >= from)
+            .map(|(began, ended)| ended - began)
+            .sum()
+    }
+
     /// Whether a proxy was killed between two moments.
     pub fn killed_within(&self, proxy: u32, from: u64, to: u64) -> bool {
         self.killed.get(&proxy).is_some_and(|k| k.iter().any(|&at| at >= from && at <= to))
--- a/crates/audit/tests/planted.rs
+++ b/crates/audit/tests/planted.rs
@@ -23,6 +23,8 @@
         guarded_stages: 1,
         one_way: true,
         slack: 30 * MS,
+        further: vec![10_000, 0],
+        further_burst: S,
     }
 }
 
@@ -319,6 +321,55 @@
     crossed.kept();
 }
 
+#[test]
+fn further_attempts_of_all_proxies_together_past_the_fleets_budget() {
+    // Ten a second and a burst of one second: 10.3 may come at once, the slack of 30 ms included.
+    let story = |requests: u64, apart: u64| {
+        let mut story = busy_story();
+        for n in 0..requests {
+            let (at, id) = (S + n * apart, story.sent(S + n * apart, 0));
+            story.attempt(at + MS, id, 1, 0, 0, End::Error);
+            story.attempt(at + 50 * MS, id, 1, 0, 0, End::Ok);
+            if let Some(Entry { record: Record::Arrived(a), .. }) = story.entries.iter_mut().rev().nth(1) {
+                a.proxy = (n % 3) as u32;
+            }
+            story.answered(at + 95 * MS, id, Answer::Served);
+        }
+        check(&rules(), &story.entries)
+    };
+    let kept = story(10, 0);
+    assert!(kept.kept(), "{:?} {:?}", kept.violations, kept.fleet);
+    assert_eq!((kept.fleet.len(), kept.fleet[0].spent, kept.fleet[0].over), (1, 10, 0));
+    // No proxy sent more than four of these.
+    let over = story(11, 0);
+    assert!(!over.kept() && over.fleet[0].over == 1 && over.fleet_over.len() == 1, "{:?}", over.fleet);
+    assert!(over.violations.is_empty(), "{:?}", over.violations);
+    // Faster than the budget for long is found as well as a burst.
+    assert!(story(40, 100 * MS).kept());
+    assert!(story(60, 80 * MS).fleet[0].over > 0);
+}
+
+#[test]
+fn a_stopped_proxy_owes_its_answers_once_it_goes_on_and_hears_then_what_it_was_told() {
+    let story = |went_on: u64, answered: u64| {
+        let mut story = busy_story();
+        let id = story.sent(S, 0);
+        story.put(S + 10 * MS, Record::Stopped { proxy: 0 });
+        story.put(went_on, Record::WentOn { proxy: 0 });
+        story.attempt(answered - 50 * MS, id, 1, 0, 0, End::Ok);
+        story.answered(answered, id, Answer::Served);
+        story
+    };
+    story(4 * S, 4_500 * MS).kept();
+    story(4 * S, 5_500 * MS).breaks(1, "after its deadline");
+    // Told of a drain while it stood: the grace counts from when it went on.
+    let mut story = story(4 * S, 4_500 * MS);
+    story.told(S + 500 * MS, 1, State::Draining);
+    story.ordinary(5 * S, 0);
+    story.told(5 * S + 500 * MS, 1, State::Ready);
+    story.kept_until(6 * S);
+}
+
 #[test]
 fn files_come_back_as_written_and_damage_is_refused() {
     let story = busy_story();
--- a/crates/lab/src/drawn.rs
+++ b/crates/lab/src/drawn.rs
@@ -339,6 +339,7 @@
             max_attempts: f.allow.max_attempts,
             second_copies: f.allow.second_copies,
         },
+        budgets: None,
     };
     if f.zones.len() > 1 {
         notes.push("not played: time between zones".into());
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod disturbed;
 pub mod drawn;
 pub mod fleet;
+pub mod fleet_days;
 pub mod measure;
 mod proxies;
 pub mod report;
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -43,6 +43,7 @@
         "proxy_cpu_s": outcome.cpu,
         "records": outcome.records,
         "rules": {"broken": v.broken, "looked_at": v.looked_at},
+        "fleet_bounds": v.fleet.iter().map(|b| json!({"what": b.what, "budget": b.budget, "spent": b.spent, "nearest": b.nearest, "over": b.over})).collect::<Vec<_>>(),
         "faults": outcome.faults,
     })
 }
@@ -111,6 +112,14 @@
     for v in outcome.verdict.violations.iter().take(20) {
         let _ = writeln!(s, "    {:.3} s rule {}: {}", v.at as f64 / 1e6, v.rule, v.what);
     }
+    for b in &outcome.verdict.fleet {
+        let word = if b.over == 0 { "kept".to_owned() } else { format!("BROKEN {} times", b.over) };
+        let _ = writeln!(
+            s,
+            "  fleet: {} {word}: {} of {} a second, the fullest span {:.2} of its bound",
+            b.what, b.spent, b.budget, b.nearest
+        );
+    }
     for fault in &outcome.faults {
         let _ = writeln!(s, "  fault: {fault}");
     }
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -3,6 +3,7 @@
 use crate::controller::{Controller, offer_builds};
 use crate::proxies::{Launch, Proxies};
 use crate::{report, script};
+use rustix::process::Signal;
 use std::fs::File;
 use std::io::BufWriter;
 use std::path::PathBuf;
@@ -67,6 +68,9 @@
 enum Blow {
     Kill,
     Start,
+    Stop,
+    GoOn,
+    StartTwin,
     TakeOver,
     KillController,
     StartController,
@@ -102,6 +106,17 @@
         let at = |i| t.at + i * t.len / times;
         blows.extend((0..times).flat_map(|i| t.on.iter().map(move |&p| (at(i), Blow::TakeOver, p))));
     }
+    for t in day.troubles.iter().filter(|t| t.kind == Kind::ProxyStall) {
+        let span = (t.size * 1e3) as u64;
+        let every = if t.extra > 0.0 { (t.extra * 1e6) as u64 } else { t.len };
+        let times = (t.at..t.at + t.len).step_by(every.max(span + 1) as usize);
+        let both = |at, p| [(at, Blow::Stop, p), (at + span, Blow::GoOn, p)];
+        blows.extend(times.flat_map(|at| t.on.iter().flat_map(move |&p| both(at, p))));
+    }
+    for t in day.troubles.iter().filter(|t| t.kind == Kind::ProxyTwin) {
+        blows.extend(t.on.iter().map(|&p| (t.at, Blow::StartTwin, p)));
+    }
+    blows.retain(|b| b.2 < day.proxies.len());
     for t in day.troubles.iter().filter(|t| t.kind == Kind::ControllerCrash) {
         let times = t.size.max(1.0) as u64;
         let down = (t.extra.max(0.05) * 1e6) as u64;
@@ -258,6 +273,26 @@
                         // What it sent in its last moment is seen a little later: its life ends here.
                         entries.push(Entry { at: clock.now(), record: Record::Killed { proxy: n as u32 } });
                     }
+                    Blow::Stop | Blow::GoOn => {
+                        let (proxy, stops) = (n as u32, blow == Blow::Stop);
+                        say(&format!(
+                            "{} proxy {n} {}",
+                            at(now),
+                            if stops { "is stopped" } else { "goes on" }
+                        ));
+                        // Seen from outside a standstill begins and ends in the process's favour.
+                        if stops {
+                            entries.push(Entry { at: clock.now(), record: Record::Stopped { proxy } });
+                            proxies.signal(n, Signal::STOP);
+                        } else {
+                            proxies.signal(n, Signal::CONT);
+                            entries.push(Entry { at: clock.now(), record: Record::WentOn { proxy } });
+                        }
+                    }
+                    Blow::StartTwin => {
+                        say(&format!("{} a second process starts as proxy {n}", at(now)));
+                        proxies.start_twin(n).map_err(|e| format!("proxy {n}: {e}"))?;
+                    }
                     Blow::KillController => {
                         say(&format!("{} the controller is killed", at(now)));
                         controller.iter_mut().for_each(Controller::kill);
--- a/crates/lab/src/script.rs
+++ b/crates/lab/src/script.rs
@@ -55,18 +55,23 @@
         let keyed = group.map_or(String::new(), |g| format!(", group = \"{g}\", window = {}", us(c.window)));
         let _ = writeln!(
             s,
-            "request_class(name = {:?}, aim = {}, deadline = {}, effect = \"{effect}\", worth = {:?}, late_worth = {:?}{keyed})",
+            "request_class(name = {:?}, aim = {}, deadline = {}, effect = \"{effect}\", worth = {:?}, late_worth = {:?}, further = {:?}{keyed})",
             c.name,
             us(c.aim),
             us(c.deadline),
             c.worth,
-            c.late_worth
+            c.late_worth,
+            day.budgets.as_ref().map_or(0.0, |b| b.further[i])
         );
         let _ = writeln!(s, "route(prefix = \"/c{i}/\", to = {:?})", c.name);
     }
     for (name, _) in &day.tenants {
         let _ = writeln!(s, "tenant(name = {name:?})");
     }
+    if let Some(b) = day.budgets.as_ref().filter(|b| b.further.iter().any(|f| *f > 0.0)) {
+        let (lease, burst) = (us(b.lease), us(b.burst));
+        let _ = writeln!(s, "budgets(floor_percent = {}, lease = {lease}, burst = {burst})", b.floor_percent);
+    }
     let r = &day.rollout;
     let gate = match r.gate {
         Gate::Any => "any",
--- a/crates/standin/src/day.rs
+++ b/crates/standin/src/day.rs
@@ -38,6 +38,22 @@
     pub troubles: Vec<Trouble>,
     /// The rules' figures.
     pub contract: Contract,
+    /// Budgets of the whole fleet, if it has any.
+    #[serde(default)]
+    pub budgets: Option<Budgets>,
+}
+
+/// Budgets of the whole fleet, and how its proxies part them.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Budgets {
+    /// By class: attempts a second beyond each request's first; 0: no bound.
+    pub further: Vec<f64>,
+    /// The part that is never lent, in percent.
+    pub floor_percent: u64,
+    /// How long rights are lent for.
+    pub lease: u64,
+    /// Rights of so long a span may be saved up.
+    pub burst: u64,
 }
 
 /// A proxy.
@@ -317,8 +333,25 @@
     ProxyCrash,
     /// Proxies (`on`) are killed and started again one after another, `size` of them at a time.
     ProxyRoll,
-    /// Proxies (`on`) stand still for `size` ms every `extra` seconds.
+    /// Proxies (`on`) stand still for `size` ms every `extra` seconds; once, if that is 0.
     ProxyStall,
+    /// A second process is started under the identity of each of these proxies (`on`). It must end by itself and say
+    /// why.
+    ProxyTwin,
+    /// Datagrams between proxies `on` and the others are lost: all (`which` 0), those that `on` send (1), those sent
+    /// to `on` (2). If `extra` is over 0.5, those within `on` as well.
+    PeersCut,
+    /// A share `size` of the datagrams from and to proxies `on` is lost; of all if none are named.
+    PeersLoss,
+    /// Datagrams from and to proxies `on` (all if none are named) are held for up to `size` seconds, and so arrive in any
+    /// order.
+    PeersSlow,
+    /// The roster answers none of the proxies `on`.
+    RosterCut,
+    /// Proxies `on` hear nothing from the desk: no news, no replies; their votes do not arrive.
+    DeskCut,
+    /// Proxies `on` and the servers of zone `which` hear nothing of each other.
+    ServersCut,
     /// Proxies (`on`) are replaced by a new process that takes over, `size` times one after another.
     ProxyTakeover,
     /// The release controller is killed, `size` times one after another, and started again after `extra`
@@ -398,6 +431,8 @@
             guarded_stages: self.rollout.guarded,
             one_way: self.rollout.one_way,
             slack,
+            further: self.budgets.iter().flat_map(|b| &b.further).map(|f| (f * 1e3).round() as u64).collect(),
+            further_burst: self.budgets.as_ref().map_or(0, |b| b.burst),
         }
     }
 
@@ -426,6 +461,9 @@
         if !(self.traffic.rate > 0.0 && self.traffic.rate <= 100_000.0) {
             return Err("a rate is over 0, at most 100,000 a second".into());
         }
+        if self.budgets.as_ref().is_some_and(|b| b.further.len() != self.classes.len()) {
+            return Err("each class needs a budget, if any has one; 0 is none".into());
+        }
         if self.length == 0 || self.length > 600_000_000 {
             return Err("a day lasts 10 minutes at most".into());
         }
--- a/crates/standin/src/drive/site.rs
+++ b/crates/standin/src/drive/site.rs
@@ -205,8 +205,24 @@
 
     /// A trouble of this kind that is going on.
     pub(super) fn active(&self, kind: Kind) -> Option<&Trouble> {
+        self.all_active(kind).next()
+    }
+
+    /// All of them.
+    pub(super) fn all_active(&self, kind: Kind) -> impl Iterator<Item = &Trouble> {
         let now = self.clock.now();
-        self.day.troubles.iter().find(|t| t.kind == kind && t.at <= now && now < t.at + t.len)
+        self.day.troubles.iter().filter(move |t| t.kind == kind && t.at <= now && now < t.at + t.len)
+    }
+
+    /// Whether a proxy is cut off by a trouble of this kind.
+    pub(super) fn cut_off(&self, kind: Kind, proxy: u32) -> bool {
+        self.all_active(kind).any(|t| t.on.contains(&(proxy as usize)))
+    }
+
+    /// Whether a proxy and a machine hear nothing of each other.
+    pub(super) fn out_of_reach(&self, proxy: u32, machine: u64) -> bool {
+        let zone = self.machines.get(&machine).map(|m| usize::from(m.server.spec.zone));
+        self.all_active(Kind::ServersCut).any(|t| t.on.contains(&(proxy as usize)) && zone == Some(t.which))
     }
 
     fn due(&self) -> u64 {
@@ -442,6 +458,8 @@
             Kind::RosterLost | Kind::RosterGarbage | Kind::RosterBack if on => {
                 self.trouble_roster(trouble.kind)
             }
+            Kind::RosterCut | Kind::DeskCut if on => self.cut_streams(trouble),
+            Kind::ServersCut if !on => self.end_unreachable(),
             _ => {}
         }
     }
