--- a/src/balance.rs
+++ b/src/balance.rs
@@ -503,8 +503,8 @@
         self.cap(now, build) > 0.0 && !guarded && room <= free + 1e-9
     }
 
-    /// A server may be listed with the newest build while an attempt is out there that left for the one before:
-    /// its answer counts as the newest's.
+    /// A server may be listed with the newest build while an attempt is out there that left for the one
+    /// before: its answer counts as the newest's.
     fn bind_relisted(&mut self) {
         let Some(newest) = self.m.news.filter(|_| self.set.rollout.one_way).map(|n| n.build) else { return };
         let listed = |a: &Attempt| self.m.servers.get(&a.to.id).map(|s| s.entry.build);
