A reload that changes the fleet's budgets is refused; settings and the report of rights tested

Found on rereading: a reload took changed budgets (further, budgets(...)) and went on with the old ones, as the engine has them from its start, while the settings in force said otherwise. A new life is needed for other parts, since leases of the old ones still stand: the reload is refused as one that changes the decisions is. Tests: that, three faults of the settings, and the report's sum, silence and disagreement.

--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -182,6 +182,8 @@
     drop(stream);
     let (code, why) = told(&sound.replace("aim = \"500ms\"", "aim = \"400ms\""));
     assert!(code == 3 && why.contains("decisions need a new process"), "{why}");
+    let (code, why) = told(&sound.replace("effect = \"retryable\"", "effect = \"retryable\", further = 9"));
+    assert!(code == 3 && why.contains("budgets of the fleet need a new process"), "{why}");
     let (code, why) = told(&sound.replace("aim = \"500ms\"", "aim = 5"));
     assert!(code == 3 && why.contains("aim: invalid type"), "{why}");
     std::fs::write(&settings, &sound).unwrap();
--- a/crates/fleet/tests/calls.rs
+++ b/crates/fleet/tests/calls.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 use violetseam_control::Reading;
 use violetseam_control::wire::{Act, Answer, Ask, Reply, write};
-use violetseam_fleet::{Fleet, Outcome, pick, report};
+use violetseam_fleet::{Fleet, Outcome, Silence, pick, report};
 use violetseam_settings::Member;
 
 fn daemon(name: &str, play: impl Fn(UnixStream, usize) + Send + 'static) -> Member {
@@ -138,3 +138,20 @@
     assert!(names(&["z"]).is_err());
     let _ = Ask::Whoami;
 }
+
+#[test]
+fn rights_are_shown_by_class_with_their_sum_and_whoever_differs() {
+    use violetseam_control::state::Rights;
+    let of = |budget, rate| {
+        let rights = Rights { class: "read".into(), budget, rate, ..Rights::default() };
+        Ok(Reading { rights: vec![rights], ..Reading::default() })
+    };
+    let names: Vec<String> = ["a", "b", "c"].map(String::from).to_vec();
+    let alike =
+        report::rights_table(&names, &[of(9_000, 4_000), of(9_000, 2_500), Err(Silence("gone".into()))]);
+    assert!(alike.contains("read: those that answered may spend 6.5 of 9.0 (2) a second\n"), "{alike}");
+    assert!(alike.contains("SILENT") && alike.ends_with(": c\n") && !alike.contains("DISAGREE"), "{alike}");
+    let unlike = report::rights_table(&names, &[of(9_000, 3_000), of(8_000, 2_000), Ok(Reading::default())]);
+    assert!(unlike.contains("5.0 of 8.0 (1), 9.0 (1) a second; THEY DISAGREE"), "{unlike}");
+    assert!(unlike.contains("1 have none"), "{unlike}");
+}
--- a/crates/proxy/src/driver/operators.rs
+++ b/crates/proxy/src/driver/operators.rs
@@ -565,6 +565,7 @@
         )?;
         same("addresses that are bound", (&old.listen, old.peer_listen) == (&new.listen, new.peer_listen))?;
         same("tenants", old.tenants == new.tenants)?;
+        same("budgets of the fleet", old.budgets == new.budgets)?;
         let control = |s: &ProxySettings| s.control_tls.as_ref().map(|tls| tls.0);
         same("the address of control_tls", control(old) == control(&new))?;
         desk.keys = keys;
--- a/crates/settings/tests/scripts.rs
+++ b/crates/settings/tests/scripts.rs
@@ -67,6 +67,9 @@
     refused("half_close = \"serve\"", "keep_body = 100, max_body = 10", "keep_body is over max_body");
     refused("tenant(name = \"a\", quota = 10)", "tenant(name = \"a\", quota = nope)", "nope");
     refused("PORT = 7000", "PORT = 7000 +", "Parse error");
+    refused("connections(half_close = \"serve\"", "budgets(lease = \"1s\"", "no request_class has a budget");
+    refused("worth = 3", "worth = 3, further = -1", "further is 0 to");
+    refused("worth = 3", "worth = 3, further = 1", "never saves up one token");
 }
 
 #[test]
