Shared state reread: one hash, less state, each check once; lab check names the bound

The plan's digest was a hash written by hand beside the hash crate in use; when a server last went well was kept though the word tells it; a member asked itself twice a turn whether it suspects itself; a list of servers copied what it kept; a server's reply was matched twice; SIGTERM had a loop beside the function that sends signals.

The platform's path is untouched.

--- a/crates/audit/src/fleet.rs
+++ b/crates/audit/src/fleet.rs
@@ -15,8 +15,10 @@
     pub spent: u64,
     /// The share of what any span may hold that the fullest span held: over 1 is a breach.
     pub nearest: f64,
-    /// How many came past the bound.
+    /// How many came past the bound, and when the first of them did.
     pub over: u64,
+    /// In microseconds.
+    pub first_over: Option<u64>,
 }
 
 pub(crate) fn check(rules: &Rules, run: &Run<'_>, verdict: &mut Verdict) {
@@ -38,9 +40,7 @@
             bound.nearest = bound.nearest.max(used / depth);
             if used > depth + 1e-9 {
                 bound.over += 1;
-                if bound.over == 1 {
-                    verdict.fleet_over.push((at, format!("{} over {rate} a second", bound.what)));
-                }
+                bound.first_over = bound.first_over.or(Some(at));
             }
         }
         verdict.fleet.push(bound);
--- a/crates/audit/src/lib.rs
+++ b/crates/audit/src/lib.rs
@@ -41,8 +41,6 @@
     pub looked_at: [u64; 5],
     /// Bounds of the whole fleet.
     pub fleet: Vec<Bound>,
-    /// Where each that was broken first was: when, and what.
-    pub fleet_over: Vec<(u64, String)>,
 }
 
 impl Verdict {
--- a/crates/audit/tests/planted.rs
+++ b/crates/audit/tests/planted.rs
@@ -342,7 +342,11 @@
     assert_eq!((kept.fleet.len(), kept.fleet[0].spent, kept.fleet[0].over), (1, 10, 0));
     // No proxy sent more than four of these.
     let over = story(11, 0);
-    assert!(!over.kept() && over.fleet[0].over == 1 && over.fleet_over.len() == 1, "{:?}", over.fleet);
+    assert!(
+        !over.kept() && over.fleet[0].over == 1 && over.fleet[0].first_over == Some(S + 50 * MS),
+        "{:?}",
+        over.fleet
+    );
     assert!(over.violations.is_empty(), "{:?}", over.violations);
     // Faster than the budget for long is found as well as a burst.
     assert!(story(40, 100 * MS).kept());
--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -161,5 +161,6 @@
         println!("{:.3} s rule {}: {}", v.at as f64 / 1e6, v.rule, v.what);
     }
     println!("broken by rule: {:?}", verdict.broken);
+    print!("{}", report::fleet_bounds(&verdict));
     Ok(if verdict.kept() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
--- a/crates/lab/src/proxies.rs
+++ b/crates/lab/src/proxies.rs
@@ -64,7 +64,7 @@
         Ok(())
     }
 
-    /// Stops a proxy where it is, or has it go on.
+    /// Sends a proxy a signal, if it is there.
     pub fn signal(&self, n: usize, signal: Signal) {
         let pid = self.children[n].as_ref().and_then(|child| Pid::from_raw(child.id() as i32));
         if let Some(pid) = pid {
@@ -113,11 +113,7 @@
 
     /// Asks all to drain and waits; the ones that did not end well.
     pub fn drain(&mut self, within: Duration) -> Vec<String> {
-        for child in self.children.iter().flatten() {
-            if let Some(pid) = Pid::from_raw(child.id() as i32) {
-                let _ = kill_process(pid, Signal::TERM);
-            }
-        }
+        (0..self.children.len()).for_each(|n| self.signal(n, Signal::TERM));
         let until = Instant::now() + within;
         let mut wrong = Vec::new();
         for (n, mut twin) in self.twins.drain(..) {
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -4,6 +4,7 @@
 use hdrhistogram::Histogram;
 use serde_json::{Value, json};
 use std::fmt::Write;
+use violetseam_audit::Verdict;
 use violetseam_standin::day::Day;
 
 /// Worth served in time over worth asked for.
@@ -48,6 +49,23 @@
     })
 }
 
+/// How the bounds of the whole fleet were kept, a line each.
+pub fn fleet_bounds(verdict: &Verdict) -> String {
+    let mut s = String::new();
+    for b in &verdict.fleet {
+        let word = match b.first_over {
+            None => "kept".to_owned(),
+            Some(at) => format!("BROKEN {} times, first at {:.3} s", b.over, at as f64 / 1e6),
+        };
+        let _ = writeln!(
+            s,
+            "  fleet: {} {word}: {} of {} a second, the fullest span {:.2} of its bound",
+            b.what, b.spent, b.budget, b.nearest
+        );
+    }
+    s
+}
+
 /// The day in words.
 pub fn text(day: &Day, outcome: &Outcome) -> String {
     let mut s = String::new();
@@ -112,14 +130,7 @@
     for v in outcome.verdict.violations.iter().take(20) {
         let _ = writeln!(s, "    {:.3} s rule {}: {}", v.at as f64 / 1e6, v.rule, v.what);
     }
-    for b in &outcome.verdict.fleet {
-        let word = if b.over == 0 { "kept".to_owned() } else { format!("BROKEN {} times", b.over) };
-        let _ = writeln!(
-            s,
-            "  fleet: {} {word}: {} of {} a second, the fullest span {:.2} of its bound",
-            b.what, b.spent, b.budget, b.nearest
-        );
-    }
+    s.push_str(&fleet_bounds(&outcome.verdict));
     for fault in &outcome.faults {
         let _ = writeln!(s, "  fault: {fault}");
     }
--- a/crates/shared/src/budgets.rs
+++ b/crates/shared/src/budgets.rs
@@ -4,6 +4,7 @@
 use crate::rights::{Micros, Rate, Rights, Settings};
 use crate::wire::{self, Item, Word};
 use std::collections::BTreeMap;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// What all members of a fleet must have alike, but for the position.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -79,11 +80,11 @@
         settings.into_iter().find_map(|(class, set)| Some((class, set.fault()?)))
     }
 
-    /// Names the plan, less the position (FNV-1a): members whose plans differ neither ask nor lend each other.
+    /// Names the plan, less the position: members whose plans differ neither ask nor lend each other.
     fn digest(&self) -> u32 {
         let own = [self.members as u64, self.floor_percent, self.lease, self.drift_ppm, self.burst];
-        let bytes = own.iter().chain(&self.by_class).flat_map(|word| word.to_le_bytes());
-        bytes.fold(0x811c_9dc5, |sum, byte| (sum ^ u32::from(byte)).wrapping_mul(0x0100_0193))
+        let bytes: Vec<u8> = own.iter().chain(&self.by_class).flat_map(|word| word.to_le_bytes()).collect();
+        xxh3_64(&bytes) as u32
     }
 }
 
--- a/crates/shared/src/servers.rs
+++ b/crates/shared/src/servers.rs
@@ -95,6 +95,11 @@
         }
     }
 
+    /// Whether the latest attempt went well.
+    fn ends_well(self) -> bool {
+        self.failed == 0 && self.unreached == 0
+    }
+
     fn is_bad(self) -> bool {
         let bad = u16::from(self.failed) + u16::from(self.unreached);
         bad > 0 && (self.well == 0 || bad >= STREAK)
@@ -109,8 +114,6 @@
     /// What own attempts came to since the last span of a window without one, and when the latest ended.
     own: Word,
     met_at: Option<Micros>,
-    /// When one last went well.
-    well_at: Option<Micros>,
     /// What was last sent to its collectors: when, of which moment, whether bad, how often.
     sent: Option<(Micros, Micros, bool, u8)>,
 }
@@ -161,20 +164,18 @@
 
     /// The servers there are, with their zones. What is known of others is forgotten: memory is bounded by the list.
     pub fn list(&mut self, servers: &[(ServerId, u16)]) {
-        let mut known = BTreeMap::new();
+        let mut before = std::mem::take(&mut self.known);
         for &(id, zone) in servers {
             let fresh = || Known {
                 zone,
                 collectors: self.collectors(id),
                 own: Word::default(),
                 met_at: None,
-                well_at: None,
                 sent: None,
             };
-            let was = self.known.get(&id).cloned();
-            known.insert(id, Known { zone, ..was.unwrap_or_else(fresh) });
+            let known = Known { zone, ..before.remove(&id).unwrap_or_else(fresh) };
+            self.known.insert(id, known);
         }
-        self.known = known;
         let known = &self.known;
         self.words.retain(|(id, _), _| known.contains_key(id));
         self.peers.iter_mut().for_each(|p| p.aside.retain(|id| known.contains_key(id)));
@@ -198,7 +199,6 @@
         }
         known.own.add(went);
         known.met_at = Some(now);
-        known.well_at = if went == Went::Well { Some(now) } else { known.well_at };
     }
 
     /// Whether most of the servers met lately look bad: then it is likely this member that is.
@@ -211,7 +211,8 @@
     /// Payloads to send now, by member: at most as many as the settings have. A round of verdicts, which is rare, goes before
     /// words; calls are a turn apart.
     pub fn turn(&mut self, now: Micros) -> Vec<(usize, Vec<u8>)> {
-        let aside = self.judged(now);
+        let trusted = !self.suspects_itself(now);
+        let aside = self.judged(now, trusted);
         if aside != self.told || (!aside.is_empty() && now >= self.round_at) {
             // All hear a change, also that nothing is set aside any more, and hear again before the list lapses.
             let rounds = if aside == self.told { 1 } else { usize::from(SENDS) };
@@ -228,7 +229,8 @@
             }
             self.next = (self.next + 1) % self.set.members;
         }
-        let room = self.set.sends - out.len();
+        // One that suspects itself says nothing of its own.
+        let room = if trusted { self.set.sends - out.len() } else { 0 };
         out.extend(self.words_to_send(now, room));
         out
     }
@@ -239,14 +241,14 @@
         3 * calls * self.set.turn
     }
 
-    /// Words that are new to their collectors, by collector. Nothing from one that suspects itself.
+    /// Words that are new to their collectors, by collector, in at most `room` payloads.
     fn words_to_send(&mut self, now: Micros, room: usize) -> Vec<(usize, Vec<u8>)> {
-        if self.suspects_itself(now) {
+        if room == 0 {
             return Vec::new();
         }
         let (window, pause, position) = (self.set.window, PAUSE * self.set.turn, self.set.position);
         let mut due: Vec<(bool, ServerId, Word)> = Vec::new();
-        for (&id, known) in &mut self.known {
+        for (&id, known) in &self.known {
             let (Some(word), Some(met)) = (known.word(now, window), known.met_at) else { continue };
             let news = known.sent.is_none_or(|(at, of, bad, times)| {
                 let again = times < SENDS;
@@ -325,11 +327,11 @@
         }
     }
 
-    /// What this member has set aside as a collector: the worst first, as many as a list holds.
-    fn judged(&mut self, now: Micros) -> BTreeSet<ServerId> {
+    /// What this member has set aside as a collector: the worst first, as many as a list holds. Own attempts count if they
+    /// are `trusted`.
+    fn judged(&mut self, now: Micros, trusted: bool) -> BTreeSet<ServerId> {
         let stale = self.set.stale;
         self.words.retain(|_, (of, _)| now < *of + stale);
-        let trusted = !self.suspects_itself(now);
         let mut judged: Vec<(usize, ServerId)> = Vec::new();
         for (&id, known) in self.known.iter().filter(|(_, k)| k.collectors.contains(&self.set.position)) {
             let of_others = self.words.range((id, 0)..=(id, usize::MAX)).map(|(_, word)| *word);
@@ -362,7 +364,9 @@
                 }
             };
             let votes = known.collectors.iter().filter(says).count();
-            if 2 * votes > known.collectors.len() && !known.went_well_lately(now, self.set.window) {
+            if 2 * votes > known.collectors.len()
+                && !known.word(now, self.set.window).is_some_and(Word::ends_well)
+            {
                 zone.1.push((votes, id));
             }
         }
@@ -390,9 +394,4 @@
     fn word(&self, now: Micros, window: Micros) -> Option<Word> {
         self.met_at.filter(|met| now < met + window).map(|_| self.own)
     }
-
-    /// Whether the latest own attempt went well, and not long ago.
-    fn went_well_lately(&self, now: Micros, window: Micros) -> bool {
-        self.well_at.is_some_and(|well| now < well + window && self.met_at == Some(well))
-    }
 }
--- a/crates/standin/src/drive/site_http.rs
+++ b/crates/standin/src/drive/site_http.rs
@@ -381,17 +381,6 @@
         let Some(conn) = self.conns.get_mut(key) else { return };
         conn.job = None;
         let (Role::Server(machine), sender) = (conn.role, conn.sender) else { return };
-        if sender.is_some_and(|proxy| self.out_of_reach(proxy, machine)) {
-            // It ran; the answer is lost on the way.
-            let end = match reply {
-                Reply::Ok { .. } => End::Ok,
-                Reply::Error => End::Error,
-                Reply::NotRun => End::NotRun,
-            };
-            self.see_end(job, end);
-            return self.sever(key);
-        }
-        let Some(conn) = self.conns.get_mut(key) else { return };
         let build = self.machines.get(&machine).map_or(0, |m| m.server.build.number).to_string();
         let mut fields = vec![(HeaderName::from_static(BUILD), build.as_bytes())];
         let (status, end) = match reply {
@@ -412,11 +401,16 @@
                 (StatusCode::SERVICE_UNAVAILABLE, End::NotRun)
             }
         };
+        self.see_end(job, end);
+        if sender.is_some_and(|proxy| self.out_of_reach(proxy, machine)) {
+            // The server has answered; the answer is lost on the way.
+            return self.sever(key);
+        }
+        let Some(conn) = self.conns.get_mut(key) else { return };
         let (out, none) = (conn.socket.out(), HeaderMap::new());
         conn.http.start_answer(out, status, &none, &fields, Framing::Length(3), false);
         conn.http.write_body(out, b"ok\n");
         conn.http.finish_answer(out);
-        self.see_end(job, end);
         self.flush(key);
         self.events(key);
     }
