Pushed lists are followed on the platform too, and from a process's first moment

At fault: the driver asks for a list at Order::FollowList alone, which the module orders only where lists come on request (src/balance.rs, on_event); there was never a call and never a watch, so each process lived on its first list.

Change: the driver has the list followed whatever the settings say of its way, and where it is pushed a process says that it is ready only once its first call has ended, as what the service has counts from the first moment there. Test: scripted discovery, -LOADING until its answer, then two changes one after the other. Without the change no call comes ('nobody connects'). A library of scripted peers (tests/common/steps.rs) goes with it.

--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -4,6 +4,7 @@
 pub mod fleet;
 pub mod platform;
 pub mod services;
+pub mod steps;
 
 use rustix::process::{Pid, Signal, kill_process};
 use std::io::{BufRead, BufReader, Read, Write};
--- a/crates/cli/tests/common/platform.rs
+++ b/crates/cli/tests/common/platform.rs
@@ -197,12 +197,15 @@
 
 /// Starts the program and waits until it says that it serves.
 pub fn start(name: &str, config: &str) -> Proxy {
+    start_at(name, config, free_address())
+}
+
+fn free_address() -> SocketAddr {
     // Free a moment ago, on an address of its own: nothing else here binds to it meanwhile.
     static STARTED: AtomicU8 = AtomicU8::new(1);
     let process = 100 + (std::process::id() % 100) as u8;
     let own = Ipv4Addr::new(127, process, STARTED.fetch_add(1, Ordering::Relaxed), 1);
-    let addr = TcpListener::bind((own, 0)).unwrap().local_addr().unwrap();
-    start_at(name, config, addr)
+    TcpListener::bind((own, 0)).unwrap().local_addr().unwrap()
 }
 
 /// Ends the process by a signal and starts its successor under its address and configuration.
@@ -214,6 +217,17 @@
 }
 
 fn start_at(name: &str, config: &str, addr: SocketAddr) -> Proxy {
+    let proxy = launch_at(name, config, addr);
+    wait_until("it does not serve", || proxy.ping() == Some(b"+PONG\r\n".to_vec()));
+    proxy
+}
+
+/// Starts the program and waits for nothing.
+pub fn launch(name: &str, config: &str) -> Proxy {
+    launch_at(name, config, free_address())
+}
+
+fn launch_at(name: &str, config: &str, addr: SocketAddr) -> Proxy {
     let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("platform-{name}"));
     std::fs::create_dir_all(&folder).unwrap();
     let file = folder.join("config.json");
@@ -228,19 +242,7 @@
         .stderr(std::fs::File::create(folder.join("log")).unwrap())
         .spawn()
         .unwrap();
-    let proxy = Proxy { child, addr, file };
-    let until = Instant::now() + PATIENCE;
-    loop {
-        if let Ok(mut stream) = TcpStream::connect(addr) {
-            stream.write_all(b"*1\r\n$4\r\nPING\r\n").unwrap();
-            let mut pong = [0; 7];
-            if stream.read_exact(&mut pong).is_ok() && &pong == b"+PONG\r\n" {
-                return proxy;
-            }
-        }
-        assert!(Instant::now() < until, "it does not serve");
-        std::thread::sleep(Duration::from_millis(10));
-    }
+    Proxy { child, addr, file }
 }
 
 impl Proxy {
@@ -248,6 +250,25 @@
         Client::over(TcpStream::connect(self.addr).unwrap())
     }
 
+    /// What it answers to `PING` on a new connection; nothing while it does not listen.
+    pub fn ping(&self) -> Option<Vec<u8>> {
+        let mut stream = TcpStream::connect(self.addr).ok()?;
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream.write_all(b"*1\r\n$4\r\nPING\r\n").ok()?;
+        let mut answer = String::new();
+        BufReader::new(stream).read_line(&mut answer).ok()?;
+        Some(answer.into_bytes())
+    }
+
+    /// Returns once it has read all that was written to it before: what lies there when the first `PING` is read
+    /// is read in the same turn of its loop, and the second is of a later turn.
+    pub fn settle(&self) {
+        let mut client = self.open();
+        for _ in 0..2 {
+            assert_eq!(client.ask(b"*1\r\n$4\r\nPING\r\n"), Heard::Line("+PONG".into()));
+        }
+    }
+
     pub fn signal(&self, signal: Signal) {
         kill_process(Pid::from_child(&self.child), signal).unwrap();
     }
--- a/crates/cli/tests/common/services.rs
+++ b/crates/cli/tests/common/services.rs
@@ -1,7 +1,7 @@
 //! Discovery and the release service as scripts whose state a test sets: they answer, fall silent, refuse, say that
 //! they cannot, or send spoilt bytes, and come back.
 
-use super::platform::line;
+use super::platform::{config, line};
 use std::io::{BufReader, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
@@ -54,6 +54,16 @@
     format!(r#"{{"revision":{revision},"complete":true,"members":[{members}]}}"#)
 }
 
+/// A configuration over these services; `known` is the list as last held, `trial` the newest build's state.
+pub fn told(services: [&Service; 2], known: &[Member], trial: &str) -> String {
+    let text = config(services[0].addr, services[1].addr, &[], 256);
+    let mut json: serde_json::Value = serde_json::from_str(&text).unwrap();
+    json["known"] = serde_json::from_str(&list(1, known)).unwrap();
+    json["pipeline"]["news"] = serde_json::from_str(trial).unwrap();
+    json["settings"]["FamilyInfo"]["Uncounted"] = 2.into();
+    json.to_string()
+}
+
 /// What a service tells, and how it stands.
 struct State {
     mood: Mood,
--- a/crates/cli/tests/platform_faults.rs
+++ b/crates/cli/tests/platform_faults.rs
@@ -4,9 +4,9 @@
 mod common;
 
 use common::platform::{
-    Heard, Proxy, Say, Server, config, good, look, run_again, server, start, value, wait_until, words,
+    Heard, Proxy, Say, Server, good, look, run_again, server, start, value, wait_until, words,
 };
-use common::services::{FAILURES, Member, Mood, Service, discovery, list, member, news, pipeline};
+use common::services::{FAILURES, Member, Mood, Service, discovery, list, member, news, pipeline, told};
 use rustix::process::Signal;
 use std::collections::HashMap;
 use std::net::{SocketAddr, TcpStream, UdpSocket};
@@ -23,16 +23,6 @@
     server.got.lock().unwrap().len()
 }
 
-/// A configuration over these services; `known` is the list as last held, `trial` the newest build's state.
-fn told(services: [&Service; 2], known: &[Member], trial: &str) -> String {
-    let text = config(services[0].addr, services[1].addr, &[], 256);
-    let mut json: serde_json::Value = serde_json::from_str(&text).unwrap();
-    json["known"] = serde_json::from_str(&list(1, known)).unwrap();
-    json["pipeline"]["news"] = serde_json::from_str(trial).unwrap();
-    json["settings"]["FamilyInfo"]["Uncounted"] = 2.into();
-    json.to_string()
-}
-
 /// Asks with ids of this name until the condition holds; every call must be served.
 fn ask_until(proxy: &Proxy, name: &str, what: &str, mut is: impl FnMut() -> bool) {
     let (mut client, mut n) = (proxy.open(), 0);
--- a/crates/platform-proxy/src/clients.rs
+++ b/crates/platform-proxy/src/clients.rs
@@ -273,7 +273,7 @@
             return self.decline(key, "too many commands at once");
         }
         match call::read(words, &self.config.instance) {
-            Ok(Command::Ping) if self.roster.is_empty() => {
+            Ok(Command::Ping) if self.roster.is_empty() || !self.discovery.is_ready() => {
                 self.reply(key, b"-LOADING no server list yet\r\n");
             }
             Ok(Command::Ping) => self.reply(key, b"+PONG\r\n"),
--- a/crates/platform-proxy/src/discovery.rs
+++ b/crates/platform-proxy/src/discovery.rs
@@ -22,6 +22,10 @@
 /// Discovery as this proxy speaks to it.
 pub(super) struct Discovery {
     address: SocketAddr,
+    /// What the service has counts as told from a process's first moment, heard or not.
+    pushed: bool,
+    /// A call has ended, with an answer or without.
+    answered: bool,
     /// The decisions want to hear of changes.
     following: bool,
     watch: Option<Call>,
@@ -40,8 +44,14 @@
 }
 
 impl Discovery {
-    pub fn new(address: SocketAddr) -> Self {
-        Discovery { address, following: false, watch: None, whole: None }
+    pub fn new(address: SocketAddr, pushed: bool) -> Self {
+        Discovery { address, pushed, answered: false, following: false, watch: None, whole: None }
+    }
+
+    /// Whether the list held may be used for the first requests of a life: where lists are pushed, only after the
+    /// first call, which ends within [`CALL_TIMEOUT`].
+    pub fn is_ready(&self) -> bool {
+        !self.pushed || self.answered
     }
 
     fn place(&mut self, generation: u64) -> Option<&mut Option<Call>> {
@@ -182,6 +192,7 @@
     /// An answer has come whole.
     fn discovery_answer(&mut self, generation: u64, reusable: bool) {
         let now = self.now();
+        self.discovery.answered = true;
         let Some(call) = self.discovery.call(generation) else { return };
         if !call.accepted {
             return self.discovery_ended(generation, "declined");
@@ -237,6 +248,7 @@
             tracing::warn!("discovery: {why}");
         }
         let now = self.now();
+        self.discovery.answered = true;
         self.engine.list(now, ListKind::Failed, &[]);
         self.pump();
     }
--- a/crates/platform-proxy/src/lib.rs
+++ b/crates/platform-proxy/src/lib.rs
@@ -153,7 +153,9 @@
 impl Proxy {
     fn new(config: Config, config_file: PathBuf, handle: LoopHandle<'static, Proxy>) -> Self {
         let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
-        let decisions = config.instance.decisions.clone();
+        let mut decisions = config.instance.decisions.clone();
+        // Pushed or asked for, a list comes here over calls and watches alone: somebody has to follow it.
+        let pushed = !std::mem::replace(&mut decisions.list_on_request, true);
         let budgets = Budgets::new(&config.limits, config.instance.open_cap);
         Proxy {
             engine: Engine::new(decisions, config.seed, None),
@@ -170,7 +172,7 @@
             servers: Slab::new(),
             idle: BTreeMap::new(),
             roster: Roster::new(config.instance.zones.clone()),
-            discovery: Discovery::new(config.discovery),
+            discovery: Discovery::new(config.discovery, pushed),
             pipeline: Pipeline::new(config.pipeline),
             udp: None,
             timers: Timers::default(),
