An attempt that can leave only later is asked about again at the moment of writing

Cause: start_attempt may dial for as long as the settings' time-out; on_server then wrote what had been decided before (crates/platform-proxy/src/servers.rs, crates/proxy/src/driver/servers.rs). The same for the rest of a request that a full socket had taken in part.

Change: Event::Leaving and Action::Withhold, Outcome::Withheld: the engine asks the module, which takes the attempt's booking back (exposure, key, cold budget, credit, right to a further attempt), looks at it anew, books it from now on or withholds it; the next takes its place, a first one at no cost. The driver owns when. An attempt that ended as never made gives its booking back as well. A key of a machine that was listed anew is bound by the attempt that is out there, so that one which never left can let it go.

--- a/crates/platform-proxy/src/servers.rs
+++ b/crates/platform-proxy/src/servers.rs
@@ -111,6 +111,16 @@
         }
     }
 
+    /// Whether an attempt that could not leave when it was ordered may leave now.
+    fn may_leave(&mut self, job: Job) -> bool {
+        let now = self.now();
+        let may = self.engine.may_leave(now, job.request, job.attempt);
+        if !may {
+            tracing::debug!(request = job.request, attempt = job.attempt, "withheld");
+        }
+        may
+    }
+
     fn end_attempt(&mut self, job: Job, outcome: Outcome) {
         let now = self.now();
         self.engine.attempt_ended(now, job.request, job.attempt, outcome);
@@ -142,14 +152,20 @@
         if let State::Connecting(job) = server.state {
             if server.socket.connect_error().is_some() {
                 self.server_lost(key);
-            } else if readiness.writable {
-                server.state = State::Busy(job);
+            } else if readiness.writable && self.may_leave(job) {
+                if let Some(server) = self.servers.get_mut(key) {
+                    server.state = State::Busy(job);
+                }
                 self.send_request(key);
             }
             return self.pump();
         }
         if readiness.writable && server.socket.waits() {
-            self.flush_server(key);
+            // The rest of a request counts from its last byte: until that is written the server has none of it.
+            let job = server.job();
+            if job.is_none_or(|job| self.may_leave(job)) {
+                self.flush_server(key);
+            }
         }
         if readiness.readable || readiness.error {
             self.read_server(key);
--- a/crates/proxy/src/driver/servers.rs
+++ b/crates/proxy/src/driver/servers.rs
@@ -271,15 +271,21 @@
 
     fn on_server(&mut self, key: usize, readiness: Readiness) {
         let Some(server) = self.servers.get_mut(key) else { return };
-        if let State::Connecting(_) = server.state {
+        if let State::Connecting(job) = &server.state {
+            let (request, attempt) = (job.request, job.attempt);
             if server.socket.connect_error().is_some() {
                 self.server_lost(key);
-            } else if readiness.writable
-                && let State::Connecting(job) = std::mem::replace(&mut server.state, State::Idle)
-            {
-                server.state = State::Busy(job);
-                self.send_request(key);
-                self.resume_growing(key);
+            } else if readiness.writable {
+                let now = self.now();
+                // Decided a while ago: asked again before the first byte, as its server may run it from then on.
+                if self.engine.may_leave(now, request, attempt)
+                    && let Some(server) = self.servers.get_mut(key)
+                    && let State::Connecting(job) = std::mem::replace(&mut server.state, State::Idle)
+                {
+                    server.state = State::Busy(job);
+                    self.send_request(key);
+                    self.resume_growing(key);
+                }
             }
             return self.pump();
         }
--- a/crates/proxy/src/engine.rs
+++ b/crates/proxy/src/engine.rs
@@ -114,6 +114,8 @@
     sent_at: Micros,
     cut_at: Micros,
     over: bool,
+    /// It never left: what follows is no further attempt.
+    withheld: bool,
 }
 
 #[derive(Debug)]
@@ -127,6 +129,8 @@
     /// Its body can be sent again.
     repeatable: bool,
     timed_out: bool,
+    /// Rights to a further attempt that a withheld one left unused.
+    spare_rights: usize,
     attempts: Vec<Attempt>,
 }
 
@@ -286,6 +290,7 @@
             streaming: None,
             repeatable,
             timed_out: false,
+            spare_rights: 0,
             attempts: Vec::new(),
         };
         self.requests.insert(id, in_hand);
@@ -307,6 +312,33 @@
         self.requests.get(&id).and_then(|r| r.attempts.get(attempt)).is_some_and(|a| !a.over)
     }
 
+    /// Asks again at the moment of writing, for an attempt that could not leave in the turn in which it was
+    /// ordered: its connection has come up only now, or takes the rest of it. False if it must not; its end has
+    /// been told then, and an [`Order::Drop`] closes its connection.
+    pub fn may_leave(&mut self, now: Micros, id: RequestId, number: usize) -> bool {
+        if !self.awaits(id, number) {
+            return false;
+        }
+        self.feed(now, Event::Leaving { request: id, attempt: number });
+        // Whatever the module finds: nothing leaves for nobody, nor behind a successor's back.
+        let over = |r: &InHand| r.finished || r.streaming.is_some();
+        if self.awaits(id, number) && (self.starts_nothing || self.requests.get(&id).is_some_and(over)) {
+            self.withhold(now, id, number);
+        }
+        self.awaits(id, number)
+    }
+
+    fn withhold(&mut self, now: Micros, id: RequestId, number: usize) {
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        let further = r.attempts.iter().take(number).any(|a| !a.withheld);
+        let Some(attempt) = r.attempts.get_mut(number).filter(|a| !a.over) else { return };
+        attempt.withheld = true;
+        r.spare_rights += usize::from(further);
+        self.counts.attempts -= 1;
+        self.orders.push_back(Order::Drop { request: id, attempt: number });
+        self.attempt_ended(now, id, number, Outcome::Withheld);
+    }
+
     /// An attempt has ended. True if its answer is the client's: the first served one of a request that is
     /// not finished. What comes after that, or after the attempt was given up, goes to nobody.
     pub fn attempt_ended(&mut self, now: Micros, id: RequestId, number: usize, outcome: Outcome) -> bool {
@@ -543,6 +575,7 @@
             Action::TellPeers { payload } => self.orders.push_back(Order::Tell { to: None, payload }),
             Action::TellPeer { to, payload } => self.orders.push_back(Order::Tell { to: Some(to), payload }),
             Action::Note(text) => self.orders.push_back(Order::Note(text)),
+            Action::Withhold { request, attempt } => self.withhold(now, request, attempt),
         }
     }
 
@@ -553,12 +586,17 @@
         let Some(r) = self.requests.get_mut(&id) else { return };
         let number = r.attempts.len();
         let cut_at = if cut_at == 0 { r.deadline } else { cut_at.min(r.deadline) };
-        let spent = !r.repeatable && number > 0;
+        // One that was withheld left nothing of the body, and no right, used.
+        let further = r.attempts.iter().any(|a| !a.withheld);
+        let spent = !r.repeatable && further;
         let idle = self.starts_nothing || r.finished || r.streaming.is_some() || number >= most || spent;
         // A right is taken last, for an attempt that would leave now.
-        let mut has_right = |class| number == 0 || self.budgets.as_mut().is_none_or(|b| b.spend(now, class));
+        let spare = further && r.spare_rights > 0;
+        let mut has_right =
+            |class| !further || spare || self.budgets.as_mut().is_none_or(|b| b.spend(now, class));
         let moot = idle || (cut_at > now && !has_right(r.class));
-        r.attempts.push(Attempt { server, sent_at: now, cut_at, over: false });
+        r.spare_rights -= usize::from(spare && !moot && cut_at > now);
+        r.attempts.push(Attempt { server, sent_at: now, cut_at, over: false, withheld: false });
         if moot {
             self.attempt_ended(now, id, number, Outcome::Moot);
         } else if cut_at <= now {
--- a/crates/recorder/src/frame.rs
+++ b/crates/recorder/src/frame.rs
@@ -72,6 +72,8 @@
     PlatformCount(Build, usize, u32, u32, Micros, Micros),
     /// See [`Event::Operator`].
     Operator(Operator),
+    /// See [`Event::Leaving`].
+    Leaving(RequestId, usize),
 }
 
 impl PartialEq for OwnedEvent {
@@ -95,6 +97,7 @@
             Event::VoteReply { outcome, news } => OwnedEvent::VoteReply(outcome, news),
             Event::PeerMessage { from, payload } => OwnedEvent::PeerMessage(from, payload.to_vec()),
             Event::Operator(word) => OwnedEvent::Operator(word),
+            Event::Leaving { request, attempt } => OwnedEvent::Leaving(request, attempt),
             Event::Probed { server, outcome } => OwnedEvent::Probed(server, outcome),
             Event::PlatformCount { build, class, attempts, failed, mean, age } => {
                 OwnedEvent::PlatformCount(build, class, attempts, failed, mean, age)
@@ -118,6 +121,7 @@
             OwnedEvent::Probed(..) => "probes",
             OwnedEvent::PlatformCount(..) => "platform counts",
             OwnedEvent::Operator(..) => "operators' words",
+            OwnedEvent::Leaving(..) => "attempts about to leave",
         }
     }
 
@@ -135,6 +139,7 @@
             OwnedEvent::VoteReply(outcome, news) => Event::VoteReply { outcome, news },
             OwnedEvent::PeerMessage(from, ref payload) => Event::PeerMessage { from, payload },
             OwnedEvent::Operator(word) => Event::Operator(word),
+            OwnedEvent::Leaving(request, attempt) => Event::Leaving { request, attempt },
             OwnedEvent::Probed(server, outcome) => Event::Probed { server, outcome },
             OwnedEvent::PlatformCount(build, class, attempts, failed, mean, age) => {
                 Event::PlatformCount { build, class, attempts, failed, mean, age }
--- a/crates/wirehost/src/codec.rs
+++ b/crates/wirehost/src/codec.rs
@@ -291,6 +291,8 @@
             }
         }
         Action::Note(text) => write_text(out, 17, text.as_bytes()),
+        // An attempt leaves there in the tick in which it is decided: it is never asked about again.
+        Action::Withhold { .. } => {}
     }
 }
 
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -112,6 +112,7 @@
             Event::VoteReply { outcome, news } => self.on_vote_reply(now, outcome, news),
             Event::PeerMessage { from, payload } => self.on_peer_message(from, payload),
             Event::Operator(word) => self.on_operator(now, word, out),
+            Event::Leaving { request, attempt } => self.on_leaving(now, request, attempt, out),
             Event::Probed { .. } | Event::PlatformCount { .. } => {}
         }
         // One timer, for what comes next: hundreds of idle balancers cost next to nothing.
@@ -205,7 +206,19 @@
         let Some(server) = self.m.servers.get(&to) else { return };
         let (entry, cold) = (server.entry, server.warmth(now, &self.set.contract) < 1.0);
         let Some((class, deadline)) = self.m.start_attempt(now, id, entry, cold) else { return };
-        let key = self.m.open.get(&id).and_then(|open| open.request.key);
+        let number = self.m.open.get(&id).map_or(0, |open| open.attempts.len() - 1);
+        self.book(now, id, number);
+        let guard = deadline.saturating_sub(2 * self.set.tick).max(now + 1);
+        out.push(Action::Send { request: id, server: to, cut_at: guard });
+        let hurry = now + (self.m.typical[class].tail * HURRY_FACTOR) as Micros;
+        self.m.look_again(id, hurry.min(guard));
+    }
+
+    /// Counts an attempt at a server against what the rules allow: keys, exposure, the cold server's budget.
+    fn book(&mut self, now: Micros, id: RequestId, number: usize) {
+        let Some(open) = self.m.open.get(&id) else { return };
+        let Some(entry) = open.attempts.get(number).map(|a| a.to) else { return };
+        let (class, key, cost) = (open.request.class, open.request.key, open.cost);
         let newest = self.m.news.is_some_and(|n| n.build == entry.build);
         if let Some(key) = key.filter(|_| newest && self.set.rollout.one_way && !self.m.keys_lost) {
             if self.key_fits(key) {
@@ -214,14 +227,59 @@
                 self.m.forget_keys(true); // one cannot be remembered: from here on all count as bound
             }
         }
-        if self.on_trial(entry.build) {
+        let exposed = self.on_trial(entry.build);
+        if exposed {
             let (span, per_class) = (self.set.rollout.counted_over * 2, self.set.rollout.per_class);
             self.m.exposure_of(entry.build, class, per_class).spend(now, span);
         }
-        let guard = deadline.saturating_sub(2 * self.set.tick).max(now + 1);
-        out.push(Action::Send { request: id, server: to, cut_at: guard });
-        let hurry = now + (self.m.typical[class].tail * HURRY_FACTOR) as Micros;
-        self.m.look_again(id, hurry.min(guard));
+        let attempt = self.m.open.get_mut(&id).and_then(|open| open.attempts.get_mut(number));
+        attempt.into_iter().for_each(|a| (a.sent_at, a.exposed) = (now, exposed));
+        if let Some(server) = self.m.servers.get_mut(&entry.id) {
+            server.sent.add(now, cost);
+        }
+    }
+
+    /// Takes the booking of an attempt that never left back.
+    fn unbook(&mut self, id: RequestId, number: usize) {
+        let Some(open) = self.m.open.get(&id) else { return };
+        let Some(&Attempt { to, sent_at, exposed, .. }) = open.attempts.get(number) else { return };
+        let (class, key, cost) = (open.request.class, open.request.key, open.cost);
+        let listed = self.m.servers.get(&to.id).map_or(to.build, |s| s.entry.build);
+        let newest = self.m.news.map(|n| n.build);
+        let sent = if newest == Some(to.build) { sent_at } else { sent_at.saturating_sub(STEP) };
+        let key = key.filter(|_| newest == Some(to.build) || newest == Some(listed));
+        key.into_iter().for_each(|key| self.m.key_settled(key, sent));
+        let lane = if self.set.rollout.per_class { class } else { 0 };
+        let count = self.m.exposure.get_mut(&to.build).and_then(|lanes| lanes.get_mut(lane));
+        if let Some(count) = count.filter(|_| exposed) {
+            count.give_back(sent_at);
+            self.m.owed = (self.m.owed + 1.0).min(2.0); // the turn that it had
+        }
+        if let Some(server) = self.m.servers.get_mut(&to.id) {
+            server.sent.take_back(sent_at, cost);
+        }
+    }
+
+    /// What was decided may have been overtaken while a connection came up: the server drains or is another,
+    /// the cap fell, the key was answered elsewhere, the time for repeats is over, the client has left. What
+    /// may still leave counts from now on.
+    fn on_leaving(&mut self, now: Micros, id: RequestId, number: usize, out: &mut Vec<Action>) {
+        let Some(mut open) = self.m.open.get(&id).cloned() else { return };
+        let Some(attempt) = open.attempts.get_mut(number).filter(|a| a.ended.is_none()) else { return };
+        attempt.ended = Some(Outcome::Withheld);
+        let to = attempt.to;
+        self.unbook(id, number);
+        let listed = self.m.servers.get(&to.id).map(|s| s.entry);
+        let same = |e: &ServerEntry| (e.build, e.started_at) == (to.build, to.started_at);
+        let is = |e: &ServerEntry| e.status == Status::Ready && same(e);
+        let stands = listed.is_some_and(|e| is(&e) && self.may_repeat(now, &open, Some(&e)));
+        let may = stands && !open.done && !open.streaming && self.build_admits(now, to.build, &open);
+        let cold = self.m.servers.get(&to.id).is_some_and(|s| s.warmth(now, &self.set.contract) < 1.0);
+        if may && (!cold || self.cold_limit(now, to.id, open.cost, false) > 0.0) {
+            self.book(now, id, number);
+        } else {
+            out.push(Action::Withhold { request: id, attempt: number });
+        }
     }
 
     fn on_due(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
@@ -271,6 +329,11 @@
             let alone = *own > self.m.late + LATE_ALONE;
             smooth(&mut self.m.late, lateness, if alone { 0.0 } else { LATE_WEIGHT });
         }
+        if outcome == Outcome::Withheld && number > 0 {
+            self.m.retry_credit = (self.m.retry_credit + 1.0).min(RETRY_DEPTH);
+        } else if outcome == Outcome::Moot {
+            self.unbook(id, number);
+        }
         self.learn_server(now, class, attempt.beside, end);
         self.learn_build(&attempt, class, unit, late, end);
         if outcome == Outcome::Ok && !attempt.cold {
@@ -282,7 +345,10 @@
         self.m.keys.extend(key.filter(|_| outcome == Outcome::Ok));
         // A good answer may have come to nobody: spoilt, late, or written to a connection that fell silent.
         let unread = matches!(outcome, Outcome::Reset | Outcome::Timeout | Outcome::Cancelled);
-        key.filter(|_| !unread).into_iter().for_each(|key| self.m.key_settled(key, attempt.sent_at));
+        let unbooked = matches!(outcome, Outcome::Moot | Outcome::Withheld);
+        key.filter(|_| !unread && !unbooked)
+            .into_iter()
+            .for_each(|key| self.m.key_settled(key, attempt.sent_at));
         let Some(open) = self.m.open.get(&id) else { return };
         if settled || open.done {
             self.finish(id, out);
@@ -297,8 +363,10 @@
         let time_left = now + 4 * self.set.tick < open.request.deadline;
         let attempts_left = open.attempts.len() < self.set.limits.max_attempts && outcome != Outcome::Moot;
         // The budget keeps retries from feeding an overload; proven non-runs cost as much as any.
-        if time_left && attempts_left && self.may_repeat(now, open, None) && self.m.retry_credit >= 1.0 {
-            self.m.retry_credit -= 1.0;
+        // A first one that was withheld costs nothing: what follows is the first that leaves.
+        let price = if outcome == Outcome::Withheld && open.attempts.len() == 1 { 0.0 } else { 1.0 };
+        if time_left && attempts_left && self.may_repeat(now, open, None) && self.m.retry_credit >= price {
+            self.m.retry_credit -= price;
             self.place(now, id, out);
         } else {
             self.give_up(now, id, false, out);
@@ -509,9 +577,13 @@
         let Some(newest) = self.m.news.filter(|_| self.set.rollout.one_way).map(|n| n.build) else { return };
         let listed = |a: &Attempt| self.m.servers.get(&a.to.id).map(|s| s.entry.build);
         let was_other = |a: &Attempt| a.ended.is_none() && a.to.build != newest && listed(a) == Some(newest);
-        let open = self.m.open.values().filter(|open| open.attempts.iter().any(was_other));
-        let keys: Vec<u64> = open.filter_map(|open| open.request.key).collect();
-        self.m.keys.extend(keys);
+        let out = |open: &Open| open.attempts.iter().filter(|a| was_other(a)).map(|a| a.sent_at).collect();
+        let keyed = self.m.open.values().filter_map(|open| Some((open.request.key?, out(open))));
+        let keyed: Vec<(u64, Vec<Micros>)> = keyed.collect();
+        for (key, sent) in keyed {
+            // Counts at once, as if sent that much earlier.
+            sent.into_iter().for_each(|at| self.m.key_sent(key, at.saturating_sub(STEP), KEY_OUT_MOST));
+        }
     }
 
     /// Whether a key is remembered, or may be.
@@ -565,7 +637,7 @@
                 smooth(&mut server.per_slot, per_slot, rate);
                 self.m.typical[class].add(elapsed as f64, RECENT);
             }
-            Outcome::Cancelled | Outcome::Moot => {}
+            Outcome::Cancelled | Outcome::Moot | Outcome::Withheld => {}
             _ => smooth(&mut server.failing, 1.0, SMOOTHING),
         }
         // A cancelled attempt says "at least this slow".
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -250,12 +250,14 @@
     Cancelled,
     /// Never sent, or no longer meaningful.
     Moot,
+    /// Taken back before it left: never ran. Another may take its place.
+    Withheld,
 }
 
 impl Outcome {
     /// Whether the attempt may have taken effect.
     pub fn may_have_run(self) -> bool {
-        !matches!(self, Outcome::Rejected | Outcome::ConnectFailed | Outcome::Moot)
+        !matches!(self, Outcome::Rejected | Outcome::ConnectFailed | Outcome::Moot | Outcome::Withheld)
     }
 }
 
@@ -432,6 +434,14 @@
         /// Time since the period ended.
         age: Micros,
     },
+    /// An attempt that was decided a while ago could leave only now: its connection has come up, or takes the
+    /// rest of it. It leaves unless the balancer withholds it.
+    Leaving {
+        /// The request.
+        request: RequestId,
+        /// The attempt's number.
+        attempt: usize,
+    },
 }
 
 /// Something to do.
@@ -500,4 +510,11 @@
     },
     /// A line for the log.
     Note(String),
+    /// The answer to [`Event::Leaving`] where the attempt may not leave any more; it ends as withheld.
+    Withhold {
+        /// The request.
+        request: RequestId,
+        /// The attempt's number.
+        attempt: usize,
+    },
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -58,6 +58,14 @@
         self.total += amount;
     }
 
+    /// Takes an amount back that was added then, if it is still held.
+    pub fn take_back(&mut self, at: Micros, amount: f64) {
+        if let Some(place) = self.items.iter().rposition(|item| *item == (at, amount)) {
+            self.items.remove(place);
+            self.total = if self.items.is_empty() { 0.0 } else { self.total - amount };
+        }
+    }
+
     /// The sum of what came within the last `span`.
     pub fn sum(&mut self, now: Micros, span: Micros) -> f64 {
         while let Some(&(at, amount)) = self.items.front() {
@@ -99,6 +107,18 @@
         self.level += 1.0;
     }
 
+    /// An attempt made at `at` was none: all levels since then are lower by one.
+    pub fn give_back(&mut self, at: Micros) {
+        self.level -= 1.0;
+        let first = self.lows.partition_point(|&(then, _)| then <= at);
+        self.lows.range_mut(first..).for_each(|low| low.1 -= 1.0);
+        // A low that a later one has reached bounds no span any more.
+        if let Some(&(_, later)) = self.lows.get(first) {
+            let kept = self.lows.iter().take(first).take_while(|low| low.1 < later).count();
+            self.lows.drain(kept..first);
+        }
+    }
+
     /// What the worst span of length `span` that ends now would hold after one more attempt.
     pub fn after_one_more(&self, now: Micros, span: Micros) -> f64 {
         let first = self.lows.iter().find(|&&(at, _)| at + span >= now);
@@ -175,6 +195,8 @@
     pub sent_at: Micros,
     /// Own attempts out at that server by then, this one included.
     pub beside: u32,
+    /// It counts as one at a build on trial.
+    pub exposed: bool,
     /// How it ended.
     pub ended: Option<Outcome>,
 }
@@ -450,8 +472,14 @@
             server.waiting_since = now;
         }
         server.in_flight += 1;
-        server.sent.add(now, open.cost);
-        open.attempts.push(Attempt { to, cold, sent_at: now, beside: server.in_flight, ended: None });
+        open.attempts.push(Attempt {
+            to,
+            cold,
+            sent_at: now,
+            beside: server.in_flight,
+            exposed: false,
+            ended: None,
+        });
         Some((open.request.class, open.request.deadline))
     }
 
--- /dev/null
+++ b/tests/leaving.rs
@@ -0,0 +1,201 @@
+//! Attempts that were decided a while ago and leave only now: what overtook them holds for them, and what they were
+//! booked for is given back.
+
+mod common;
+use common::*;
+use proptest::prelude::*;
+use violetseam::interface::*;
+use violetseam::state::Exposure;
+
+const RELEASED: StageNews = StageNews { build: 1, stage: 3, phase: Phase::Released, cap: 1.0 };
+
+/// Whether the attempt is withheld.
+fn withheld(rig: &mut Rig, request: RequestId, attempt: usize) -> bool {
+    let actions = rig.feed(Event::Leaving { request, attempt });
+    let hit = |a: &Action| *a == Action::Withhold { request, attempt };
+    assert_eq!(sends(&actions), [], "what takes its place comes after its end");
+    actions.iter().any(hit)
+}
+
+fn withhold(rig: &mut Rig, request: RequestId, attempt: usize, server: ServerId) -> Vec<Action> {
+    assert!(withheld(rig, request, attempt));
+    rig.end(request, attempt, server, Outcome::Withheld, MS)
+}
+
+fn relist(rig: &mut Rig, entries: &[ServerEntry]) {
+    rig.feed(Event::ServerList { kind: ListKind::Delta, entries });
+}
+
+#[test]
+fn what_nothing_overtook_leaves() {
+    let mut rig = Rig::new(settings(), &fleet(2, 2), news(2, 2, Phase::Trial, 0.5));
+    for class in [SAFE, KEYED, FRAGILE] {
+        for _ in 0..20 {
+            let (id, actions) = rig.keyed(class, Some(7));
+            rig.run(5 * MS);
+            assert!(!withheld(&mut rig, id, 0), "class {class}");
+            rig.end(id, 0, sends(&actions)[0].1, Outcome::Ok, 5 * MS);
+        }
+    }
+}
+
+/// A server that drains, is gone, has another build or has started anew meanwhile; the next takes its place at no cost.
+#[test]
+fn a_server_that_is_another_by_now_is_left_for_the_next() {
+    let changes = [
+        |e: ServerEntry, _: Micros| ServerEntry { status: Status::Draining, ..e },
+        |e, _| ServerEntry { status: Status::Gone, ..e },
+        |e, _| ServerEntry { build: 2, ..e },
+        |e, now| ServerEntry { started_at: now, ..e },
+    ];
+    for (n, change) in changes.into_iter().enumerate() {
+        let mut rig = Rig::new(settings(), &fleet(1, 0), RELEASED);
+        let (id, actions) = rig.request(FRAGILE);
+        let first = sends(&actions)[0].1;
+        let now = rig.now;
+        relist(&mut rig, &[change(server(first, 1), now), server(50, 1)]);
+        let next = withhold(&mut rig, id, 0, first);
+        assert_eq!(sends(&next), [(id, 50)], "change {n}");
+        assert!(!withheld(&mut rig, id, 1), "change {n}");
+    }
+}
+
+#[test]
+fn a_key_that_the_new_build_answered_meanwhile_holds() {
+    let mut set = settings();
+    set.rollout.one_way = true;
+    let mut rig = Rig::new(set, &fleet(1, 0), news(2, 2, Phase::Trial, 1.0));
+    let (id, actions) = rig.keyed(SAFE, Some(7));
+    let earlier = sends(&actions)[0].1;
+    relist(&mut rig, &[server(100, 2)]);
+    // Another call with the key is answered by the new build.
+    for _ in 0..50 {
+        let (other, actions) = rig.keyed(SAFE, Some(7));
+        let to = sends(&actions)[0].1;
+        rig.end(other, 0, to, if to == 100 { Outcome::Ok } else { Outcome::Rejected }, MS);
+        rig.feed(Event::ClientGone { request: other });
+        if to == 100 {
+            break;
+        }
+    }
+    assert_eq!(sends(&withhold(&mut rig, id, 0, earlier)), [(id, 100)]);
+}
+
+/// A cold server's budget of a span counts what left; what is withheld was never sent there.
+#[test]
+fn what_is_withheld_costs_a_cold_server_nothing() {
+    let cold_sends = |withheld_first: bool| {
+        let mut rig = Rig::new(settings(), &fleet(4, 0), RELEASED);
+        rig.traffic(&[SAFE], 400, |_, _| (Outcome::Ok, 20 * MS));
+        let cold = ServerEntry { started_at: rig.now, ..server(50, 1) };
+        relist(&mut rig, &[cold]);
+        let mut sent = 0;
+        for n in 0..2_000 {
+            let (id, actions) = rig.request(SAFE);
+            for (_, to) in sends(&actions) {
+                if to == 50 && withheld_first && n < 1_000 {
+                    // It drains for a moment, just as the attempt would leave.
+                    relist(&mut rig, &[ServerEntry { status: Status::Draining, ..cold }]);
+                    withhold(&mut rig, id, 0, 50);
+                    relist(&mut rig, &[cold]);
+                } else {
+                    sent += usize::from(to == 50 && n >= 1_000);
+                    rig.end(id, 0, to, Outcome::Ok, 20 * MS);
+                }
+            }
+            rig.feed(Event::ClientGone { request: id });
+        }
+        sent
+    };
+    assert!(cold_sends(true) > cold_sends(false), "{} {}", cold_sends(true), cold_sends(false));
+}
+
+/// With a cap of 0 a span holds the uncounted two attempts; a third fits once one of them was withheld, and no fourth.
+#[test]
+fn exposure_of_what_is_withheld_is_given_back_once() {
+    let mut rig = Rig::new(settings(), &fleet(0, 3), news(2, 1, Phase::Trial, 1e-6));
+    let ask = |rig: &mut Rig| {
+        let (id, actions) = rig.request(SAFE);
+        sends(&actions).first().map(|s| (id, s.1))
+    };
+    let (first, second) = (ask(&mut rig).unwrap(), ask(&mut rig).unwrap());
+    rig.now += MS;
+    assert_eq!(ask(&mut rig), None);
+    // Asked again and let go it is still one.
+    assert!(!withheld(&mut rig, first.0, 0));
+    assert_eq!(ask(&mut rig), None);
+    let gone: Vec<ServerEntry> =
+        fleet(0, 3).iter().map(|e| ServerEntry { status: Status::Draining, ..*e }).collect();
+    relist(&mut rig, &gone);
+    withhold(&mut rig, second.0, 0, second.1);
+    relist(&mut rig, &fleet(0, 3));
+    assert!(ask(&mut rig).is_some());
+    assert_eq!(ask(&mut rig), None);
+}
+
+#[test]
+fn a_withheld_repeat_has_its_credit_back() {
+    let repeats = |with: bool| {
+        let mut rig = Rig::new(settings(), &fleet(6, 0), RELEASED);
+        let mut done = 0;
+        for _ in 0..8 {
+            let (id, actions) = rig.request(SAFE);
+            let again = rig.end(id, 0, sends(&actions)[0].1, Outcome::ConnectFailed, MS);
+            if let [(_, to)] = sends(&again)[..] {
+                done += 1;
+                if with {
+                    relist(&mut rig, &[ServerEntry { status: Status::Draining, ..server(to, 1) }]);
+                    // The client has left by then, so that nothing takes its place.
+                    rig.feed(Event::ClientGone { request: id });
+                    rig.end(id, 1, to, Outcome::Withheld, MS);
+                    relist(&mut rig, &[server(to, 1)]);
+                }
+            }
+            rig.feed(Event::ClientGone { request: id });
+        }
+        done
+    };
+    assert_eq!((repeats(true), repeats(false)), (8, 4));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(11), ..ProptestConfig::default() })]
+
+    /// Against counting over every span: attempts that were given back are in none, whatever came between. Each
+    /// request earns a quarter; the answer may only err to the safe side, and by nothing once all is counted.
+    #[test]
+    fn exposure_given_back_counts_as_if_it_had_never_been(steps in proptest::collection::vec(0u8..8, 1..120)) {
+        const SPAN: Micros = 20;
+        let (mut exposure, mut now) = (Exposure::default(), 0);
+        // What happened, by time: attempts with 1, earnings with -0.25.
+        let mut all: Vec<(Micros, f64)> = Vec::new();
+        for step in steps {
+            now += 1;
+            match step {
+                0..=2 => {
+                    exposure.spend(now, 2 * SPAN);
+                    all.push((now, 1.0));
+                }
+                3 | 4 => {
+                    exposure.earn(0.25);
+                    all.push((now, -0.25));
+                }
+                5 | 6 => {
+                    // The newest but `step - 5` of those that are out.
+                    let recent: Vec<usize> = (0..all.len()).rev().filter(|&i| all[i].1 > 0.0 && all[i].0 + SPAN >= now).collect();
+                    if let Some(&at) = recent.get(usize::from(step - 5)) {
+                        exposure.give_back(all[at].0);
+                        all.remove(at);
+                    }
+                }
+                _ => {}
+            }
+            // The worst span that ends now, after one more attempt; it may begin before any event in it.
+            let starts = all.iter().map(|e| e.0).filter(|at| at + SPAN >= now).chain([now + 1]);
+            let held = |from: Micros| 1.0 + all.iter().filter(|e| e.0 >= from).map(|e| e.1).sum::<f64>();
+            let worst = starts.map(held).fold(f64::MIN, f64::max);
+            let told = exposure.after_one_more(now, SPAN);
+            prop_assert!((told - worst).abs() < 1e-9, "{told} against {worst} at {now}");
+        }
+    }
+}
