--- a/crates/cli/tests/common/platform.rs
+++ b/crates/cli/tests/common/platform.rs
@@ -250,6 +250,11 @@
         Client::over(TcpStream::connect(self.addr).unwrap())
     }
 
+    /// What it has logged so far.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.file.with_file_name("log")).unwrap()
+    }
+
     /// What it answers to `PING` on a new connection; nothing while it does not listen.
     pub fn ping(&self) -> Option<Vec<u8>> {
         let mut stream = TcpStream::connect(self.addr).ok()?;
--- a/crates/platform-proxy/src/clients.rs
+++ b/crates/platform-proxy/src/clients.rs
@@ -31,6 +31,8 @@
 /// once over unread bytes, it would be reset, and the answer could be lost with it.
 const LINGER: Micros = 300_000;
 const LINGER_BYTES: usize = 256 * 1024;
+/// What is taken after SIGTERM is answered so long before the process ends by itself.
+const END_MARGIN: Micros = 100_000;
 /// Answers that a client does not take are held for so long.
 const UNREAD: Micros = 3_000_000;
 
@@ -45,6 +47,8 @@
     state: State,
     /// Its input is being taken apart, and lies elsewhere meanwhile.
     reading: bool,
+    /// Commands wait in its input until there is room for their answers.
+    waiting: bool,
     /// A whole sound command has come.
     proven: bool,
     /// Since when nothing has been owed, or the present command is on its way.
@@ -81,9 +85,15 @@
         self.proven
     }
 
-    /// It may be closed without a request's loss.
+    /// Nothing is owed on it, and no part of a command has come: it may be closed without a request's loss once
+    /// nothing lies unread either.
     pub fn is_free(&self) -> bool {
-        self.owed.is_empty() && !self.socket.waits() && !self.reading
+        self.owed.is_empty() && !self.socket.waits() && !self.reading && self.input.is_empty()
+    }
+
+    /// No further command is taken before an answer has gone.
+    fn is_full(&self) -> bool {
+        self.owed.len() >= PIPELINED_MOST || self.socket.unwritten() > HIGH_WATER
     }
 
     /// Since when nothing has been owed on it.
@@ -120,7 +130,11 @@
                         tracing::warn!("client not taken: {e}");
                     }
                 }
-                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {
+                    return if self.leaving {
+                        self.stop_listening()
+                    };
+                }
                 // The client left before it was accepted.
                 Err(e) if e.kind() == std::io::ErrorKind::ConnectionAborted => {}
                 Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
@@ -148,6 +162,24 @@
         if let Some((_, token)) = &self.listener {
             drop(self.handle.enable(token));
             self.accepting = true;
+            if self.leaving {
+                self.accept_rest();
+            }
+        }
+    }
+
+    /// On the way out: takes what waits in the kernel's queue, and listens no more once that is empty. One in the
+    /// queue would else be neither taken nor free to go elsewhere.
+    fn accept_rest(&mut self) {
+        if let Some((listener, _)) = &self.listener {
+            let listener = listener.clone();
+            self.accept(&listener);
+        }
+    }
+
+    fn stop_listening(&mut self) {
+        if let Some((_, token)) = self.listener.take() {
+            self.handle.remove(token);
         }
     }
 
@@ -166,6 +198,7 @@
             owed: VecDeque::new(),
             state: State::Open,
             reading: false,
+            waiting: false,
             proven: false,
             quiet_since,
         });
@@ -201,10 +234,13 @@
         self.pump();
     }
 
-    fn read_client(&mut self, key: usize) {
+    /// Reads once; whether anything was there.
+    fn read_client(&mut self, key: usize) -> bool {
         let mut scratch = std::mem::take(&mut self.scratch);
+        let mut got = Got::Nothing;
         if let Some(client) = self.clients.get_mut(key) {
-            match (client.socket.read(&mut scratch), client.state) {
+            got = client.socket.read(&mut scratch);
+            match (got, client.state) {
                 (Got::Bytes(n), State::Open) => {
                     client.input.extend_from_slice(&scratch[..n]);
                     self.client_commands(key);
@@ -219,12 +255,17 @@
         }
         self.scratch = scratch;
         self.rest_client(key);
+        got != Got::Nothing
     }
 
     /// Takes the commands that the input holds. All are read before the first is taken, as what is taken must
     /// be answered: of a burst none is.
     fn client_commands(&mut self, key: usize) {
         let Some(client) = self.clients.get_mut(key) else { return };
+        client.waiting = client.is_full();
+        if client.waiting {
+            return;
+        }
         let input = std::mem::take(&mut client.input);
         client.reading = true;
         let (mut commands, mut used) = (Vec::new(), 0);
@@ -315,9 +356,11 @@
         let now = self.now();
         // The client's wait began when it sent; how late this loop is, the call may have lain unread.
         let unread = self.timers.behind(now, self.engine.due());
+        let deadline = now + call.wait.saturating_sub(unread);
         let request = Request {
             id: 0,
-            deadline: now + call.wait.saturating_sub(unread),
+            // What comes after SIGTERM is answered before this process must have ended.
+            deadline: self.end_at.map_or(deadline, |end| deadline.min(end.saturating_sub(END_MARGIN))),
             class: call.class,
             hint: None,
             key: Some(call.key),
@@ -389,12 +432,38 @@
             if client.state == State::Closing {
                 client.socket.close_write();
                 client.state = State::Lingering(0);
-            } else if self.leaving
-                && client.state == State::Open
-                && !client.reading
-                && client.input.is_empty()
-            {
-                self.close_client(key);
+            }
+        }
+        let ends = self.leaving && client.is_free();
+        let goes_on = client.waiting && !client.is_full();
+        if client.state == State::Open && (ends || goes_on) {
+            self.revisit.push((key, client.generation));
+        }
+    }
+
+    /// Looks again at connections on which commands waited for room, or that may end as this process does. What
+    /// has come is read first, as the request in it was taken: a connection that closes over unread bytes is reset,
+    /// and an answer that its client has not read yet may be lost with it.
+    pub(super) fn revisit_clients(&mut self) {
+        for (key, generation) in std::mem::take(&mut self.revisit) {
+            let is = |c: &&mut Client| c.generation == generation && c.state == State::Open;
+            let Some(client) = self.clients.get_mut(key).filter(is) else { continue };
+            if client.waiting && !client.is_full() {
+                self.client_commands(key);
+                self.rest_client(key);
+            }
+            let came = self.read_client(key);
+            self.pump();
+            let (now, leaving) = (self.now(), self.leaving);
+            let Some(client) = self.clients.get_mut(key).filter(is) else { continue };
+            if leaving && client.is_free() {
+                if came {
+                    self.revisit.push((key, generation));
+                } else {
+                    client.socket.close_write();
+                    (client.state, client.quiet_since) = (State::Lingering(0), now);
+                    self.rest_client(key);
+                }
             }
         }
     }
@@ -402,9 +471,9 @@
     /// Sets what the connection is to be woken for.
     fn rest_client(&mut self, key: usize) {
         let Some(client) = self.clients.get_mut(key) else { return };
-        let full = client.owed.len() >= PIPELINED_MOST || client.socket.unwritten() > HIGH_WATER;
         let read = match client.state {
-            State::Open => !full,
+            // Read on while commands wait, within the bound of one: that the client has left shows in nothing else.
+            State::Open => !client.is_full() || client.input.len() < self.bounds.whole,
             // What comes now is read for its end only.
             State::Closing => false,
             State::Lingering(_) => true,
@@ -428,22 +497,12 @@
         over.into_iter().for_each(|key| self.client_gone(key));
     }
 
-    /// Stops accepting for good: a connection that waits in the kernel's queue is taken first, as it would
-    /// be neither taken nor free to go elsewhere. Idle connections close, the others after their answers.
+    /// Takes nothing new but what is on its way: connections in the kernel's queue, commands on those that have
+    /// none yet. The others end between two requests.
     pub(super) fn leave(&mut self) {
         self.leaving = true;
-        if let Some((listener, token)) = self.listener.take() {
-            self.accept(&listener);
-            self.handle.remove(token);
-        }
-        let free: Vec<usize> = self.clients.iter().filter(|(_, c)| c.is_free()).map(|(key, _)| key).collect();
-        for key in free {
-            // What has come is read first.
-            self.read_client(key);
-            if self.clients.get(key).is_some_and(Client::is_free) {
-                self.close_client(key);
-            }
-        }
-        self.pump();
+        self.accept_rest();
+        let free = self.clients.iter().filter(|(_, c)| c.proven && c.is_free());
+        self.revisit.extend(free.map(|(key, c)| (key, c.generation)));
     }
 }
--- a/crates/platform-proxy/src/lib.rs
+++ b/crates/platform-proxy/src/lib.rs
@@ -42,8 +42,12 @@
 const READ_MOST: usize = 32 * 1024;
 /// Between two rounds of upkeep.
 const UPKEEP: Micros = 50_000;
-/// After SIGTERM new connections still come for a while, and clients go on with those that they have.
+/// After SIGTERM new connections still come for a while, and clients go on with those that they have: the platform
+/// states 0.4 s at most.
 const TAKING_ON: Micros = 500_000;
+/// A process ends so long after SIGTERM beyond the longest deadline of the settings, whatever is left; the platform
+/// leaves it 0.7 s.
+const ENDING: Micros = 450_000;
 
 /// What comes due. Connections are named by their place and generation, as places are used again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -60,8 +64,10 @@
     Vote(usize, u64),
     /// Accept again.
     Accept,
-    /// Stop accepting for good.
+    /// Take nothing new.
     Leave,
+    /// Stop, whatever is left.
+    End,
     /// Slow upkeep.
     Upkeep,
 }
@@ -108,10 +114,12 @@
     rng: rand_pcg::Pcg64,
     generation: u64,
     pumping: bool,
-    /// SIGTERM has come.
-    ending: bool,
+    /// SIGTERM has come: when the process ends at the latest.
+    end_at: Option<Micros>,
     /// Nothing new is accepted, answered connections close.
     leaving: bool,
+    /// Client connections to be looked at again in this turn.
+    revisit: Vec<(usize, u64)>,
     stopping: bool,
     quiet: RateLimit,
 }
@@ -141,12 +149,14 @@
     proxy.listen()?;
     while !proxy.stopping {
         let timeout = proxy.timeout();
+        let looked = proxy.now();
         event_loop.dispatch(timeout, &mut proxy).map_err(std::io::Error::other)?;
-        // What came over sockets first: an answer that was there before its time-out was noticed counts.
-        proxy.on_time();
+        proxy.on_time(looked);
     }
     let summary = Summary { counts: proxy.engine.counts(), owed: proxy.engine.owed() };
     proxy.tell_counts("stopped");
+    // The loop lets its signals go as it drops: one that has come since would end the process before its own end.
+    std::mem::forget(event_loop);
     Ok(summary)
 }
 
@@ -182,8 +192,9 @@
             rng: rand_pcg::Pcg64::seed_from_u64(config.seed),
             generation: 0,
             pumping: false,
-            ending: false,
+            end_at: None,
             leaving: false,
+            revisit: Vec::new(),
             stopping: false,
             quiet: RateLimit::default(),
             config,
@@ -219,14 +230,18 @@
     }
 
     fn timeout(&self) -> Duration {
+        if !self.revisit.is_empty() {
+            return Duration::ZERO;
+        }
         self.timers.wait(self.now(), self.engine.due())
     }
 
-    fn on_time(&mut self) {
+    /// Plays what was due when the sockets were last looked at: an answer that had come by then has been read.
+    fn on_time(&mut self, looked: Micros) {
         let now = self.now();
-        self.engine.on_due(now);
+        self.engine.on_due_by(now, looked);
         self.pump();
-        while let Some(what) = self.timers.pop(now) {
+        while let Some(what) = self.timers.pop(looked) {
             match what {
                 What::Connect(key, generation) => self.connect_timeout(key, generation),
                 What::Discovery(generation) => self.discovery_timeout(generation),
@@ -235,11 +250,13 @@
                 What::Vote(key, generation) => self.vote_timeout(key, generation),
                 What::Accept => self.accept_again(),
                 What::Leave => self.leave(),
+                What::End => self.stop(),
                 What::Upkeep => self.upkeep(now),
             }
             self.pump();
         }
-        if self.leaving && self.clients.is_empty() && self.engine.owed() == 0 {
+        self.revisit_clients();
+        if self.leaving && self.listener.is_none() && self.clients.is_empty() && self.engine.owed() == 0 {
             self.stopping = true;
         }
     }
@@ -293,12 +310,25 @@
 
     /// SIGTERM: connections still come for a moment, and are served.
     fn end(&mut self) {
-        if !std::mem::replace(&mut self.ending, true) {
+        if self.end_at.is_none() {
             self.tell_counts("ending");
-            self.timers.set(self.now() + TAKING_ON, What::Leave);
+            let now = self.now();
+            let classes = &self.config.instance.decisions.classes;
+            let end_at = now + classes.iter().map(|c| c.deadline).max().unwrap_or(0) + ENDING;
+            self.end_at = Some(end_at);
+            self.timers.set(now + TAKING_ON, What::Leave);
+            self.timers.set(end_at.max(now + TAKING_ON), What::End);
         }
     }
 
+    /// The time is over: what is still owed is answered as failed, and answers that no client takes are left.
+    fn stop(&mut self) {
+        let now = self.now();
+        self.engine.abandon(now);
+        self.pump();
+        self.stopping = true;
+    }
+
     fn tell_counts(&self, what: &str) {
         let c = self.engine.counts();
         tracing::info!(
--- a/crates/platform-proxy/src/servers.rs
+++ b/crates/platform-proxy/src/servers.rs
@@ -12,8 +12,12 @@
 use violetseam_loopio::{Got, Socket, connect};
 use violetseam_platform::answer::{self, Answer, answer};
 
-/// An idle connection is closed this long before its server would.
-const IDLE_MARGIN: f64 = 0.8;
+/// An idle connection is closed at this share of the time after which its server would, and so long before it at
+/// least: the server counts from when it wrote, this side from when it read, and a turn of the loop lies between.
+const IDLE_SHARE: f64 = 0.8;
+const IDLE_MARGIN: Micros = 30_000;
+/// The bytes of one answer, its load report included, are read at one go: half an answer is none when its time is over.
+const READS_MOST: usize = 4;
 
 /// A connection to a server.
 pub(super) struct Server {
@@ -70,8 +74,11 @@
         // The one that has rested longest: what may still follow an answer on it has come by now, and is
         // seen before the connection is used.
         while let Some(key) = self.idle.get_mut(&id).and_then(|keys| keys.pop_front()) {
+            let most = self.idle_most();
+            let now = self.now();
             let Some(server) = self.servers.get_mut(key) else { continue };
-            if server.socket.is_stale() {
+            // Its age is looked at here, as upkeep comes too seldom for short times.
+            if now >= server.idle_since + most || server.socket.is_stale() {
                 self.close_server(key);
                 continue;
             }
@@ -175,13 +182,28 @@
 
     fn read_server(&mut self, key: usize) {
         let mut scratch = std::mem::take(&mut self.scratch);
-        if let Some(server) = self.servers.get_mut(key) {
-            match (server.socket.read(&mut scratch), &server.state) {
-                (Got::Nothing, _) => {}
-                (Got::Bytes(n), State::Busy(_)) => {
+        let mut got = Got::Nothing;
+        for _ in 0..READS_MOST {
+            let Some(server) = self.servers.get_mut(key) else { break };
+            got = server.socket.read(&mut scratch);
+            match got {
+                Got::Bytes(n) if matches!(server.state, State::Busy(_)) => {
                     server.input.extend_from_slice(&scratch[..n]);
-                    self.server_answer(key);
+                    // A short read has taken all that was there.
+                    if n < scratch.len() {
+                        break;
+                    }
                 }
+                _ => break,
+            }
+        }
+        if self.servers.get(key).is_some_and(|s| matches!(s.state, State::Busy(_)) && !s.input.is_empty()) {
+            self.server_answer(key);
+            got = if matches!(got, Got::Bytes(_)) { Got::Nothing } else { got };
+        }
+        if let Some(server) = self.servers.get_mut(key) {
+            match (got, &server.state) {
+                (Got::Nothing, _) => {}
                 // Bytes that nobody asked for: whatever they are, they must not answer what is sent next.
                 (Got::Bytes(_), _) => self.close_server(key),
                 (Got::Closed | Got::Broken, _) => {
@@ -299,9 +321,15 @@
         }
     }
 
-    /// Closes connections before their servers would: a request written then would be lost on them.
+    /// How long a connection may rest: a request written after its server has closed it would be lost on it.
+    fn idle_most(&self) -> Micros {
+        let close = self.config.instance.idle_close;
+        close.saturating_sub(IDLE_MARGIN).min((close as f64 * IDLE_SHARE) as Micros)
+    }
+
+    /// Closes connections before their servers would.
     pub(super) fn servers_upkeep(&mut self, now: Micros) {
-        let most = (self.config.instance.idle_close as f64 * IDLE_MARGIN) as Micros;
+        let most = self.idle_most();
         let old = |s: &Server| matches!(s.state, State::Idle) && now >= s.idle_since + most;
         let old: Vec<usize> = self.servers.iter().filter(|(_, s)| old(s)).map(|(key, _)| key).collect();
         old.into_iter().for_each(|key| self.close_server(key));
--- a/crates/proxy/src/driver/mod.rs
+++ b/crates/proxy/src/driver/mod.rs
@@ -225,9 +225,9 @@
                 proxy.drain();
             }
         }
+        let looked = proxy.now();
         event_loop.dispatch(timeout, &mut proxy).map_err(std::io::Error::other)?;
-        // What came over sockets first: an answer that was there before its time-out was noticed counts.
-        proxy.on_time();
+        proxy.on_time(looked);
     }
     Ok(proxy.finish())
 }
@@ -340,11 +340,12 @@
         self.timers.wait(self.now(), self.engine.due())
     }
 
-    fn on_time(&mut self) {
+    /// Plays what was due when the sockets were last looked at: an answer that had come by then has been read.
+    fn on_time(&mut self, looked: Micros) {
         let now = self.now();
-        self.engine.on_due(now);
+        self.engine.on_due_by(now, looked);
         self.pump();
-        self.own_timers(now);
+        self.own_timers(looked);
         self.pump();
         if self.ending && self.engine.owed() == 0 && self.clients.is_empty() && self.held.is_empty() {
             self.stopping = true;
--- a/crates/proxy/src/engine.rs
+++ b/crates/proxy/src/engine.rs
@@ -320,9 +320,10 @@
             return false;
         }
         self.feed(now, Event::Leaving { request: id, attempt: number });
-        // Whatever the module finds: nothing leaves for nobody, nor behind a successor's back.
+        // Whatever the module finds: nothing leaves for nobody. What was booked before a hand-over may, as the
+        // successor's module counts it.
         let over = |r: &InHand| r.finished || r.streaming.is_some();
-        if self.awaits(id, number) && (self.starts_nothing || self.requests.get(&id).is_some_and(over)) {
+        if self.awaits(id, number) && self.requests.get(&id).is_some_and(over) {
             self.withhold(now, id, number);
         }
         self.awaits(id, number)
@@ -472,7 +473,13 @@
     /// Plays what is due, in the order in which it came due: after a standstill of the loop the module
     /// hears everything as it would have, only later.
     pub fn on_due(&mut self, now: Micros) {
-        while let Some(Reverse((at, _, due))) = self.dues.peek().copied().filter(|d| d.0.0 <= now) {
+        self.on_due_by(now, now);
+    }
+
+    /// The same for what had come due by `looked`, when a driver looked at its sockets last: what came due since
+    /// then may have been overtaken by an answer that lies unread.
+    pub fn on_due_by(&mut self, now: Micros, looked: Micros) {
+        while let Some(Reverse((at, _, due))) = self.dues.peek().copied().filter(|d| d.0.0 <= looked) {
             self.dues.pop();
             match due {
                 Due::Timer(token) => self.feed(now, Event::Timer { token }),
@@ -508,6 +515,18 @@
         self.forget_if_over(id);
     }
 
+    /// The process ends: each client that is owed an answer gets it as failed, and the module hears of none any more.
+    pub fn abandon(&mut self, now: Micros) {
+        let owed = |r: &InHand| !r.finished && r.streaming.is_none();
+        let mut ids: Vec<RequestId> =
+            self.requests.iter().filter(|(_, r)| owed(r)).map(|(id, _)| *id).collect();
+        ids.sort_unstable();
+        for id in ids {
+            self.answer(id, Final::Failed { timed_out: true });
+            self.feed(now, Event::ClientGone { request: id });
+        }
+    }
+
     fn schedule(&mut self, at: Micros, due: Due) {
         self.next_due += 1;
         self.dues.push(Reverse((at, self.next_due, due)));
