An attempt that is asked about again keeps its trial turn; it had one more each time

At fault: src/balance.rs, unbook gave the trial turn back, and book took none, so that each dial to a build on trial left one more turn and the trial build had more than its share from its first stage on.

Change: the turn is given back where the attempt ends without having left. Test: three thousand requests with the question asked of each attempt in the moment of its decision are sent where they go without it; before this they are not.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -251,10 +251,7 @@
         key.into_iter().for_each(|key| self.m.key_settled(key, sent));
         let lane = if self.set.rollout.per_class { class } else { 0 };
         let count = self.m.exposure.get_mut(&to.build).and_then(|lanes| lanes.get_mut(lane));
-        if let Some(count) = count.filter(|_| exposed) {
-            count.give_back(sent_at);
-            self.m.owed = (self.m.owed + 1.0).min(2.0); // the turn that it had
-        }
+        count.filter(|_| exposed).into_iter().for_each(|count| count.give_back(sent_at));
         if let Some(server) = self.m.servers.get_mut(&to.id) {
             server.sent.take_back(sent_at, cost);
         }
@@ -329,11 +326,15 @@
             let alone = *own > self.m.late + LATE_ALONE;
             smooth(&mut self.m.late, lateness, if alone { 0.0 } else { LATE_WEIGHT });
         }
+        let never_left = matches!(outcome, Outcome::Moot | Outcome::Withheld);
         if outcome == Outcome::Withheld && number > 0 {
             self.m.retry_credit = (self.m.retry_credit + 1.0).min(RETRY_DEPTH);
         } else if outcome == Outcome::Moot {
             self.unbook(id, number);
         }
+        if never_left && attempt.exposed {
+            self.m.owed = (self.m.owed + 1.0).min(2.0); // the turn that it had
+        }
         self.learn_server(now, class, attempt.beside, end);
         self.learn_build(&attempt, class, unit, late, end);
         if outcome == Outcome::Ok && !attempt.cold {
@@ -345,8 +346,7 @@
         self.m.keys.extend(key.filter(|_| outcome == Outcome::Ok));
         // A good answer may have come to nobody: spoilt, late, or written to a connection that fell silent.
         let unread = matches!(outcome, Outcome::Reset | Outcome::Timeout | Outcome::Cancelled);
-        let unbooked = matches!(outcome, Outcome::Moot | Outcome::Withheld);
-        key.filter(|_| !unread && !unbooked)
+        key.filter(|_| !unread && !never_left)
             .into_iter()
             .for_each(|key| self.m.key_settled(key, attempt.sent_at));
         let Some(open) = self.m.open.get(&id) else { return };
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -39,6 +39,36 @@
     }
 }
 
+/// Asked in the moment of its decision, nothing is decided otherwise from then on: shares, turns, keys, cold servers.
+#[test]
+fn being_asked_changes_nothing_by_itself() {
+    let run = |asked: bool| {
+        let mut set = settings();
+        set.rollout.one_way = true;
+        let mut rig = Rig::new(set, &fleet(4, 4), news(2, 2, Phase::Trial, 0.5));
+        let mut all = Vec::new();
+        for n in 0..3_000u64 {
+            if n % 500 == 0 {
+                let anew = ServerEntry { started_at: rig.now, ..server(100 + n / 500 % 4, 2) };
+                relist(&mut rig, &[anew]);
+            }
+            let (id, actions) = rig.keyed([SAFE, KEYED, FRAGILE][n as usize % 3], Some(n * 7919 % 97));
+            for (_, to) in sends(&actions) {
+                assert!(!asked || !withheld(&mut rig, id, 0));
+                all.push(to);
+                rig.run(5 * MS);
+                rig.end(id, 0, to, if n % 9 == 0 { Outcome::Rejected } else { Outcome::Ok }, 5 * MS);
+            }
+            rig.feed(Event::ClientGone { request: id });
+        }
+        all
+    };
+    let (without, with) = (run(false), run(true));
+    let trial = |all: &[ServerId]| all.iter().filter(|to| **to >= 100).count();
+    assert!(trial(&without) > 300 && without.len() > 2_000, "{} of {}", trial(&without), without.len());
+    assert!(without == with, "{} and {} of {}", trial(&without), trial(&with), with.len());
+}
+
 /// A server that drains, is gone, has another build or has started anew meanwhile; the next takes its place at no cost.
 #[test]
 fn a_server_that_is_another_by_now_is_left_for_the_next() {
