--- a/crates/platform-proxy/src/servers.rs
+++ b/crates/platform-proxy/src/servers.rs
@@ -8,6 +8,7 @@
 
 use super::{Proxy, What};
 use calloop::{Interest, Readiness};
+use std::collections::VecDeque;
 use violetseam::interface::{Micros, Outcome, RequestId, ServerId};
 use violetseam_loopio::{Got, Socket, connect};
 use violetseam_platform::answer::{self, Answer, answer};
@@ -16,6 +17,9 @@
 /// least: the server counts from when it wrote, this side from when it read, and a turn of the loop lies between.
 const IDLE_SHARE: f64 = 0.8;
 const IDLE_MARGIN: Micros = 30_000;
+/// A connection rests so long before it is used again: a second answer comes some milliseconds after the first, and
+/// would else be taken for the answer to what was written meanwhile.
+const REST: Micros = 10_000;
 /// The bytes of one answer, its load report included, are read at one go: half an answer is none when its time is over.
 const READS_MOST: usize = 4;
 
@@ -73,9 +77,13 @@
         let job = Job { request, attempt };
         // The one that has rested longest: what may still follow an answer on it has come by now, and is
         // seen before the connection is used.
-        while let Some(key) = self.idle.get_mut(&id).and_then(|keys| keys.pop_front()) {
-            let most = self.idle_most();
-            let now = self.now();
+        let (now, most) = (self.now(), self.idle_most());
+        while let Some(key) = self.idle.get(&id).and_then(|keys| keys.front().copied()) {
+            let Some(server) = self.servers.get_mut(key) else { break };
+            if now < server.idle_since + REST {
+                break;
+            }
+            self.idle.get_mut(&id).map(VecDeque::pop_front);
             let Some(server) = self.servers.get_mut(key) else { continue };
             // Its age is looked at here, as upkeep comes too seldom for short times.
             if now >= server.idle_since + most || server.socket.is_stale() {
