--- a/crates/cli/tests/process.rs
+++ b/crates/cli/tests/process.rs
@@ -28,6 +28,25 @@
     proxy.end();
 }
 
+/// Told to end in the turn in which it goes on: more wait in its queue than one turn accepts, each with its request.
+#[test]
+fn a_process_that_drains_answers_what_waits_in_its_queue() {
+    let mut proxy = start("drains-queue", "", "");
+    kill_process(proxy.pid(), Signal::STOP).unwrap();
+    let mut streams: Vec<TcpStream> = (0..700).map(|_| proxy.open()).collect();
+    for stream in &mut streams {
+        stream.write_all(b"GET /x HTTP/1.1\r\nhost: t\r\nconnection: close\r\n\r\n").unwrap();
+    }
+    kill_process(proxy.pid(), Signal::TERM).unwrap();
+    kill_process(proxy.pid(), Signal::CONT).unwrap();
+    for (n, stream) in streams.iter_mut().enumerate() {
+        let mut text = String::new();
+        let got = stream.read_to_string(&mut text);
+        assert!(got.is_ok() && text.starts_with("HTTP/1.1 "), "connection {n} got {got:?} {text:?}");
+    }
+    assert!(proxy.child.wait().unwrap().success());
+}
+
 #[test]
 fn a_process_that_stood_still_answers_all_that_came_meanwhile() {
     let proxy = start("standstill", "", "");
--- a/crates/proxy/src/driver/clients.rs
+++ b/crates/proxy/src/driver/clients.rs
@@ -131,10 +131,12 @@
         Ok(())
     }
 
-    fn accept(&mut self, listener: &TcpListener) {
+    /// Accepts some; whether more may wait that could be taken now.
+    fn accept(&mut self, listener: &TcpListener) -> bool {
         for _ in 0..ACCEPTS_MOST {
             if self.clients.len() >= self.settings.connections.max_clients {
-                return self.pause_accepting("as many clients as the settings allow");
+                self.pause_accepting("as many clients as the settings allow");
+                return false;
             }
             match listener.accept() {
                 Ok((stream, _)) => {
@@ -142,14 +144,18 @@
                         tracing::warn!("client not taken: {e}");
                     }
                 }
-                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return false,
                 // The client left before it was accepted.
                 Err(e) if e.kind() == std::io::ErrorKind::ConnectionAborted => {}
                 Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
                 // Out of descriptors or memory: connections wait in the kernel's queue, none is lost.
-                Err(e) => return self.pause_accepting(&e.to_string()),
+                Err(e) => {
+                    self.pause_accepting(&e.to_string());
+                    return false;
+                }
             }
         }
+        true
     }
 
     /// Stops or goes on accepting.
@@ -172,7 +178,10 @@
     /// Before a drain: connections that wait in the kernel's queue are taken, so that none is reset.
     pub(super) fn accept_last(&mut self) {
         let listeners: Vec<Rc<TcpListener>> = self.listeners.iter().map(|(l, _)| l.clone()).collect();
-        listeners.iter().for_each(|listener| self.accept(listener));
+        // What waits beyond one turn's share would be reset with the listener.
+        for listener in &listeners {
+            while self.accept(listener) {}
+        }
     }
 
     /// Connections between requests.
