A wait that ended with nothing has looked at the sockets as it ended: no second poll for a due time

At fault: since due times are played by when the sockets were last looked at, each timer cost one more poll, and thin proxies wake for timers most of the time. Change: where a wait ended without an event, the look was at its end (both drivers); where sockets spoke, as before.

--- a/crates/platform-proxy/src/clients.rs
+++ b/crates/platform-proxy/src/clients.rs
@@ -118,6 +118,7 @@
     }
 
     fn accept(&mut self, listener: &TcpListener) {
+        self.heard = true;
         for _ in 0..ACCEPTS_MOST {
             if !self.room_for_client() {
                 return self.pause_accepting();
--- a/crates/platform-proxy/src/lib.rs
+++ b/crates/platform-proxy/src/lib.rs
@@ -116,6 +116,8 @@
     rng: rand_pcg::Pcg64,
     generation: u64,
     pumping: bool,
+    /// Sockets had something to say in this turn.
+    heard: bool,
     /// SIGTERM has come: when the process ends at the latest.
     end_at: Option<Micros>,
     /// Nothing new is accepted, answered connections close.
@@ -151,8 +153,11 @@
     proxy.listen()?;
     while !proxy.stopping {
         let timeout = proxy.timeout();
-        let looked = proxy.now();
+        proxy.heard = false;
+        let before = proxy.now();
         event_loop.dispatch(timeout, &mut proxy).map_err(std::io::Error::other)?;
+        // A wait that ended with nothing has looked at its end.
+        let looked = if proxy.heard { before } else { proxy.now() };
         proxy.on_time(looked);
     }
     let summary = Summary { counts: proxy.engine.counts(), owed: proxy.engine.owed() };
@@ -197,6 +202,7 @@
             rng: rand_pcg::Pcg64::seed_from_u64(config.seed),
             generation: 0,
             pumping: false,
+            heard: false,
             end_at: None,
             leaving: false,
             revisit: Vec::new(),
@@ -270,6 +276,7 @@
     /// Does what the engine ordered, and what comes of that, until nothing is left. Called from within, it
     /// leaves that to the call it came from.
     fn pump(&mut self) {
+        self.heard = true;
         if std::mem::replace(&mut self.pumping, true) {
             return;
         }
--- a/crates/proxy/src/driver/clients.rs
+++ b/crates/proxy/src/driver/clients.rs
@@ -133,6 +133,7 @@
 
     /// Accepts some; whether more may wait that could be taken now.
     fn accept(&mut self, listener: &TcpListener) -> bool {
+        self.heard = true;
         for _ in 0..ACCEPTS_MOST {
             if self.clients.len() >= self.settings.connections.max_clients {
                 self.pause_accepting("as many clients as the settings allow");
--- a/crates/proxy/src/driver/mod.rs
+++ b/crates/proxy/src/driver/mod.rs
@@ -139,6 +139,8 @@
     /// Clients whose input waits for its turn.
     resumed: Vec<(usize, u64)>,
     pumping: bool,
+    /// Sockets had something to say in this turn.
+    heard: bool,
     last_vote: Option<String>,
     finding: Option<String>,
     list_heard: Option<Micros>,
@@ -225,8 +227,11 @@
                 proxy.drain();
             }
         }
-        let looked = proxy.now();
+        proxy.heard = false;
+        let before = proxy.now();
         event_loop.dispatch(timeout, &mut proxy).map_err(std::io::Error::other)?;
+        // A wait that ended with nothing has looked at its end.
+        let looked = if proxy.heard { before } else { proxy.now() };
         proxy.on_time(looked);
     }
     Ok(proxy.finish())
@@ -297,6 +302,7 @@
             quiet: RateLimit::default(),
             resumed: Vec::new(),
             pumping: false,
+            heard: false,
             last_vote: None,
             finding: None,
             list_heard: None,
@@ -355,6 +361,7 @@
     /// Does what the engine ordered, and what comes of that, until nothing is left. Called from within, it
     /// leaves that to the call it came from.
     fn pump(&mut self) {
+        self.heard = true;
         if std::mem::replace(&mut self.pumping, true) {
             return;
         }
