--- a/crates/platform-proxy/src/clients.rs
+++ b/crates/platform-proxy/src/clients.rs
@@ -429,11 +429,9 @@
         if client.socket.flush().is_err() {
             return self.client_gone(key);
         }
-        if client.owed.is_empty() && !client.socket.waits() {
-            if client.state == State::Closing {
-                client.socket.close_write();
-                client.state = State::Lingering(0);
-            }
+        if client.state == State::Closing && client.owed.is_empty() && !client.socket.waits() {
+            client.socket.close_write();
+            client.state = State::Lingering(0);
         }
         let ends = self.leaving && client.is_free();
         let goes_on = client.waiting && !client.is_full();
