The server list by one watch from the version held; new calls of a fleet drawn apart

With each call logged: calls are worked through one by one at 0.15 s each and more for a whole list, a call that waited 2 s gets 503 and costs its work all the same, and a watch renewed within 200 ms costs nothing (answers of 13 new watches 0.15 s apart, of 13 renewed ones at once).

Cause, in crates/platform-proxy/src/discovery.rs: `follow_list` asked for the whole list at each start and after each 7 s without a word, `move_discovery` at each reload, and the watch after it was a second new call; CALL_TIMEOUT (1.3 s) gave up calls that the service still worked on; all proxies did so together.

Change: one call at a time. A watch from the version held, renewed at once, waits for six tenths of AskWithin, so that the module's look after seven tenths finds only dead ones, which are replaced. First calls of a life, calls after a failure and after a move are drawn apart over parts of AskWithin. The whole list: without a version, from a service that counts anew, and once 10 to 40 times AskWithin after a move, which finds another list under the same numbers. The module is unchanged.

--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! The program as a process over a world of its own: one server, one roster, one desk.
 #![allow(dead_code)]
 
+pub mod capacity;
 pub mod fleet;
 pub mod platform;
 pub mod services;
--- a/crates/platform-proxy/src/discovery.rs
+++ b/crates/platform-proxy/src/discovery.rs
@@ -1,25 +1,47 @@
-//! The server list over HTTP: the whole list when the decisions ask, then a watch that is renewed as soon as
-//! it answers.
+//! The server list over HTTP: one call at a time, for what is newer than the version held, or for the whole list where
+//! no version is held.
 //!
-//! Calls of both kinds are exchanges on one connection each. The decisions ask again when they have heard
-//! nothing for a while; with a watch out that is a call for the whole list beside it, which tells a watch
-//! that has gone dead without a word from one that has nothing to say.
+//! A call for what is newer waits at the service until there is something (a long poll), and is renewed as soon as it
+//! is answered. It waits for less time than the decisions stay without a word, so that an answer without changes is
+//! the service's heartbeat; a call that has gone dead without a word is replaced when the decisions ask again. A whole
+//! list costs a service that works through its calls one by one a multiple of what a delta does, so it is asked for
+//! only where a delta would not be sound.
 
 use super::{Proxy, What};
 use calloop::{Interest, Readiness};
+use rand::RngExt;
 use std::net::SocketAddr;
-use violetseam::interface::{ListKind, Micros};
+use violetseam::interface::Micros;
 use violetseam_http1::Limits;
 use violetseam_http1::client::{ClientConn, ClientEvent};
 use violetseam_loopio::{Got, Socket, connect};
 use violetseam_platform::discovery::{ANSWER_MOST, List, WHOLE_PATH, watch_path};
 
-/// A watch asks discovery to wait so long.
-const WAIT: Micros = 20_000_000;
-/// A call for the whole list has so long, a watch so long beyond its wait.
-const CALL_TIMEOUT: Micros = 1_300_000;
+/// What is drawn below is counted in parts of the time that the settings let a proxy go without a word, within these
+/// bounds; a watch waits for 6 tenths of it, the decisions ask again after 7 tenths.
+const SILENCE_LEAST: Micros = 500_000;
+const SILENCE_MOST: Micros = 10_000_000;
+const WAIT_TENTHS: Micros = 6;
+/// A new watch costs the service work, and one that it has declined costs it as much; only a watch that is renewed at
+/// once is free. So proxies that all start, lose their watches or move together spread their next calls: the first
+/// call of a life and the first one at another address within so many tenths, further ones after a failed call after
+/// about so many (half to one and a half times).
+const START_TENTHS: Micros = 4;
+const MOVE_TENTHS: Micros = 2;
+const RETRY_TENTHS: Micros = 3;
+/// Discovery is one service with one count of versions, so that a move of its address is followed from the version held.
+/// Should a service behind another address count otherwise, that would stay wrong: the whole list is asked for once
+/// more, at a time drawn between these parts of the time without a word, so late and so far apart that it weighs
+/// little on the service.
+const VERIFY_FROM_TENTHS: Micros = 100;
+const VERIFY_UNTIL_TENTHS: Micros = 400;
+/// The first watch at an address waits no longer than this: its answer soon tells where the service's versions stand.
+const FIRST_WAIT: Micros = 1_000_000;
+/// A call for the whole list has so long, a watch so long beyond its wait. The service declines a call by itself that
+/// waited for too long; one that is given up before that costs it as much, and is made again.
+const CALL_TIMEOUT: Micros = 2_500_000;
 /// Where lists are pushed, what the service has counts at once, and its calls are free of cost: one that failed is made
-/// again after about so long, and the whole list is asked for at seven tenths of the second figure without a word.
+/// again after about so long, and a watch is replaced after seven tenths of the second figure without a word.
 const PUSHED_AGAIN: Micros = 300_000;
 pub(super) const PUSHED_ASK_WITHIN: Micros = 5_000_000;
 /// The same without any list, where nothing can be served: quicker than the decisions' back-off, so that a process
@@ -31,14 +53,22 @@
 /// Discovery as this proxy speaks to it.
 pub(super) struct Discovery {
     address: SocketAddr,
+    /// How long the settings let a proxy go without a word, within bounds.
+    silence: Micros,
     /// What the service has counts as told from a process's first moment, heard or not.
     pushed: bool,
     /// A call has ended, with an answer or without.
     answered: bool,
-    /// The decisions want to hear of changes.
-    following: bool,
-    watch: Option<Call>,
-    whole: Option<Call>,
+    /// The service at this address has answered.
+    confirmed: bool,
+    /// The exchange that is out.
+    call: Option<Call>,
+    /// When the next call is planned, if it is.
+    again: Option<Micros>,
+    /// From then on the next call is for the whole list, as the address was another before.
+    verify_at: Option<Micros>,
+    /// The first call of this life has been made or planned.
+    started: bool,
 }
 
 /// One exchange.
@@ -50,14 +80,36 @@
     accepted: bool,
     /// The present exchange has time until then; timers of earlier ones may still come.
     until: Micros,
-    /// When it began, and the version held then.
+    /// When it began.
     began: Micros,
-    since: Option<u64>,
+    /// What it asks for.
+    asked: Asked,
+}
+
+/// What a call asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Asked {
+    /// The whole list.
+    Whole,
+    /// What is newer than this version, waited for.
+    NewerThan(u64),
 }
 
 impl Discovery {
-    pub fn new(address: SocketAddr, pushed: bool) -> Self {
-        Discovery { address, pushed, answered: false, following: false, watch: None, whole: None }
+    /// `ask_within`: how long the settings let a proxy go without a word from discovery.
+    pub fn new(address: SocketAddr, pushed: bool, ask_within: Micros) -> Self {
+        let silence = ask_within.clamp(SILENCE_LEAST, SILENCE_MOST);
+        Discovery {
+            address,
+            silence,
+            pushed,
+            answered: false,
+            confirmed: false,
+            call: None,
+            again: None,
+            verify_at: None,
+            started: false,
+        }
     }
 
     /// Whether the list held may be used for the first requests of a life: where lists are pushed, only after the
@@ -66,66 +118,110 @@
         !self.pushed || self.answered
     }
 
-    fn place(&mut self, generation: u64) -> Option<&mut Option<Call>> {
-        let is = |c: &Option<Call>| c.as_ref().is_some_and(|c| c.generation == generation);
-        match (is(&self.watch), is(&self.whole)) {
-            (true, _) => Some(&mut self.watch),
-            (_, true) => Some(&mut self.whole),
-            _ => None,
-        }
+    /// So many tenths of the time without a word.
+    fn tenths(&self, tenths: Micros) -> Micros {
+        self.silence / 10 * tenths
+    }
+
+    /// A call for the whole list is out.
+    fn is_fetching(&self) -> bool {
+        self.call.as_ref().is_some_and(|call| call.asked == Asked::Whole)
     }
 
     fn call(&mut self, generation: u64) -> Option<&mut Call> {
-        self.place(generation).and_then(Option::as_mut)
+        self.call.as_mut().filter(|call| call.generation == generation)
     }
 }
 
 impl Proxy {
+    /// The decisions want the list, or have heard nothing for long. A call that is planned, or is out for the whole
+    /// list, answers for this one; a watch that is out is taken for dead and replaced.
     pub(super) fn follow_list(&mut self) {
-        self.discovery.following = true;
-        self.fetch_list();
+        if self.discovery.again.is_some() || self.discovery.is_fetching() {
+            return;
+        }
+        if self.discovery.started || self.discovery.pushed || self.roster.is_empty() {
+            return self.ask_discovery(None);
+        }
+        self.discovery.started = true;
+        self.ask_discovery_within(self.discovery.tenths(START_TENTHS));
     }
 
-    /// Asks for the whole list; a call that is out already answers for this one too.
-    pub(super) fn fetch_list(&mut self) {
-        if self.discovery.whole.is_none() {
-            let call = self.call_discovery(WHOLE_PATH, CALL_TIMEOUT, None);
-            let failed = call.is_none();
-            self.discovery.whole = call;
-            if failed {
-                self.list_failed("no connection");
-            }
+    /// Draws when the whole list is asked for once more.
+    fn verify_later(&mut self) {
+        let [from, until] =
+            [VERIFY_FROM_TENTHS, VERIFY_UNTIL_TENTHS].map(|tenths| self.discovery.tenths(tenths));
+        self.discovery.verify_at = Some(self.now() + self.rng.random_range(from..until));
+    }
+
+    /// Plans a call at a drawn time within the span.
+    fn ask_discovery_within(&mut self, span: Micros) {
+        let at = self.now() + self.rng.random_range(0..span.max(1));
+        self.discovery.again = Some(at);
+        self.timers.set(at, What::ListAgain);
+    }
+
+    /// A planned call may be due.
+    pub(super) fn discovery_due(&mut self) {
+        let now = self.now();
+        if self.discovery.again.is_some_and(|at| at <= now) {
+            self.ask_discovery(None);
         }
     }
 
-    /// SIGHUP named an address: the list is asked for there at once.
+    /// Asks for what is newer than the version held, or for the whole list, on a connection that has just answered or
+    /// on a new one.
+    fn ask_discovery(&mut self, on: Option<Call>) {
+        self.discovery.again = None;
+        if let Some(dead) = self.discovery.call.take() {
+            dead.socket.remove(&self.handle);
+        }
+        // Where lists are pushed no call costs anything, and the first one says whether the process is ready.
+        let whole_first = self.discovery.pushed && !self.discovery.confirmed;
+        let verify = self.discovery.verify_at.is_some_and(|at| at <= self.now());
+        if verify {
+            self.verify_later();
+        }
+        let asked = match self.roster.version().filter(|_| !whole_first && !verify) {
+            Some(version) => Asked::NewerThan(version),
+            None => Asked::Whole,
+        };
+        match self.call_discovery(asked, on) {
+            Some(call) => self.discovery.call = Some(call),
+            None => self.list_failed("no connection"),
+        }
+    }
+
+    /// SIGHUP named an address: what is newer than the version held is asked for there. A service that has less than that
+    /// is found out by its first answer, one with another list under the same numbers later ([`VERIFY_FROM_TENTHS`]).
     pub(super) fn move_discovery(&mut self, address: SocketAddr) {
         if self.discovery.address == address {
             return;
         }
         self.discovery.address = address;
-        let calls = [self.discovery.watch.take(), self.discovery.whole.take()];
-        calls.into_iter().flatten().for_each(|call| call.socket.remove(&self.handle));
-        // Versions are the service's own: behind another address they may mean another thing.
-        self.roster.forget_version();
-        self.fetch_list();
-    }
-
-    fn watch_list(&mut self, on: Option<Call>) {
-        let Some(version) = self.roster.version().filter(|_| self.discovery.following) else { return };
-        let path = watch_path(version, WAIT);
-        let call = self.call_discovery(&path, WAIT + CALL_TIMEOUT, on);
-        let failed = call.is_none();
-        self.discovery.watch = call;
-        if failed {
-            self.list_failed("no connection");
+        self.discovery.confirmed = false;
+        if let Some(call) = self.discovery.call.take() {
+            call.socket.remove(&self.handle);
+        }
+        self.verify_later();
+        match self.discovery.pushed {
+            true => self.ask_discovery(None),
+            false => self.ask_discovery_within(self.discovery.tenths(MOVE_TENTHS)),
         }
     }
 
     /// Begins an exchange, on a connection that has just answered or on a new one.
-    fn call_discovery(&mut self, path: &str, within: Micros, on: Option<Call>) -> Option<Call> {
+    fn call_discovery(&mut self, asked: Asked, on: Option<Call>) -> Option<Call> {
         let generation = self.next_generation();
-        let address = self.discovery.address;
+        let Discovery { address, confirmed, .. } = self.discovery;
+        let (path, within) = match asked {
+            Asked::Whole => (WHOLE_PATH.to_owned(), CALL_TIMEOUT),
+            Asked::NewerThan(version) => {
+                let wait = self.discovery.tenths(WAIT_TENTHS);
+                let wait = if confirmed { wait } else { wait.min(FIRST_WAIT) };
+                (watch_path(version, wait), wait + CALL_TIMEOUT)
+            }
+        };
         let mut call = match on {
             // Its readiness is known by the number it was opened under, so it keeps that.
             Some(call) => call,
@@ -144,7 +240,7 @@
                     accepted: false,
                     until: 0,
                     began: 0,
-                    since: None,
+                    asked,
                 }
             }
         };
@@ -153,7 +249,7 @@
         call.http.expect_answer(false);
         call.accepted = false;
         call.socket.want_connected(&self.handle);
-        (call.began, call.since) = (self.now(), self.roster.version());
+        (call.began, call.asked) = (self.now(), asked);
         call.until = call.began + within;
         self.timers.set(call.until, What::Discovery(call.generation));
         Some(call)
@@ -220,48 +316,47 @@
             return self.discovery_ended(generation, "declined");
         }
         let body = std::mem::take(&mut call.body);
-        let (began, since) = (call.began, call.since);
+        let (began, asked) = (call.began, call.asked);
         let list = match List::parse(&body) {
             Ok(list) => list,
             Err(why) => return self.discovery_ended(generation, &why.0),
         };
-        // Older than what was held when it was asked for: no answer overtaken on its way, the service counts anew.
-        let counts_anew = since.is_some_and(|since| list.revision < since);
-        let is_new = !list.members.is_empty() || since.is_none_or(|since| list.revision > since);
-        if !list.complete && (counts_anew || (!is_new && now < began + ANSWERED_AT_ONCE)) {
-            return self.discovery_ended(generation, "a watch that answers with nothing new");
-        }
-        if counts_anew && list.complete {
-            self.roster.forget_version();
+        if let Asked::NewerThan(held) = asked {
+            if list.revision < held {
+                // Whatever it waited for, the service has less than was held: it counts its versions anew.
+                self.roster.forget_version();
+                if !list.complete {
+                    return self.discovery_ended(generation, "versions counted anew");
+                }
+            }
+            let is_new = list.revision > held || !list.members.is_empty();
+            if !list.complete && !is_new && now < began + ANSWERED_AT_ONCE {
+                return self.discovery_ended(generation, "a watch that answers with nothing new");
+            }
         }
-        let (held, version) = (self.roster.version(), list.revision);
+        let version = list.revision;
         let applied = match self.roster.apply(&list) {
             Ok(applied) => applied,
             Err(why) => return self.discovery_ended(generation, &why.0),
         };
-        tracing::debug!(version, lines = applied.entries.len(), kind = ?applied.kind, "server list");
+        tracing::debug!(version, lines = applied.entries.len(), kind = ?applied.kind, ?asked, "server list");
+        self.discovery.confirmed = true;
+        if list.complete {
+            self.discovery.verify_at = None;
+        }
         self.servers_changed(&applied.changed);
         self.engine.list(now, applied.kind, &applied.entries);
         self.pump();
-        let Some(place) = self.discovery.place(generation) else { return };
-        let Some(call) = place.take() else { return };
-        let kept = if reusable {
-            Some(call)
-        } else {
-            call.socket.remove(&self.handle);
-            None
-        };
-        // A watch that should have told this version by now has gone dead.
-        if held.is_none_or(|held| version > held)
-            && let Some(dead) = self.discovery.watch.take()
-        {
-            dead.socket.remove(&self.handle);
+        // The decisions may have asked for the list meanwhile.
+        if self.discovery.call(generation).is_none() {
+            return;
         }
-        if self.discovery.watch.is_none() {
-            self.watch_list(kept);
-        } else if let Some(call) = kept {
-            call.socket.remove(&self.handle);
+        let call = self.discovery.call.take();
+        let (kept, ended): (Option<Call>, Option<Call>) = if reusable { (call, None) } else { (None, call) };
+        if let Some(ended) = ended {
+            ended.socket.remove(&self.handle);
         }
+        self.ask_discovery(kept);
     }
 
     pub(super) fn discovery_timeout(&mut self, generation: u64) {
@@ -273,7 +368,8 @@
 
     /// A call is over without an answer.
     fn discovery_ended(&mut self, generation: u64, why: &str) {
-        let Some(call) = self.discovery.place(generation).and_then(Option::take) else { return };
+        let Some(call) = self.discovery.call.take_if(|call| call.generation == generation) else { return };
+        tracing::debug!(asked = ?call.asked, after = self.now() - call.began, why, "list call failed");
         call.socket.remove(&self.handle);
         self.list_failed(why);
     }
@@ -282,17 +378,14 @@
         if self.may_say() {
             tracing::warn!("discovery: {why}");
         }
-        let now = self.now();
         self.discovery.answered = true;
-        let soon = match self.discovery.pushed {
-            true => Some(PUSHED_AGAIN),
-            false => self.roster.is_empty().then_some(EMPTY_AGAIN),
+        let span = match self.discovery.pushed {
+            true => PUSHED_AGAIN,
+            false if self.roster.is_empty() => EMPTY_AGAIN,
+            false => self.discovery.tenths(RETRY_TENTHS),
         };
-        if let Some(span) = soon {
-            let wait = self.jittered(span);
-            return self.timers.set(now + wait, What::ListAgain);
-        }
-        self.engine.list(now, ListKind::Failed, &[]);
-        self.pump();
+        let at = self.now() + self.jittered(span);
+        self.discovery.again = Some(at);
+        self.timers.set(at, What::ListAgain);
     }
 }
--- a/crates/platform-proxy/src/lib.rs
+++ b/crates/platform-proxy/src/lib.rs
@@ -176,6 +176,7 @@
         if pushed {
             decisions.contract.ask_within = discovery::PUSHED_ASK_WITHIN;
         }
+        let ask_within = decisions.contract.ask_within;
         let budgets = Budgets::new(&config.limits, config.instance.open_cap);
         Proxy {
             engine: Engine::new(decisions, config.seed, None),
@@ -192,7 +193,7 @@
             servers: Slab::new(),
             idle: BTreeMap::new(),
             roster: Roster::new(config.instance.zones.clone()),
-            discovery: Discovery::new(config.discovery, pushed),
+            discovery: Discovery::new(config.discovery, pushed, ask_within),
             pipeline: Pipeline::new(config.pipeline),
             udp: None,
             timers: Timers::default(),
@@ -256,7 +257,7 @@
             match what {
                 What::Connect(key, generation) => self.connect_timeout(key, generation),
                 What::Discovery(generation) => self.discovery_timeout(generation),
-                What::ListAgain => self.fetch_list(),
+                What::ListAgain => self.discovery_due(),
                 What::PipelineSilence(generation) => self.watch_silent(generation),
                 What::PipelineAgain => self.open_watch(),
                 What::Vote(key, generation) => self.vote_timeout(key, generation),
@@ -293,7 +294,7 @@
             Order::Answer { request, answer } => self.answer_own(request, answer),
             Order::Forget { request } => self.forget(request),
             Order::FollowList => self.follow_list(),
-            Order::FetchList => self.fetch_list(),
+            Order::FetchList => self.follow_list(),
             Order::Vote { build, stage, verdict } => self.call_vote(build, stage, verdict),
             Order::Tell { to, payload } => self.tell_peers(to, &payload),
             // The platform's settings name no budget of the fleet, so that none is kept here.
