A drain answers first requests on their way and what waits without room

Cause: when the HTTP driver drained, close_idle_clients (crates/proxy/src/driver/clients.rs) closed every connection that had sent nothing yet, also one that had just been accepted, and stop_taking (driver/mod.rs) closed the listeners right after accept_last, also where that had stopped at max_clients (or for want of descriptors): the rest of the queue was reset.

Change: a connection without a request so far stays for up to 1 s while draining. Listeners close once their queues are empty; where there is no room for all, the queue is taken as clients leave, until the longest deadline of the settings and 1 s have passed. A drain that an operator calls off goes on with the listeners it still has. Test processes end with the test that fails.

Left: a first request that begins during the drain has what is left of its second for its head and body, then gets 408.

--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -103,6 +103,14 @@
     proxy
 }
 
+/// A test that fails leaves no process behind.
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
 impl Proxy {
     pub fn pid(&self) -> Pid {
         Pid::from_raw(self.child.id() as i32).unwrap()
--- a/crates/proxy/src/driver/clients.rs
+++ b/crates/proxy/src/driver/clients.rs
@@ -23,6 +23,8 @@
 const INPUT_MOST: usize = 64 * 1024;
 /// A closed connection's input is read and dropped for so long.
 const LINGER: Micros = 1_000_000;
+/// While draining, a connection that has carried no request yet may take so long to begin its first one.
+const FIRST_REQUEST: Micros = 1_000_000;
 /// Says how a final answer came about: served, refused or failed.
 const OUTCOME: HeaderName = HeaderName::from_static("violetseam-answer");
 
@@ -32,6 +34,8 @@
     socket: Socket,
     http: ServerConn,
     state: State,
+    /// A request's head has come on it.
+    used: bool,
     /// The client closed its side; it may still read.
     half_closed: bool,
     /// When the present state has lasted too long, and when a timer looks at that.
@@ -70,6 +74,15 @@
     Decline(StatusCode, &'static str),
 }
 
+/// What accepting has left in a listener's queue.
+enum Queue {
+    Empty,
+    /// More may wait that could be taken now.
+    More,
+    /// No room or descriptor for what waits: accepting pauses.
+    Paused,
+}
+
 /// A request that the engine has: what it takes to send it, and where its answer goes.
 pub(super) struct Held {
     client: usize,
@@ -131,13 +144,13 @@
         Ok(())
     }
 
-    /// Accepts some; whether more may wait that could be taken now.
-    fn accept(&mut self, listener: &TcpListener) -> bool {
+    /// Accepts one turn's share.
+    fn accept(&mut self, listener: &TcpListener) -> Queue {
         self.heard = true;
         for _ in 0..ACCEPTS_MOST {
             if self.clients.len() >= self.settings.connections.max_clients {
                 self.pause_accepting("as many clients as the settings allow");
-                return false;
+                return Queue::Paused;
             }
             match listener.accept() {
                 Ok((stream, _)) => {
@@ -145,18 +158,18 @@
                         tracing::warn!("client not taken: {e}");
                     }
                 }
-                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return false,
+                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return Queue::Empty,
                 // The client left before it was accepted.
                 Err(e) if e.kind() == std::io::ErrorKind::ConnectionAborted => {}
                 Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
                 // Out of descriptors or memory: connections wait in the kernel's queue, none is lost.
                 Err(e) => {
                     self.pause_accepting(&e.to_string());
-                    return false;
+                    return Queue::Paused;
                 }
             }
         }
-        true
+        Queue::More
     }
 
     /// Stops or goes on accepting.
@@ -176,12 +189,37 @@
         self.timers.set(now + ACCEPT_PAUSE, What::Accept);
     }
 
-    /// Before a drain: connections that wait in the kernel's queue are taken, so that none is reset.
-    pub(super) fn accept_last(&mut self) {
+    /// Takes what waits in the kernel's queues, so that none is reset, and listens no more once they are empty. Where
+    /// there is no room for all, the rest is taken as clients leave, for as long as it may have an answer in time.
+    pub(super) fn drain_queues(&mut self) {
         let listeners: Vec<Rc<TcpListener>> = self.listeners.iter().map(|(l, _)| l.clone()).collect();
-        // What waits beyond one turn's share would be reset with the listener.
-        for listener in &listeners {
-            while self.accept(listener) {}
+        if listeners.iter().all(|listener| self.drain_queue(listener)) || self.now() >= self.listen_until {
+            self.stop_listening();
+        }
+    }
+
+    /// Whether nothing is left in a listener's queue.
+    fn drain_queue(&mut self, listener: &TcpListener) -> bool {
+        loop {
+            match self.accept(listener) {
+                Queue::Empty => return true,
+                Queue::More => {}
+                Queue::Paused => return false,
+            }
+        }
+    }
+
+    /// When a drain gives up what still waits for room: first requests have had their time to come, and those that
+    /// keep the room their deadline.
+    pub(super) fn last_listening(&self) -> Micros {
+        let classes = &self.settings.decisions.classes;
+        self.now() + FIRST_REQUEST + classes.iter().map(|class| class.deadline).max().unwrap_or(0)
+    }
+
+    /// Closes the listeners.
+    pub(super) fn stop_listening(&mut self) {
+        for (_, token) in self.listeners.drain(..) {
+            token.into_iter().for_each(|token| self.handle.remove(token));
         }
     }
 
@@ -195,18 +233,35 @@
         keys.iter().filter_map(|key| Some(self.clients.get(*key)?.socket.stream())).collect()
     }
 
-    /// Before a drain: what has come on idle connections is read, the others close.
+    /// Before a drain: what has come on idle connections is read. The others close, but those whose first request
+    /// may be on its way.
     pub(super) fn close_idle_clients(&mut self) {
         for key in self.idle_clients() {
             self.read_client(key);
-            if self.clients.get(key).is_some_and(Client::is_between_requests) {
+            if self.clients.get(key).is_some_and(|c| c.used && c.is_between_requests()) {
                 self.close_client(key);
             }
         }
     }
 
+    /// After a drain that was called off: connections between requests have their ordinary time again.
+    pub(super) fn keep_idle_clients(&mut self) {
+        for key in self.idle_clients() {
+            self.clients[key].limit_at = Micros::MAX;
+            self.rest_client(key);
+        }
+    }
+
+    /// How long a connection may be idle that has carried no request yet.
+    fn unused_span(&self) -> Micros {
+        let idle = self.settings.connections.client_idle;
+        if self.draining { idle.min(FIRST_REQUEST) } else { idle }
+    }
+
     pub(super) fn accept_again(&mut self) {
-        if self.handing.is_none() {
+        if self.draining {
+            self.drain_queues();
+        } else if self.handing.is_none() {
             self.set_accepting(true);
         }
     }
@@ -215,7 +270,7 @@
         stream.set_nonblocking(true)?;
         stream.set_nodelay(true)?;
         let generation = self.next_generation();
-        let limit_at = self.now() + self.settings.connections.client_idle;
+        let limit_at = self.now() + self.unused_span();
         let http = ServerConn::new(self.head_limits);
         let entry = self.clients.vacant_entry();
         let key = entry.key();
@@ -226,6 +281,7 @@
             socket,
             http,
             state: State::Idle,
+            used: false,
             half_closed: false,
             limit_at,
             armed_at: limit_at,
@@ -296,12 +352,14 @@
         let now = self.now();
         let settings = self.settings.clone();
         let c = &settings.connections;
+        let unused_span = self.unused_span();
         let Some(client) = self.clients.get_mut(key) else { return };
         let span = match &client.state {
             State::Waiting(_) => None,
             State::Collecting(_) => Some(c.body_timeout),
             State::Idle if client.http.is_receiving() => Some(c.head_timeout),
-            State::Idle => Some(c.client_idle),
+            State::Idle if client.used => Some(c.client_idle),
+            State::Idle => Some(unused_span),
             State::Closing => Some(c.head_timeout),
             State::Lingering => Some(LINGER),
         };
@@ -384,6 +442,7 @@
         let now = self.now();
         let arrived = now - self.timers.behind(now, self.engine.due());
         let Some(client) = self.clients.get_mut(key) else { return };
+        client.used = true;
         if head.expects_continue {
             client.http.write_continue(client.socket.out());
             client.state = State::Collecting(Box::new(Pending { head, arrived, purpose, body: Vec::new() }));
--- a/crates/proxy/src/driver/mod.rs
+++ b/crates/proxy/src/driver/mod.rs
@@ -130,8 +130,10 @@
     scratch: Vec<u8>,
     rng: rand_pcg::Pcg64,
     generation: u64,
-    /// Takes nothing new.
+    /// Takes nothing new but what is on its way.
     draining: bool,
+    /// When a drain closes the listeners whatever waits in their queues.
+    listen_until: Micros,
     /// Ends once nothing is left in hand.
     ending: bool,
     stopping: bool,
@@ -297,6 +299,7 @@
             rng,
             generation: 0,
             draining: false,
+            listen_until: 0,
             ending: false,
             stopping: false,
             quiet: RateLimit::default(),
@@ -353,11 +356,17 @@
         self.pump();
         self.own_timers(looked);
         self.pump();
-        if self.ending && self.engine.owed() == 0 && self.clients.is_empty() && self.held.is_empty() {
+        if self.ending && self.has_ended() {
             self.stopping = true;
         }
     }
 
+    /// Nothing is in hand and nothing can come.
+    fn has_ended(&self) -> bool {
+        let nothing_open = self.listeners.is_empty() && self.clients.is_empty();
+        nothing_open && self.engine.owed() == 0 && self.held.is_empty()
+    }
+
     /// Does what the engine ordered, and what comes of that, until nothing is left. Called from within, it
     /// leaves that to the call it came from.
     fn pump(&mut self) {
@@ -439,18 +448,17 @@
         self.stop_taking();
     }
 
-    /// Stops taking connections and requests. Listeners close: a connection that waited in the kernel's
-    /// queue would be neither taken nor free to go elsewhere.
+    /// Stops taking connections and requests, but for those on their way: in the listeners' queues, and first requests
+    /// on connections that were accepted. Listeners close once their queues are empty: what waits there would be
+    /// neither taken nor free to go elsewhere.
     fn stop_taking(&mut self) {
         if std::mem::replace(&mut self.draining, true) {
             return;
         }
         tracing::info!(owed = self.engine.owed(), "draining");
-        self.accept_last();
-        for (_, token) in self.listeners.drain(..) {
-            token.into_iter().for_each(|token| self.handle.remove(token));
-        }
+        self.listen_until = self.last_listening();
         self.close_idle_clients();
+        self.drain_queues();
         self.pump();
     }
 
@@ -460,8 +468,13 @@
             return Err("this daemon is on its way out".into());
         }
         if self.draining {
-            self.bind_listeners().map_err(|e| e.to_string())?;
+            if self.listeners.is_empty() {
+                self.bind_listeners().map_err(|e| e.to_string())?;
+            } else {
+                self.set_accepting(true);
+            }
             self.draining = false;
+            self.keep_idle_clients();
         }
         Ok(())
     }
--- a/crates/proxy/src/driver/takeover.rs
+++ b/crates/proxy/src/driver/takeover.rs
@@ -272,9 +272,7 @@
         // Both hold these sockets: closing this side's copies ends no connection. Other connections that have
         // become idle meanwhile were told to close with their answers.
         self.set_accepting(true);
-        for (_, token) in self.listeners.drain(..) {
-            token.into_iter().for_each(|token| self.handle.remove(token));
-        }
+        self.stop_listening();
         std::mem::take(&mut self.handed_clients).into_iter().for_each(|key| self.close_client(key));
         (self.draining, self.ending) = (true, true);
         let clients: Vec<usize> = self.clients.iter().map(|(key, _)| key).collect();
