The simulated site's files depend one way: shared state in a module of its own

Change: the types go below what uses them: `connection` (one connection, what is kept of all), `relay` (sockets and datagrams on their way, without Site), `state` (Site's fields and what every part asks of them), then `streams`, `roster_http`, `desk_http`, `site_http`, `datagrams`, `machines`, and `site` with the loop's turn on top; header fields in `headers`. Functions are moved as they were, visibility aside; binding the relay's sockets and putting them on the loop are two functions now. Public names and paths of the crate stay, but Relay::bind, which takes no loop any more.

--- a/crates/standin/src/drive/clients.rs
+++ b/crates/standin/src/drive/clients.rs
@@ -2,7 +2,7 @@
 //! reports of wrong answers.
 
 use super::Net;
-use super::site_http::{BUILD, CLASS, KEY, REQUEST, WORK, WRONG};
+use super::headers::{BUILD, CLASS, KEY, REQUEST, WORK, WRONG};
 use crate::Clock;
 use crate::day::{Day, Effect};
 use crate::model::Rng;
--- /dev/null
+++ b/crates/standin/src/drive/machines.rs
@@ -0,0 +1,164 @@
+//! Machines: how they start, stop, crash and come back, and how the roster lists them.
+
+use super::state::{Machine, Site, rule_state};
+use crate::day::{Kind, Trouble};
+use crate::model::server::{Build, Server};
+use calloop::generic::Generic;
+use calloop::{Interest, Mode, PostAction, RegistrationToken};
+use std::net::TcpListener;
+use std::rc::Rc;
+use violetseam_audit::Record;
+use violetseam_audit::record::Start;
+use violetseam_site::roster::{Line, State};
+
+impl Site {
+    pub(super) fn start_machine(
+        &mut self,
+        machine: u64,
+        index: usize,
+        build: Build,
+        warm: bool,
+    ) -> std::io::Result<()> {
+        let n = self.day.servers.len();
+        let spec = match index.checked_sub(n) {
+            None => self.day.servers[index].clone(),
+            Some(i) if !self.day.spares.is_empty() => self.day.spares[i % self.day.spares.len()].clone(),
+            Some(i) => self.day.servers[i % n].clone(),
+        };
+        let now = self.clock.now();
+        let server = Server::start(spec, build, now, warm);
+        if !warm {
+            self.see_start(machine, &server);
+        }
+        let listener = self.listen_server(machine)?;
+        let next_pause = now + (machine * 7_919 % 1_000) * 1_000;
+        let entry = Machine {
+            server,
+            listener: Some(listener),
+            index,
+            silent: false,
+            draining: false,
+            down_until: None,
+            next_pause,
+        };
+        self.machines.insert(machine, entry);
+        Ok(())
+    }
+
+    fn see_start(&mut self, machine: u64, server: &Server) {
+        let (cold_from, cold_span) = (server.spec.cold_from, server.spec.cold_span);
+        let start = Start { capacity: server.capacity(), cold_from, cold_span };
+        self.see(Record::Started { server: machine, start });
+    }
+
+    fn listen_server(&mut self, machine: u64) -> std::io::Result<(Rc<TcpListener>, RegistrationToken)> {
+        let listener = Rc::new(violetseam_loopio::listen(self.net.machine(machine), 1024)?);
+        let source = Generic::new(listener.clone(), Interest::READ, Mode::Level);
+        let token = self
+            .handle
+            .insert_source(source, move |_, listener, site: &mut Site| {
+                site.accept_server(machine, listener);
+                Ok(PostAction::Continue)
+            })
+            .map_err(|e| std::io::Error::other(e.to_string()))?;
+        Ok((listener, token))
+    }
+
+    /// The process ends: everything it held is lost.
+    pub(super) fn stop_machine(&mut self, machine: u64) {
+        if let Some((_, token)) = self.machines.get_mut(&machine).and_then(|m| m.listener.take()) {
+            self.handle.remove(token);
+        }
+        self.close_connections_of(machine);
+    }
+
+    /// Lists a machine so at a moment; later while the roster is late.
+    pub(super) fn list(&mut self, at: u64, machine: u64, state: State) {
+        let Some(m) = self.machines.get(&machine) else { return };
+        let late = self.active(Kind::RosterLate).map_or(0, |t| (t.size * 1e6) as u64);
+        let line = Line {
+            id: machine,
+            addr: self.net.machine(machine),
+            build: m.server.build.number,
+            state,
+            zone: m.server.spec.zone,
+            cell: m.server.spec.cell,
+            size: m.server.spec.cores,
+            age_us: None,
+        };
+        let started = if m.server.warmth(m.server.born) < 1.0 { m.server.born } else { 0 };
+        self.roster.change(at + late, line, started);
+    }
+
+    pub(super) fn list_due(&mut self) {
+        let now = self.clock.now();
+        let changed = self.roster.advance(now);
+        for (server, state) in &changed {
+            self.see(Record::Listed { server: *server, state: rule_state(*state) });
+        }
+        if !changed.is_empty() {
+            self.tell_roster(now);
+        }
+    }
+
+    pub(super) fn hit_by(&self, trouble: &Trouble) -> Vec<u64> {
+        let zone = trouble.kind == Kind::ZoneLoss;
+        let hit = self.machines.iter().filter(|(_, m)| match zone {
+            true => usize::from(m.server.spec.zone) == trouble.which,
+            false => trouble.on.contains(&m.index),
+        });
+        hit.map(|(id, _)| *id).collect()
+    }
+
+    /// A machine dies and comes back cold.
+    pub(super) fn crash(&mut self, now: u64, machine: u64, back_at: u64) {
+        self.stop_machine(machine);
+        let Some(m) = self.machines.get_mut(&machine) else { return };
+        m.down_until = Some(back_at);
+        let (noticed, back) = (now + self.day.roster.silent_notice, back_at + self.day.roster.add);
+        if noticed < back {
+            self.list(noticed, machine, State::Gone);
+        }
+    }
+
+    pub(super) fn come_back(&mut self, now: u64) {
+        let back: Vec<u64> = self
+            .machines
+            .iter()
+            .filter(|(_, m)| m.down_until.is_some_and(|at| at <= now))
+            .map(|(id, _)| *id)
+            .collect();
+        for machine in back {
+            let listener = match self.listen_server(machine) {
+                Ok(listener) => listener,
+                Err(e) => {
+                    let _ = self.say.send(format!("machine {machine} does not come back: {e}"));
+                    continue;
+                }
+            };
+            let Some(m) = self.machines.get_mut(&machine) else { continue };
+            (m.down_until, m.listener) = (None, Some(listener));
+            let (spec, build) = (m.server.spec.clone(), m.server.build.clone());
+            let (server, draining) = (Server::start(spec, build, now, false), m.draining);
+            self.see_start(machine, &server);
+            self.machines.entry(machine).and_modify(|m| m.server = server);
+            let state = if draining { State::Draining } else { State::Ready };
+            self.list(now + self.day.roster.add, machine, state);
+        }
+    }
+
+    /// Servers that fell over answer nobody any more.
+    pub(super) fn collapse(&mut self) {
+        let fallen: Vec<u64> = self
+            .machines
+            .iter()
+            .filter(|(_, m)| m.server.collapsed && m.listener.is_some())
+            .map(|(id, _)| *id)
+            .collect();
+        for machine in fallen {
+            let _ = self.say.send(format!("machine {machine} was pushed over while cold"));
+            self.report.collapsed.push(machine);
+            self.stop_machine(machine);
+        }
+    }
+}
--- a/crates/standin/src/drive/mod.rs
+++ b/crates/standin/src/drive/mod.rs
@@ -1,11 +1,23 @@
 //! The stand-ins' sockets: servers, roster, desk and the peers' network on one loop ([`site`]), clients on
 //! another ([`clients`]). Each runs on a thread of its own and gives back what it saw.
+//!
+//! Of the site each file uses only those before it: `headers` (fields), `connection` (types), `relay`, `remote`, `state`
+//! (what the site holds), `streams` (writing and closing), `roster_http`, `desk_http`, `site_http` (requests read),
+//! `datagrams`, `machines`, `site` (its turn).
 
 pub mod clients;
+mod connection;
+mod datagrams;
+mod desk_http;
+mod headers;
+mod machines;
 pub mod relay;
 mod remote;
+mod roster_http;
 pub mod site;
 mod site_http;
+mod state;
+mod streams;
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
--- a/crates/standin/src/drive/relay.rs
+++ b/crates/standin/src/drive/relay.rs
@@ -1,17 +1,12 @@
-//! The network between peers: forwards their datagrams, or loses, repeats, delays and reorders them.
+//! The network between peers: its sockets, and the datagrams on their way.
 
 use super::Net;
-use super::site::Site;
-use crate::day::{Kind, Trouble};
-use calloop::generic::Generic;
-use calloop::{Interest, LoopHandle, Mode, PostAction};
-use rand::RngExt;
 use std::collections::BTreeMap;
 use std::net::UdpSocket;
 use std::rc::Rc;
 
 /// Ordinary delay of a datagram, in microseconds, from and to.
-const DELAY: (u64, u64) = (1_000, 8_000);
+pub(super) const DELAY: (u64, u64) = (1_000, 8_000);
 
 /// Sockets by sender and receiver.
 pub struct Relay {
@@ -24,26 +19,25 @@
 
 impl Relay {
     /// Binds a socket for each pair of peers.
-    pub fn bind(on: &LoopHandle<'static, Site>, net: Net, proxies: usize) -> std::io::Result<Relay> {
+    pub fn bind(net: Net, proxies: usize) -> std::io::Result<Relay> {
         let mut sockets = BTreeMap::new();
         for from in 0..proxies {
             for to in (0..proxies).filter(|to| *to != from) {
                 let socket = UdpSocket::bind(net.relay(from, to))?;
                 socket.set_nonblocking(true)?;
-                let socket = Rc::new(socket);
-                let source = Generic::new(socket.clone(), Interest::READ, Mode::Level);
-                on.insert_source(source, move |_, socket, site: &mut Site| {
-                    site.on_datagrams(from, to, socket);
-                    Ok(PostAction::Continue)
-                })
-                .map_err(|e| std::io::Error::other(e.to_string()))?;
-                sockets.insert((from, to), socket);
+                sockets.insert((from, to), Rc::new(socket));
             }
         }
         Ok(Relay { sockets, flying: BTreeMap::new(), next: 0, net })
     }
 
-    fn fly(&mut self, at: u64, from: usize, to: usize, bytes: Vec<u8>) {
+    /// Each socket with its sender and receiver.
+    pub(super) fn sockets(&self) -> impl Iterator<Item = ((usize, usize), &Rc<UdpSocket>)> {
+        self.sockets.iter().map(|(link, socket)| (*link, socket))
+    }
+
+    /// Sends a datagram on its way, to arrive at a moment.
+    pub(super) fn fly(&mut self, at: u64, from: usize, to: usize, bytes: Vec<u8>) {
         self.next += 1;
         self.flying.insert((at, self.next), (from, to, bytes));
     }
@@ -65,59 +59,3 @@
         }
     }
 }
-
-/// Whether a datagram from one proxy to another crosses the cut.
-fn cuts(trouble: &Trouble, from: usize, to: usize) -> bool {
-    let (sends, hears) = (trouble.on.contains(&from), trouble.on.contains(&to));
-    match (sends, hears) {
-        (true, true) => trouble.extra > 0.5,
-        (true, false) => trouble.which != 2,
-        (false, true) => trouble.which != 1,
-        (false, false) => false,
-    }
-}
-
-impl Site {
-    /// Troubles of a kind that are going on, on this link.
-    fn link_troubles(&self, kind: Kind, from: usize, to: usize) -> impl Iterator<Item = &Trouble> {
-        let on_link = move |t: &&Trouble| t.on.is_empty() || t.on.contains(&from) || t.on.contains(&to);
-        self.all_active(kind).filter(on_link)
-    }
-
-    /// Whether a datagram is lost on this link now.
-    fn loses(&mut self, from: usize, to: usize) -> bool {
-        if self.active(Kind::PeersLost).is_some()
-            || self.all_active(Kind::PeersCut).any(|t| cuts(t, from, to))
-        {
-            return true;
-        }
-        let kept: f64 = self.link_troubles(Kind::PeersLoss, from, to).map(|t| 1.0 - t.size).product();
-        kept < 1.0 && self.rng.random::<f64>() >= kept
-    }
-
-    fn on_datagrams(&mut self, from: usize, to: usize, socket: &UdpSocket) {
-        let mut bytes = [0; 2048];
-        for _ in 0..64 {
-            let Ok((length, source)) = socket.recv_from(&mut bytes) else { return };
-            if source != self.net.peer(from) || self.loses(from, to) {
-                continue;
-            }
-            let now = self.clock.now();
-            let held = self.link_troubles(Kind::PeersSlow, from, to).map(|t| (t.size * 1e6) as u64).max();
-            let datagram = bytes[..length].to_vec();
-            let disordered = self.active(Kind::PeersDisordered).is_some();
-            let copies = if disordered { 2 } else { 1 };
-            for _ in 0..copies {
-                let longest = if disordered { 400_000 } else { DELAY.1 }.max(held.unwrap_or(0));
-                let delay = self.rng.random_range(DELAY.0..longest);
-                self.relay.fly(now + delay, from, to, datagram.clone());
-            }
-            if disordered {
-                // Another version, and damage: both must be dropped.
-                let mut other = datagram.clone();
-                other[2 % length.max(1)] ^= 7;
-                self.relay.fly(now + DELAY.0, from, to, other);
-            }
-        }
-    }
-}
