lab scale: measures how costs grow with a fleet's size, and fits them

The size that is coming (4,700 proxies, 68,000 servers, 30,000 routes, 110,000 tenants) needs figures that are a slope times a size. `violetseam lab scale NAME` measures a quantity at several sizes, fits a line and a power law, and prints both with their largest residual and standard error, as a table or as CSV. The first slopes: settings, server list, decisions with N servers, memory, release evidence in simulated time.

--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -4,7 +4,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
-use violetseam_lab::{Lab, days, disturbed, drawn, fleet, measure, report};
+use violetseam_lab::{Lab, days, disturbed, drawn, fleet, measure, report, scale};
 use violetseam_standin::day::Day;
 
 #[derive(Args)]
@@ -56,6 +56,8 @@
         #[arg(long)]
         disturbed: bool,
     },
+    /// Measure how a cost grows with the size of a fleet, and fit it
+    Scale(scale::ScaleArgs),
     /// Check the records of a day again
     Check {
         /// The records, as a day wrote them
@@ -128,6 +130,10 @@
             let _ = std::fs::remove_dir_all(&plan.out);
             Ok(ExitCode::SUCCESS)
         }
+        Command::Scale(args) => {
+            scale::run(args).map_err(|e| e.to_string())?;
+            Ok(ExitCode::SUCCESS)
+        }
         Command::Check { file } => check(file),
     }
 }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -11,6 +11,7 @@
 mod proxies;
 pub mod report;
 mod run;
+pub mod scale;
 pub mod script;
 
 pub use controller::plan;
--- /dev/null
+++ b/crates/lab/src/scale/simulated.rs
@@ -0,0 +1,210 @@
+//! One proxy's decisions on a simulated clock: requests, their answers and timers, without sockets.
+
+use super::ScaleError;
+use super::server_list::whole_list;
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+use violetseam::balance::Balancer;
+use violetseam::interface::{
+    Action, AttemptEnd, Class, Contract, Effect, Event, GateMode, Limits, ListKind, Micros, Outcome, Phase,
+    Request, RequestId, Rollout, ServerEntry, ServerId, Settings, StageNews, Tenant,
+};
+use violetseam_site::roster::Roster;
+
+/// One millisecond of simulated time.
+pub const MILLISECOND: Micros = 1_000;
+/// One second of simulated time.
+pub const SECOND: Micros = 1_000_000;
+/// How long each simulated attempt takes.
+const ANSWER_AFTER: Micros = 20 * MILLISECOND;
+/// Simulated time moves by this much.
+const STEP: Micros = 5 * MILLISECOND;
+const DEADLINE: Micros = SECOND;
+/// The build on trial; [`whole_list`] lists it and the one before.
+const TRIAL_BUILD: u16 = 101;
+
+/// What one proxy's decisions are told at their start.
+pub fn settings(proxies: usize, position: usize, tenants: usize) -> Settings {
+    let class = Class {
+        aim: 300 * MILLISECOND,
+        deadline: DEADLINE,
+        effect: Effect::Retryable,
+        worth: 1.0,
+        ..Class::default()
+    };
+    let rollout = Rollout {
+        gate: GateMode::Share,
+        stage_cap: vec![0.1, 0.5, 1.0],
+        counted_over: 6 * SECOND,
+        uncounted: 2.0,
+        vote_ttl: 4 * SECOND,
+        call_timeout: SECOND,
+        votes_on: proxies as f64 / 2.0,
+        votes_back: 2.0,
+        vote_allowance: f64::MAX,
+        ..Rollout::default()
+    };
+    let limits = Limits { max_attempts: 3, cancel: true, peer_messages: true, ..Limits::default() };
+    let contract = Contract {
+        answer_grace: 20 * MILLISECOND,
+        ask_within: 10 * SECOND,
+        cold_from: 0.31,
+        cold_span: 4 * SECOND,
+        drain_grace: 2 * SECOND,
+        fall_multiple: 3.0,
+        fall_span: 3 * SECOND,
+    };
+    Settings {
+        classes: vec![class],
+        tenants: vec![Tenant { quota_per_s: 10.0 }; tenants],
+        rollout,
+        limits,
+        contract,
+        list_on_request: true,
+        fleet_size: proxies,
+        position,
+        tick: STEP,
+        over_share_worth: 1.0,
+        ..Settings::default()
+    }
+}
+
+/// The servers of a whole list, as the decisions are told of them.
+pub fn entries(servers: u64, seed: u64) -> Result<Vec<ServerEntry>, ScaleError> {
+    let applied = Roster::default().apply(1, &whole_list(servers, seed));
+    applied.map(|(_, entries)| entries).map_err(|e| ScaleError::Failed(e.to_string()))
+}
+
+/// A message that the decisions asked to be sent.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Told {
+    /// One peer, or all of them.
+    pub to: Option<usize>,
+    /// The bytes.
+    pub payload: Vec<u8>,
+}
+
+struct Out {
+    due: Micros,
+    request: RequestId,
+    server: ServerId,
+}
+
+/// One proxy's decisions, with the clock and the servers that they see.
+pub struct Proxy {
+    balancer: Balancer,
+    now: Micros,
+    timer: Option<Micros>,
+    next_request: RequestId,
+    /// Requests owed at the rate of [`Proxy::run`], a part of one at most.
+    owed: f64,
+    out: VecDeque<Out>,
+    actions: Vec<Action>,
+    /// Messages to peers so far.
+    pub told: Vec<Told>,
+    /// Votes so far.
+    pub votes: u64,
+    /// Attempts so far.
+    pub sends: u64,
+    /// Time spent in the decisions.
+    pub spent: Duration,
+}
+
+impl Proxy {
+    /// A proxy that has heard of its servers and of a build on trial.
+    pub fn new(settings: Settings, servers: &[ServerEntry], seed: u64) -> Proxy {
+        let mut proxy = Proxy {
+            balancer: Balancer::new(settings, seed),
+            now: SECOND,
+            timer: None,
+            next_request: 1,
+            owed: 0.0,
+            out: VecDeque::new(),
+            actions: Vec::new(),
+            told: Vec::new(),
+            votes: 0,
+            sends: 0,
+            spent: Duration::ZERO,
+        };
+        proxy.tell(Event::ServerList { kind: ListKind::Full, entries: servers });
+        let news = StageNews { build: TRIAL_BUILD, stage: 0, phase: Phase::Trial, cap: 0.1 };
+        proxy.tell(Event::Stage(news));
+        proxy
+    }
+
+    /// Tells the decisions of an event and does what they ask for; the time that they took.
+    pub fn tell(&mut self, event: Event<'_>) -> Duration {
+        let start = Instant::now();
+        self.balancer.on_event(self.now, event, &mut self.actions);
+        let taken = start.elapsed();
+        self.spent += taken;
+        for action in std::mem::take(&mut self.actions) {
+            self.perform(action);
+        }
+        taken
+    }
+
+    fn perform(&mut self, action: Action) {
+        match action {
+            Action::Send { request, server, .. } => {
+                self.sends += 1;
+                self.out.push_back(Out { due: self.now + ANSWER_AFTER, request, server });
+            }
+            Action::SetTimer { after, .. } => {
+                let due = self.now + after;
+                self.timer = Some(self.timer.map_or(due, |set| set.min(due)));
+            }
+            Action::TellPeers { payload } => self.told.push(Told { to: None, payload }),
+            Action::TellPeer { to, payload } => self.told.push(Told { to: Some(to), payload }),
+            Action::Vote { .. } => {
+                self.votes += 1;
+                self.tell(Event::VoteReply { outcome: Outcome::Ok, news: None });
+            }
+            _ => {}
+        }
+    }
+
+    /// A client's request; the time that its decision took.
+    pub fn request(&mut self, tenant: usize) -> Duration {
+        let id = self.next_request;
+        self.next_request += 1;
+        let request = Request { id, deadline: self.now + DEADLINE, tenant, ..Request::default() };
+        self.tell(Event::Request(request))
+    }
+
+    /// Moves the clock by one step: answers and timers that have come due.
+    pub fn step(&mut self) {
+        self.now += STEP;
+        while let Some(out) = self.out.pop_front_if(|out| out.due <= self.now) {
+            self.tell(Event::AttemptEnded(AttemptEnd {
+                request: out.request,
+                attempt: 0,
+                server: out.server,
+                outcome: Outcome::Ok,
+                elapsed: ANSWER_AFTER,
+                settled: true,
+            }));
+        }
+        if self.timer.take_if(|due| *due <= self.now).is_some() {
+            self.tell(Event::Timer { token: 0 });
+        }
+    }
+
+    /// Runs for a span at a rate of requests a second.
+    pub fn run(&mut self, span: Micros, requests_per_second: f64) {
+        for _ in 0..span / STEP {
+            self.owed += requests_per_second * STEP as f64 / SECOND as f64;
+            while self.owed >= 1.0 {
+                self.owed -= 1.0;
+                self.request(0);
+            }
+            self.step();
+        }
+    }
+
+    /// Bytes of all that the decisions hold, in a compact serialized form: the same on every machine.
+    pub fn state_bytes(&self) -> Result<u64, ScaleError> {
+        let bytes = postcard::to_stdvec(&self.balancer).map_err(|e| ScaleError::Failed(e.to_string()))?;
+        Ok(bytes.len() as u64)
+    }
+}
