lab scale: hollow proxies measure evidence, server list, news and votes, processes

Sizes such as 4,700 proxies cannot be run as processes on one machine. Hollow proxies are engines or whole proxies of the product, many in one process, with no clients: engines with drawn requests whose evidence datagrams cross loopback UDP or are counted in simulated time (hollow-evidence), whole proxies that watch a registry over real connections (hollow-registry), engines that watch and vote at a release controller process (hollow-release), and processes at rest (hollow-processes).

--- a/crates/lab/src/scale/mod.rs
+++ b/crates/lab/src/scale/mod.rs
@@ -7,6 +7,14 @@
 
 pub mod evidence;
 pub mod fit;
+pub mod hollow_controller;
+pub mod hollow_engine;
+pub mod hollow_evidence;
+pub mod hollow_list;
+pub mod hollow_processes;
+pub mod hollow_proxies;
+pub mod hollow_registry;
+pub mod hollow_release;
 pub mod memory;
 mod resources;
 pub mod routing;
@@ -68,6 +76,14 @@
         #[arg(long, default_value_t = 191.0)]
         requests_per_second: f64,
     },
+    /// Release evidence of N hollow proxies over loopback: datagrams of a collector and of a proxy
+    HollowEvidence(hollow_evidence::EvidenceArgs),
+    /// Server list of N hollow proxies before a registry: calls and bytes at rest, changes, cuts, starts
+    HollowRegistry(hollow_list::RegistryArgs),
+    /// Stage news and votes of N hollow proxies before a release controller
+    HollowRelease(hollow_release::ReleaseArgs),
+    /// Memory and processor time of N processes of `serve` at rest
+    HollowProcesses(hollow_processes::ProcessesArgs),
 }
 
 impl Name {
@@ -81,6 +97,10 @@
             Name::Memory => Box::new(memory::Memory::Servers),
             Name::MemoryTenants => Box::new(memory::Memory::Tenants),
             Name::Evidence { requests_per_second } => Box::new(evidence::Evidence { requests_per_second }),
+            Name::HollowEvidence(ref args) => Box::new(args.clone()),
+            Name::HollowRegistry(ref args) => Box::new(args.clone()),
+            Name::HollowRelease(ref args) => Box::new(args.clone()),
+            Name::HollowProcesses(ref args) => Box::new(args.clone()),
         }
     }
 }
