--- a/crates/lab/src/scale/routing.rs
+++ b/crates/lab/src/scale/routing.rs
@@ -6,7 +6,7 @@
 use super::{Run, ScaleError, Slope};
 use hdrhistogram::Histogram;
 use std::time::Duration;
-use violetseam::interface::{Event, ListKind, Status};
+use violetseam::interface::{Event, ListKind, ServerEntry, Status};
 
 const REQUESTS: usize = 500;
 const WARM_UP: u64 = 2 * SECOND;
@@ -43,6 +43,14 @@
             change[0].status = if drains { Status::Draining } else { Status::Ready };
             proxy.tell(Event::ServerList { kind: ListKind::Delta, entries: &change });
         })?;
+        let zone: Vec<ServerEntry> = servers.iter().filter(|s| s.zone == 0).copied().collect();
+        let mut zone_drains = false;
+        let zone = median_micros(LISTS, || {
+            zone_drains = !zone_drains;
+            let status = if zone_drains { Status::Draining } else { Status::Ready };
+            let change: Vec<ServerEntry> = zone.iter().map(|s| ServerEntry { status, ..*s }).collect();
+            proxy.tell(Event::ServerList { kind: ListKind::Delta, entries: &change });
+        })?;
         let whole = median_micros(LISTS, || {
             proxy.tell(Event::ServerList { kind: ListKind::Full, entries: &servers });
         })?;
@@ -53,6 +61,7 @@
             micros("one request, p99", requests.value_at_quantile(0.99) as f64 / 1e3),
             micros("upkeep, each 100 ms", upkeep),
             micros("change of one server", one),
+            micros("change of a zone", zone),
             micros("whole list", whole),
         ])
     }
--- a/crates/lab/src/scale/server_list.rs
+++ b/crates/lab/src/scale/server_list.rs
@@ -39,25 +39,22 @@
         let bytes = whole.write();
         let count = |quantity: &str, value: f64| Measurement::new(quantity, Unit::Count, size, value);
         let mut found = vec![Measurement::new("whole list", Unit::Bytes, size, bytes.len() as f64)];
-        if size >= u64::from(ZONES) {
-            let zone = changes(&whole, zone_lines(&whole)).write();
-            found.push(Measurement::new("change of a zone", Unit::Bytes, size, zone.len() as f64));
-        }
-        let one = changes(&whole, whole.servers[..1].to_vec());
-        let one_bytes = one.write();
+        let zone_bytes = changes(&whole, zone_lines(&whole)).write();
+        found.push(Measurement::new("change of a zone", Unit::Bytes, size, zone_bytes.len() as f64));
+        let one_bytes = changes(&whole, whole.servers[..1].to_vec()).write();
         found.push(Measurement::new("change of one server", Unit::Bytes, size, one_bytes.len() as f64));
         let taken = bytes.len() <= LINE_MOST && Message::parse(&bytes).is_ok();
         found.push(count("refused", if taken { 0.0 } else { 1.0 }));
         if !taken {
             return Ok(found);
         }
-        found.extend(costs(size, &bytes, &one_bytes)?);
+        found.extend(costs(size, &bytes, &one_bytes, &zone_bytes)?);
         Ok(found)
     }
 }
 
 /// Times and memory of a list that is taken.
-fn costs(size: u64, whole: &[u8], one: &[u8]) -> Result<Vec<Measurement>, ScaleError> {
+fn costs(size: u64, whole: &[u8], one: &[u8], zone: &[u8]) -> Result<Vec<Measurement>, ScaleError> {
     let failed = |e: violetseam_site::Malformed| ScaleError::Failed(e.to_string());
     let before = resident_bytes()?;
     let message = Message::parse(whole).map_err(failed)?;
@@ -67,13 +64,9 @@
     let grown = peak_bytes()?.saturating_sub(before);
     let parse = median_micros(REPEATS, || drop(Message::parse(whole)))?;
     let apply = median_micros(REPEATS, || drop(Roster::default().apply(1, &message)))?;
-    let change = Message::parse(one).map_err(failed)?;
-    let parse_one = median_micros(REPEATS * 10, || drop(Message::parse(one)))?;
-    let apply_one = median_micros(REPEATS * 10, || {
-        // Applied again and again to the same version: only the time is looked at.
-        let again = Message { base: change.base, version: change.base, ..change.clone() };
-        drop(roster.apply(1, &again));
-    })?;
+    let repeats = REPEATS * 10;
+    let (parse_one, apply_one) = change_costs(&mut roster, one, repeats)?;
+    let (parse_zone, apply_zone) = change_costs(&mut roster, zone, REPEATS)?;
     Ok(vec![
         Measurement::new("addresses held", Unit::Count, size, held as f64),
         Measurement::new("memory of the whole list", Unit::Bytes, size, grown as f64),
@@ -81,9 +74,21 @@
         Measurement::new("apply the whole list", Unit::Microseconds, size, apply),
         Measurement::new("parse one change", Unit::Microseconds, size, parse_one),
         Measurement::new("apply one change", Unit::Microseconds, size, apply_one),
+        Measurement::new("parse a zone's change", Unit::Microseconds, size, parse_zone),
+        Measurement::new("apply a zone's change", Unit::Microseconds, size, apply_zone),
     ])
 }
 
+/// The times to parse a change and to apply it, in microseconds. It is applied again and again to the same
+/// version.
+fn change_costs(roster: &mut Roster, bytes: &[u8], repeats: usize) -> Result<(f64, f64), ScaleError> {
+    let change = Message::parse(bytes).map_err(|e| ScaleError::Failed(e.to_string()))?;
+    let again = Message { version: change.base, ..change };
+    let parse = median_micros(repeats, || drop(Message::parse(bytes)))?;
+    let apply = median_micros(repeats, || drop(roster.apply(1, &again)))?;
+    Ok((parse, apply))
+}
+
 /// A whole list of `size` servers in eleven zones.
 pub fn whole_list(size: u64, seed: u64) -> Message {
     let mut random = Pcg32::seed_from_u64(seed);
--- a/crates/lab/src/scale/simulated.rs
+++ b/crates/lab/src/scale/simulated.rs
@@ -2,7 +2,7 @@
 
 use super::ScaleError;
 use super::server_list::whole_list;
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 use violetseam::balance::Balancer;
 use violetseam::interface::{
@@ -94,7 +94,7 @@
 pub struct Proxy {
     balancer: Balancer,
     now: Micros,
-    timer: Option<Micros>,
+    timers: BTreeSet<Micros>,
     next_request: RequestId,
     /// Requests owed at the rate of [`Proxy::run`], a part of one at most.
     owed: f64,
@@ -116,7 +116,7 @@
         let mut proxy = Proxy {
             balancer: Balancer::new(settings, seed),
             now: SECOND,
-            timer: None,
+            timers: BTreeSet::new(),
             next_request: 1,
             owed: 0.0,
             out: VecDeque::new(),
@@ -151,8 +151,7 @@
                 self.out.push_back(Out { due: self.now + ANSWER_AFTER, request, server });
             }
             Action::SetTimer { after, .. } => {
-                let due = self.now + after;
-                self.timer = Some(self.timer.map_or(due, |set| set.min(due)));
+                self.timers.insert(self.now + after);
             }
             Action::TellPeers { payload } => self.told.push(Told { to: None, payload }),
             Action::TellPeer { to, payload } => self.told.push(Told { to: Some(to), payload }),
@@ -185,7 +184,8 @@
                 settled: true,
             }));
         }
-        if self.timer.take_if(|due| *due <= self.now).is_some() {
+        while self.timers.first().is_some_and(|due| *due <= self.now) {
+            self.timers.pop_first();
             self.tell(Event::Timer { token: 0 });
         }
     }
