--- /dev/null
+++ b/crates/distribution/tests/messages.rs
@@ -0,0 +1,285 @@
+//! Messages on the wire: what is written is read back, what is out of bounds is refused.
+
+use proptest::prelude::*;
+use violetseam_distribution::message::{
+    CHANGES_MOST, DELTA_BYTES_MOST, LINE_BYTES_MOST, PART_BYTES_MOST, PARTS_MOST, REASON_BYTES_MOST,
+    REPORT_BYTES_MOST, RETRY_AFTER_MOST, SUBSCRIBER_BYTES_MOST,
+};
+use violetseam_distribution::resource::{
+    CLASS_BYTES_MOST, METHOD_BYTES_MOST, PREFIX_BYTES_MOST, QUOTA_MOST, QUOTA_STEPS, ResourceError,
+    TENANT_BYTES_MOST,
+};
+use violetseam_distribution::version::NUMBER_MOST;
+use violetseam_distribution::{
+    Change, Configuration, Delta, Digest, Message, ParseError, Report, Resource, ResourceKey, RouteKey,
+    SnapshotPart, Subscribe, Tenant, TenantValue, Term, Version,
+};
+
+fn version(term: u64, number: u64) -> Version {
+    Version::new(Term(term), number)
+}
+
+fn delta(changes: Vec<Change>) -> Delta {
+    Delta { base: version(1, 4), version: version(1, 5), changes, digest: Digest(7) }
+}
+
+fn part(resources: Vec<Resource>) -> SnapshotPart {
+    SnapshotPart { version: version(1, 5), part: 0, parts: 1, digest: Digest(7), resources }
+}
+
+fn parse(message: &Message) -> Result<Message, ParseError> {
+    Message::parse(&message.write())
+}
+
+#[test]
+fn every_message_is_read_as_it_was_written() {
+    let route = Resource::route(Some("GET"), "/api/v1", "read");
+    let tenant = Resource::tenant("müller & co", 12.5);
+    let removal = Change::Remove(ResourceKey::Route(RouteKey { method: None, prefix: "/".to_owned() }));
+    let messages = [
+        Message::Delta(delta(vec![Change::Put(route.clone()), removal])),
+        Message::SnapshotPart(part(vec![route, tenant])),
+        Message::Heartbeat { version: version(NUMBER_MOST, NUMBER_MOST), digest: Digest(u128::MAX) },
+        Message::RetryAfter { micros: RETRY_AFTER_MOST },
+    ];
+    for message in messages {
+        let line = message.write();
+        assert_eq!(line.iter().filter(|byte| **byte == b'\n').count(), 1, "one line");
+        assert_eq!(parse(&message), Ok(message));
+    }
+}
+
+#[test]
+fn a_message_is_written_as_documented() {
+    let change = Change::Put(Resource::route(Some("GET"), "/api", "read"));
+    let message = Message::Delta(Delta { digest: Digest(0xabc), ..delta(vec![change]) });
+    let written = String::from_utf8(message.write().to_vec()).unwrap();
+    let documented = concat!(
+        r#"{"delta":{"base":{"term":1,"number":4},"version":{"term":1,"number":5},"#,
+        r#""changes":[{"put":{"route":{"key":{"method":"GET","prefix":"/api"},"value":{"class":"read"}}}}],"#,
+        r#""digest":"00000000000000000000000000000abc"}}"#,
+        "\n"
+    );
+    assert_eq!(written, documented);
+}
+
+#[test]
+fn lines_that_are_no_message_are_refused() {
+    let digest = Digest(1).to_string();
+    let lines = [
+        String::new(),
+        "{}".to_owned(),
+        "[]".to_owned(),
+        r#"{"heartbeat":{}}"#.to_owned(),
+        format!(r#"{{"heartbeat":{{"version":{{"term":1,"number":-1}},"digest":"{digest}"}}}}"#),
+        format!(r#"{{"heartbeat":{{"version":{{"term":1,"number":1}},"digest":"{digest}","more":1}}}}"#),
+        r#"{"heartbeat":{"version":{"term":1,"number":1},"digest":"+0000000000000000000000000000001"}}"#
+            .to_owned(),
+        r#"{"retry_after":{"micros":1}} x"#.to_owned(),
+    ];
+    for line in lines {
+        assert!(matches!(Message::parse(line.as_bytes()), Err(ParseError::Json(_))), "{line}");
+    }
+    let long = vec![b' '; LINE_BYTES_MOST + 1];
+    assert_eq!(Message::parse(&long), Err(ParseError::Length(LINE_BYTES_MOST)));
+}
+
+#[test]
+fn versions_out_of_bounds_or_order_are_refused() {
+    let put = vec![Change::Put(Resource::tenant("a", 1.0))];
+    let beyond = Message::Heartbeat { version: version(1, NUMBER_MOST + 1), digest: Digest(1) };
+    assert_eq!(parse(&beyond), Err(ParseError::Version));
+    let standing = Delta { version: version(1, 4), ..delta(put.clone()) };
+    assert_eq!(parse(&Message::Delta(standing)), Err(ParseError::Order));
+    let across_terms = Delta { version: version(2, 5), ..delta(put) };
+    assert_eq!(parse(&Message::Delta(across_terms)), Err(ParseError::Order));
+    let long_wait = Message::RetryAfter { micros: RETRY_AFTER_MOST + 1 };
+    assert_eq!(parse(&long_wait), Err(ParseError::Wait));
+}
+
+#[test]
+fn deltas_and_parts_of_too_much_are_refused() {
+    assert_eq!(parse(&Message::Delta(delta(Vec::new()))), Err(ParseError::Changes));
+    let tenant = |index: usize| Resource::tenant(&format!("t{index}"), 1.0);
+    let too_many: Vec<Change> = (0..=CHANGES_MOST).map(tenant).map(Change::Put).collect();
+    assert_eq!(parse(&Message::Delta(delta(too_many))), Err(ParseError::Changes));
+    let wide = |index: usize| Resource::tenant(&format!("{index:0250}"), 1.0);
+    let count = DELTA_BYTES_MOST / wide(0).weight() + 1;
+    let too_heavy: Vec<Change> = (0..count).map(wide).map(Change::Put).collect();
+    assert!(too_heavy.len() <= CHANGES_MOST, "the weight is what is refused");
+    assert_eq!(parse(&Message::Delta(delta(too_heavy))), Err(ParseError::Changes));
+
+    let count = PART_BYTES_MOST / wide(0).weight() + 1;
+    let heavy_part = part((0..count).map(wide).collect());
+    assert_eq!(parse(&Message::SnapshotPart(heavy_part)), Err(ParseError::Part));
+    let many = PARTS_MOST as u32 + 1;
+    for (number, parts) in [(0, 0), (1, 1), (2, 1), (0, many)] {
+        let odd = SnapshotPart { part: number, parts, ..part(Vec::new()) };
+        assert_eq!(parse(&Message::SnapshotPart(odd)), Err(ParseError::Part), "{number} of {parts}");
+    }
+}
+
+#[test]
+fn resources_out_of_bounds_are_refused() {
+    let long = |length: usize| "x".repeat(length);
+    let refused = [
+        Resource::route(Some(""), "/", "c"),
+        Resource::route(Some(&long(METHOD_BYTES_MOST + 1)), "/", "c"),
+        Resource::route(Some("GE T"), "/", "c"),
+        Resource::route(None, "", "c"),
+        Resource::route(None, "api", "c"),
+        Resource::route(None, "/a b", "c"),
+        Resource::route(None, "/é", "c"),
+        Resource::route(None, &format!("/{}", long(PREFIX_BYTES_MOST)), "c"),
+        Resource::route(None, "/", ""),
+        Resource::route(None, "/", &long(CLASS_BYTES_MOST + 1)),
+        Resource::route(None, "/", "a\"b"),
+        Resource::tenant("", 1.0),
+        Resource::tenant(&long(TENANT_BYTES_MOST + 1), 1.0),
+        Resource::tenant("a\nb", 1.0),
+        Resource::tenant("a\\b", 1.0),
+        Resource::tenant("a", -1.0),
+        Resource::tenant("a", QUOTA_MOST * 1.01),
+        Resource::tenant("a", f64::NAN),
+        Resource::tenant("a", f64::INFINITY),
+        Resource::Tenant(Tenant { name: "a".to_owned(), value: TenantValue { quota: 1.0 / 3.0 } }),
+    ];
+    for resource in refused {
+        assert!(resource.check().is_err(), "{resource:?}");
+    }
+    let taken = [
+        Resource::route(Some(&long(METHOD_BYTES_MOST)), "/", &long(CLASS_BYTES_MOST)),
+        Resource::route(None, &format!("/{}", long(PREFIX_BYTES_MOST - 1)), "c"),
+        Resource::tenant(&long(TENANT_BYTES_MOST), QUOTA_MOST),
+        Resource::tenant("a", 0.0),
+    ];
+    for resource in taken {
+        assert_eq!(resource.check(), Ok(()), "{resource:?}");
+    }
+    let message = Message::Delta(delta(vec![Change::Put(Resource::tenant("a", -1.0))]));
+    assert_eq!(parse(&message), Err(ParseError::Resource(ResourceError::Quota)));
+    let removal = Change::Remove(ResourceKey::Tenant(String::new()));
+    assert!(matches!(parse(&Message::Delta(delta(vec![removal]))), Err(ParseError::Resource(_))));
+}
+
+#[test]
+fn the_heaviest_delta_and_part_fit_their_line() {
+    // The shortest names and the longest numbers: most punctuation for the weight.
+    let tenant = |index: usize| Resource::tenant(&format!("{index:x}"), QUOTA_MOST - 1.0 / QUOTA_STEPS);
+    let within = |most: usize| {
+        let mut weight = 0;
+        (0..CHANGES_MOST).map(tenant).take_while(move |resource| {
+            weight += resource.weight();
+            weight <= most
+        })
+    };
+    let changes: Vec<Change> = within(DELTA_BYTES_MOST).map(Change::Put).collect();
+    let resources: Vec<Resource> = within(PART_BYTES_MOST).collect();
+    for message in [Message::Delta(delta(changes)), Message::SnapshotPart(part(resources))] {
+        assert!(message.write().len() <= LINE_BYTES_MOST);
+        assert_eq!(parse(&message), Ok(message));
+    }
+}
+
+#[test]
+fn reports_are_read_as_written_and_bounded() {
+    let acknowledge = Report::Acknowledge { subscriber: "proxy-1.a_b".to_owned(), version: version(2, 9) };
+    let refuse = Report::refuse("proxy-1", version(2, 9), "no class \"x\"\n");
+    for report in [acknowledge, refuse.clone()] {
+        assert_eq!(Report::parse(&report.write()), Ok(report));
+    }
+    let Report::Refuse { reason, .. } = refuse else { panic!("a refusal") };
+    assert_eq!(reason, "no class \"x\" ", "control characters become spaces");
+
+    let wordy = Report::refuse("proxy-1", version(2, 9), &"ü\"".repeat(REASON_BYTES_MOST));
+    assert!(wordy.write().len() <= REPORT_BYTES_MOST, "the longest reason fits");
+    assert!(Report::parse(&wordy.write()).is_ok());
+
+    let nameless = Report::Acknowledge { subscriber: String::new(), version: version(1, 1) };
+    assert_eq!(Report::parse(&nameless.write()), Err(ParseError::Subscriber));
+    let beyond = Report::Acknowledge { subscriber: "a".to_owned(), version: version(1, NUMBER_MOST + 1) };
+    assert_eq!(Report::parse(&beyond.write()), Err(ParseError::Version));
+    let reason = "x".repeat(REASON_BYTES_MOST + 1);
+    let long = Report::Refuse { subscriber: "a".to_owned(), version: version(1, 1), reason };
+    assert_eq!(Report::parse(&long.write()), Err(ParseError::Reason));
+    assert_eq!(Report::parse(&[b' '; REPORT_BYTES_MOST + 1]), Err(ParseError::Length(REPORT_BYTES_MOST)));
+}
+
+#[test]
+fn subscriptions_are_read_as_written_and_bounded() {
+    let name = "p".repeat(SUBSCRIBER_BYTES_MOST);
+    for known in [None, Some(version(0, 0)), Some(version(NUMBER_MOST, NUMBER_MOST))] {
+        for whole in [false, true] {
+            let subscribe = Subscribe { subscriber: name.clone(), known, whole };
+            assert_eq!(Subscribe::from_query(&subscribe.to_query()), Ok(subscribe));
+        }
+    }
+    let refused = [
+        "",
+        "subscriber",
+        "term=1&number=1",
+        "subscriber=a&term=1",
+        "subscriber=a&number=1",
+        "subscriber=a&term=1&number=+1",
+        "subscriber=a&term=1&number=",
+        "subscriber=a&term=1&number=99999999999999999999",
+        "subscriber=a&subscriber=b",
+        "subscriber=a&colour=blue",
+        "subscriber=a&whole=1",
+        "subscriber=a%20b",
+        "subscriber=",
+    ];
+    for query in refused {
+        assert!(Subscribe::from_query(query).is_err(), "{query}");
+    }
+    let beyond = format!("subscriber=a&term=1&number={}", NUMBER_MOST + 1);
+    assert_eq!(Subscribe::from_query(&beyond), Err(ParseError::Version));
+    let long = format!("subscriber={name}p");
+    assert_eq!(Subscribe::from_query(&long), Err(ParseError::Subscriber));
+}
+
+#[test]
+fn a_digest_covers_version_key_and_value_and_no_order() {
+    let resources = [
+        Resource::route(None, "/a", "c"),
+        Resource::route(Some("GET"), "/a", "c"),
+        Resource::tenant("t", 1.0),
+    ];
+    let digest = |version, resources: &[Resource]| {
+        Configuration::from_resources(version, resources.iter().cloned()).unwrap().digest()
+    };
+    let [a, b, c] = resources.clone();
+    let stated = digest(version(1, 1), &resources);
+    assert_eq!(digest(version(1, 1), &[c.clone(), a.clone(), b.clone()]), stated);
+    assert_ne!(digest(version(1, 2), &resources), stated);
+    assert_ne!(digest(version(2, 1), &resources), stated);
+    assert_ne!(digest(version(1, 1), &[a.clone(), b.clone()]), stated);
+    assert_ne!(digest(version(1, 1), &[a.clone(), b.clone(), Resource::tenant("t", 1.000001)]), stated);
+    assert_ne!(digest(version(1, 1), &[a, b, Resource::tenant("u", 1.0)]), stated);
+    // Bytes that move from one field to the next are another resource.
+    let one = Digest::of_resource(&Resource::route(None, "/ab", "c"));
+    let other = Digest::of_resource(&Resource::route(None, "/a", "bc"));
+    assert_ne!(one, other);
+}
+
+proptest! {
+    #[test]
+    fn quotas_come_through_the_wire_unchanged(millionths in 0u64..=1_000_000_000_000_000) {
+        let quota = millionths as f64 / QUOTA_STEPS;
+        let resource = Resource::tenant("t", quota);
+        prop_assert_eq!(resource.check(), Ok(()));
+        let message = Message::SnapshotPart(part(vec![resource]));
+        prop_assert_eq!(parse(&message), Ok(message));
+    }
+
+    #[test]
+    fn damaged_lines_never_panic(position in 0usize..300, byte in any::<u8>()) {
+        let message = Message::Delta(delta(vec![Change::Put(Resource::route(None, "/a", "c"))]));
+        let mut line = message.write().to_vec();
+        let position = position % line.len();
+        line[position] = byte;
+        if let Ok(read) = Message::parse(&line) {
+            prop_assert_eq!(read.check(), Ok(()));
+        }
+    }
+}
