--- a/crates/distribution/src/configuration.rs
+++ b/crates/distribution/src/configuration.rs
@@ -225,6 +225,9 @@
         for change in changes {
             change.check().map_err(ApplyError::Resource)?;
             let key = change.key();
+            if !seen.insert(key.clone()) {
+                return Err(ApplyError::Repeated(key));
+            }
             let before = self.resource(&key);
             if before.is_none() && matches!(change, Change::Remove(_)) {
                 return Err(ApplyError::Unknown(key));
@@ -235,9 +238,6 @@
             if let Change::Put(after) = change {
                 outcome.enter(after);
             }
-            if !seen.insert(key.clone()) {
-                return Err(ApplyError::Repeated(key));
-            }
         }
         check_bounds(outcome.routes, outcome.tenants, outcome.bytes)?;
         Ok(outcome)
--- a/crates/distribution/src/subscriber.rs
+++ b/crates/distribution/src/subscriber.rs
@@ -16,12 +16,12 @@
 pub const HEARTBEAT_INTERVAL: Micros = 2_000_000;
 /// A watch that brought nothing for this long, in microseconds, is given up: three heartbeats and some.
 pub const SILENCE_MOST: Micros = 7_000_000;
-/// After a snapshot was refused, the next call waits half to all of this, in microseconds.
-pub const REFUSED_SNAPSHOT_WAIT: Micros = 30_000_000;
 /// The most refused deltas that are kept until a later one makes them good.
 pub const REFUSED_DELTAS_MOST: usize = 256;
 /// The most bytes of refused deltas that are kept.
 pub const REFUSED_BYTES_MOST: usize = 2 * DELTA_BYTES_MOST;
+/// Once there are more refused deltas, the call for a snapshot waits half to all of this, in microseconds.
+pub const REFUSED_WAIT: Micros = 30_000_000;
 
 /// What is about to be put in force, for a check of its meaning: an unknown request class, say.
 #[derive(Clone, Copy, Debug)]
@@ -73,14 +73,24 @@
     Open { heard_at: Micros },
 }
 
-/// A subscriber's whole state. It holds one configuration, the parts of one snapshot and a bounded number
-/// of refused deltas.
+/// What was refused for its meaning, and is kept until a later delta makes it good.
+#[derive(Debug, Default)]
+enum Refused {
+    #[default]
+    Nothing,
+    /// Deltas, each onto the one before, the first onto what is held.
+    Deltas(Vec<Delta>),
+    /// A snapshot, with the deltas since applied.
+    Snapshot(Configuration),
+}
+
+/// A subscriber's whole state. It holds one configuration; beside it the parts of one snapshot, or one
+/// refused snapshot, or a bounded number of refused deltas.
 #[derive(Debug)]
 pub struct Subscriber {
     name: String,
     held: Option<Configuration>,
-    /// Deltas that were refused for their meaning, each onto the one before, the first onto `held`.
-    refused_deltas: Vec<Delta>,
+    refused: Refused,
     refusal: Option<Refusal>,
     collection: Option<Collection>,
     whole: bool,
@@ -98,7 +108,7 @@
         Subscriber {
             name: name.to_owned(),
             held: stored,
-            refused_deltas: Vec::new(),
+            refused: Refused::Nothing,
             refusal: None,
             collection: None,
             whole: false,
@@ -137,15 +147,15 @@
         }
     }
 
-    /// The call to open a watch with, when its time has come and none is open. Refused deltas are forgotten
-    /// with it: they come again, and the check of their meaning may have changed since.
+    /// The call to open a watch with, when its time has come and none is open. What was refused is forgotten
+    /// with it: it comes again, and the check of its meaning may have changed since.
     pub fn call(&mut self, now: Micros) -> Option<Subscribe> {
         match self.watch {
             Watch::Closed { call_at } if call_at <= now => {}
             _ => return None,
         }
         self.watch = Watch::Open { heard_at: now };
-        self.refused_deltas.clear();
+        self.refused = Refused::Nothing;
         self.collection = None;
         Some(Subscribe { subscriber: self.name.clone(), known: self.version(), whole: self.whole })
     }
@@ -214,13 +224,33 @@
         if delta.base != tip || self.collection.is_some() {
             return self.give_up(now);
         }
-        let joined = join(&self.refused_deltas, delta.clone(), self.held.as_ref());
+        match std::mem::take(&mut self.refused) {
+            Refused::Nothing => self.on_next(now, Vec::new(), delta, validate),
+            Refused::Deltas(refused) => self.on_next(now, refused, delta, validate),
+            Refused::Snapshot(mut candidate) => match candidate.apply(&delta) {
+                Ok(()) => self.on_candidate(now, candidate, validate),
+                Err(error) => self.ask_for_snapshot(now, delta.version, &error.to_string()),
+            },
+        }
+    }
+
+    /// Takes a delta together with the refused ones that it goes onto.
+    fn on_next(
+        &mut self,
+        now: Micros,
+        mut refused: Vec<Delta>,
+        delta: Delta,
+        validate: &mut dyn FnMut(Proposal<'_>) -> Result<(), String>,
+    ) -> Vec<Effect> {
         let Some(held) = &mut self.held else { return self.give_up(now) };
+        let joined = join(&refused, delta.clone(), held);
         if let Err(error) = held.check_delta(&joined) {
             return self.ask_for_snapshot(now, delta.version, &error.to_string());
         }
         if let Err(reason) = validate(Proposal::Changes(&joined.changes)) {
-            return self.refuse_delta(now, delta, &reason);
+            let effect = self.refuse(delta.version, &reason);
+            refused.push(delta);
+            return self.keep_refused(now, refused, effect);
         }
         if let Err(error) = held.apply(&joined) {
             return self.ask_for_snapshot(now, delta.version, &error.to_string());
@@ -237,17 +267,14 @@
         validate: &mut dyn FnMut(Proposal<'_>) -> Result<(), String>,
     ) -> Vec<Effect> {
         let version = part.version;
-        let held = self.version();
-        let repeated = held == Some(version) && !self.whole;
-        let overtaken = held > Some(version);
-        let other = self.collection.as_ref().is_some_and(|collection| collection.version() > version);
-        if repeated || overtaken || other {
+        if self.is_repeated_or_overtaken(version) {
             return Vec::new();
         }
         let mut collection = match self.collection.take() {
             Some(collection) if collection.version() == version => collection,
             _ => Collection::new(now, &part),
         };
+        self.refused = Refused::Nothing;
         match collection.add(now, part) {
             Ok(true) => self.on_snapshot(now, collection, validate),
             Ok(false) => {
@@ -265,21 +292,39 @@
         validate: &mut dyn FnMut(Proposal<'_>) -> Result<(), String>,
     ) -> Vec<Effect> {
         let version = collection.version();
-        let configuration = match collection.assemble() {
-            Ok(configuration) => configuration,
-            Err(error) => return self.ask_for_snapshot(now, version, &error.to_string()),
-        };
-        if let Err(reason) = validate(Proposal::Whole(&configuration)) {
-            let wait = self.backoff.draw(REFUSED_SNAPSHOT_WAIT);
-            self.close(now + wait);
-            return vec![self.refuse(version, &reason), Effect::CloseWatch];
+        match collection.assemble() {
+            Ok(configuration) => self.on_candidate(now, configuration, validate),
+            Err(error) => self.ask_for_snapshot(now, version, &error.to_string()),
         }
-        self.held = Some(configuration);
+    }
+
+    /// Takes a whole configuration, or keeps it until a later delta makes it good.
+    fn on_candidate(
+        &mut self,
+        now: Micros,
+        candidate: Configuration,
+        validate: &mut dyn FnMut(Proposal<'_>) -> Result<(), String>,
+    ) -> Vec<Effect> {
+        let version = candidate.version();
+        if let Err(reason) = validate(Proposal::Whole(&candidate)) {
+            self.refused = Refused::Snapshot(candidate);
+            return vec![self.refuse(version, &reason)];
+        }
+        self.held = Some(candidate);
         self.whole = false;
         self.in_force(now);
         vec![Effect::Replace { version }, self.acknowledge(version)]
     }
 
+    /// Whether a snapshot of this version is of no use: the one held, or older than what is held, refused
+    /// or being collected.
+    fn is_repeated_or_overtaken(&self, version: Version) -> bool {
+        let is_refused = matches!(&self.refused, Refused::Snapshot(refused) if refused.version() >= version);
+        let is_held = self.version() == Some(version) && !self.whole;
+        let is_collected = self.collection.as_ref().is_some_and(|collection| collection.version() > version);
+        is_refused || is_held || is_collected || self.version() > Some(version)
+    }
+
     /// A version that is held must have the digest that its publisher states. That it has not shows a
     /// publisher that lost the end of its log and used the number again.
     fn on_heartbeat(&mut self, now: Micros, version: Version, digest: Digest) -> Vec<Effect> {
@@ -300,33 +345,37 @@
         }
     }
 
-    /// The newest version received in order: the last refused delta's, or that in force.
+    /// The newest version received in order: the last one refused, or that in force.
     fn tip(&self) -> Option<Version> {
-        self.refused_deltas.last().map(|delta| delta.version).or(self.version())
+        let refused = match &self.refused {
+            Refused::Nothing => None,
+            Refused::Deltas(deltas) => deltas.last().map(|delta| delta.version),
+            Refused::Snapshot(snapshot) => Some(snapshot.version()),
+        };
+        refused.or(self.version())
     }
 
     fn in_force(&mut self, now: Micros) {
-        self.refused_deltas.clear();
+        self.refused = Refused::Nothing;
         self.refusal = None;
         self.collection = None;
         self.confirmed_at = Some(now);
         self.backoff.succeeded();
     }
 
-    /// Keeps a refused delta: one that makes it good is applied together with it. Too many of them are
+    /// Keeps refused deltas: one that makes them good is applied together with them. Too many of them are
     /// given up for a snapshot.
-    fn refuse_delta(&mut self, now: Micros, delta: Delta, reason: &str) -> Vec<Effect> {
-        let mut effects = vec![self.refuse(delta.version, reason)];
-        self.refused_deltas.push(delta);
-        let changes = self.refused_deltas.iter().flat_map(|delta| &delta.changes);
+    fn keep_refused(&mut self, now: Micros, refused: Vec<Delta>, effect: Effect) -> Vec<Effect> {
+        let changes = refused.iter().flat_map(|delta| &delta.changes);
         let bytes: usize = changes.map(Change::weight).sum();
-        if self.refused_deltas.len() > REFUSED_DELTAS_MOST || bytes > REFUSED_BYTES_MOST {
-            self.whole = true;
-            let wait = self.backoff.draw(REFUSED_SNAPSHOT_WAIT);
-            self.close(now + wait);
-            effects.push(Effect::CloseWatch);
+        if refused.len() <= REFUSED_DELTAS_MOST && bytes <= REFUSED_BYTES_MOST {
+            self.refused = Refused::Deltas(refused);
+            return vec![effect];
         }
-        effects
+        self.whole = true;
+        let wait = self.backoff.draw(REFUSED_WAIT);
+        self.close(now + wait);
+        vec![effect, Effect::CloseWatch]
     }
 
     /// What came does not lead from what is held to what was published: only a snapshot does.
@@ -365,14 +414,13 @@
 
 /// One delta that does what refused ones and the next do together: the last change of each key counts, and
 /// the removal of what was never in force falls away.
-fn join(refused: &[Delta], next: Delta, held: Option<&Configuration>) -> Delta {
+fn join(refused: &[Delta], next: Delta, held: &Configuration) -> Delta {
     let Some(first) = refused.first() else { return next };
     let mut latest: BTreeMap<ResourceKey, Change> = BTreeMap::new();
     for change in refused.iter().flat_map(|delta| &delta.changes).chain(&next.changes) {
         latest.insert(change.key(), change.clone());
     }
-    let is_held = |key: &ResourceKey| held.is_some_and(|held| held.contains(key));
-    latest.retain(|key, change| matches!(change, Change::Put(_)) || is_held(key));
+    latest.retain(|key, change| matches!(change, Change::Put(_)) || held.contains(key));
     let changes = latest.into_values().collect();
     Delta { base: first.base, version: next.version, changes, digest: next.digest }
 }
--- a/crates/distribution/tests/publisher.rs
+++ b/crates/distribution/tests/publisher.rs
@@ -81,7 +81,8 @@
         (vec![], PublishError::Empty),
         (vec![put("b", 1.0), remove("c")], apply(ApplyError::Unknown(tenant("c")))),
         (vec![put("b", 1.0), put("b", 2.0)], apply(ApplyError::Repeated(tenant("b")))),
-        (vec![put("b", 1.0), remove("b")], apply(ApplyError::Unknown(tenant("b")))),
+        (vec![put("b", 1.0), remove("b")], apply(ApplyError::Repeated(tenant("b")))),
+        (vec![remove("a"), remove("a")], apply(ApplyError::Repeated(tenant("a")))),
         (vec![put("b", 1.0), put("c", -1.0)], apply(ApplyError::Resource(ResourceError::Quota))),
         ((0..=CHANGES_MOST).map(|n| put(&format!("t{n}"), 1.0)).collect(), PublishError::Size),
     ];
