--- a/crates/distribution/src/status.rs
+++ b/crates/distribution/src/status.rs
@@ -3,14 +3,14 @@
 use crate::Micros;
 use crate::message::Report;
 use crate::version::Version;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 
 /// The most subscribers that are known at once; the one that was silent longest leaves first.
 pub const SUBSCRIBERS_MOST: usize = 8_192;
 
 /// A refusal that still stands.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Refusal {
     /// The version that was not taken.
     pub version: Version,
@@ -19,7 +19,7 @@
 }
 
 /// One subscriber as its publisher sees it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SubscriberStatus {
     /// Its name.
     pub subscriber: String,
