--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,6 +5,7 @@
 mod lab;
 mod plan;
 mod platform;
+mod publisher;
 mod serve;
 
 use clap::{Parser, Subcommand};
@@ -34,6 +35,10 @@
     Controller(controller::Args),
     /// Speak to a release controller
     Release(controller::ReleaseArgs),
+    /// Run a configuration publisher in the foreground
+    Publisher(publisher::Args),
+    /// Publish changes of the configuration, or show who has which version
+    Publish(publisher::PublishArgs),
     /// Settings scripts
     #[command(subcommand)]
     Settings(SettingsCommand),
@@ -73,6 +78,8 @@
         Command::Plan(command) => plan::run(&command),
         Command::Controller(args) => controller::serve(&args),
         Command::Release(args) => controller::release(&args),
+        Command::Publisher(args) => publisher::serve(&args),
+        Command::Publish(args) => publisher::publish(&args),
         Command::Settings(SettingsCommand::Check { file, set }) => {
             violetseam_settings::read_file(&file, &set).map(|s| {
                 let (classes, routes) = (s.class_names.len(), s.routes.len());
--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod fleet;
 pub mod platform;
+pub mod publisher;
 pub mod services;
 pub mod steps;
 pub mod world;
