--- a/crates/lab/src/scale/mod.rs
+++ b/crates/lab/src/scale/mod.rs
@@ -5,6 +5,7 @@
 //!
 //! A new slope takes three lines here: its module, its variant of [`Name`], its arm in [`Name::slope`].
 
+pub mod distribution;
 pub mod evidence;
 pub mod fit;
 pub mod memory;
@@ -62,6 +63,8 @@
     Memory,
     /// What the decisions hold for N tenants
     MemoryTenants,
+    /// Configuration to N subscribers over loopback: bytes, time to in force, processor, memory
+    Distribution,
     /// Release evidence of N proxies: messages, state and time of a proxy and of a collector
     Evidence {
         /// Requests a second of each proxy
@@ -80,6 +83,7 @@
             Name::Routing => Box::new(routing::Routing),
             Name::Memory => Box::new(memory::Memory::Servers),
             Name::MemoryTenants => Box::new(memory::Memory::Tenants),
+            Name::Distribution => Box::new(distribution::Distribution),
             Name::Evidence { requests_per_second } => Box::new(evidence::Evidence { requests_per_second }),
         }
     }
