--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -4,6 +4,7 @@
 pub mod capacity;
 pub mod fleet;
 pub mod platform;
+pub mod publisher;
 pub mod services;
 pub mod steps;
 pub mod world;
