--- a/crates/cli/tests/common/publisher.rs
+++ b/crates/cli/tests/common/publisher.rs
@@ -6,7 +6,7 @@
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Output, Stdio};
+use std::process::{Child, Command, ExitStatus, Output, Stdio};
 use std::time::{Duration, Instant};
 use violetseam_distribution::{
     Change, Message, Report, Resource, ResourceKey, RouteKey, Subscribe, Term, Version,
@@ -52,7 +52,18 @@
 
 /// Starts a publisher that must end by itself: what it said.
 pub fn start_refused(state: &Path, more: &[&str]) -> Output {
-    command(state, more).stdin(Stdio::null()).output().unwrap()
+    let mut command = command(state, more);
+    let mut child = command.stdout(Stdio::piped()).stderr(Stdio::piped()).spawn().unwrap();
+    let until = Instant::now() + PATIENCE;
+    while child.try_wait().unwrap().is_none() {
+        if Instant::now() >= until {
+            let _ = child.kill();
+            let _ = child.wait();
+            panic!("a publisher that must not start runs");
+        }
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    child.wait_with_output().unwrap()
 }
 
 pub fn version_of(text: &str) -> Version {
@@ -80,6 +91,11 @@
         Command::new(PROGRAM).args(["publish", "--to", &to]).args(more).output().unwrap()
     }
 
+    /// Waits until it has ended by itself.
+    pub fn wait(&mut self) -> ExitStatus {
+        self.child.wait().unwrap()
+    }
+
     pub fn kill(mut self) {
         self.child.kill().unwrap();
         self.child.wait().unwrap();
--- a/crates/cli/tests/publisher.rs
+++ b/crates/cli/tests/publisher.rs
@@ -6,6 +6,7 @@
     Heard, PATIENCE, Watch, connect_with_small_buffer, json_lines, put_route, remove_route, report, start,
     start_refused, state_folder, version_of,
 };
+use rustix::process::{Resource as Limit, Rlimit, prlimit};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
@@ -33,6 +34,12 @@
     let mut watch = Watch::open(publisher.address, "proxy-1", None);
     let Message::SnapshotPart(part) = watch.next_news() else { panic!("no snapshot") };
     assert_eq!((part.version, part.parts, part.resources.len()), (publisher.started_from, 1, 0));
+    // At once, and not only when nothing was sent for a while.
+    let Heard::Message(Message::Heartbeat { version, digest }) = watch.next(Duration::from_millis(1_500))
+    else {
+        panic!("no heartbeat after the answer")
+    };
+    assert_eq!((version, digest), (part.version, part.digest));
 
     let file = state.join("changes.jsonl");
     std::fs::write(&file, json_lines(&[put_route("/a", "read"), put_route("/b", "write")])).unwrap();
@@ -143,6 +150,41 @@
     publisher.end();
 }
 
+#[test]
+fn what_cannot_be_made_durable_is_told_to_nobody_and_ends_the_process() {
+    let state = state_folder("room");
+    let mut publisher = start(&state, &[]);
+    let version = publisher.publish(&[put_route("/a", "read")]);
+    let mut watch = Watch::open(publisher.address, "proxy-1", Some(version));
+    assert!(matches!(watch.next(PATIENCE), Heard::Message(Message::Heartbeat { .. })));
+    // No file may grow: the disk is full.
+    let size = std::fs::metadata(state.join("publisher.redb")).unwrap().len();
+    let full = Rlimit { current: Some(size), maximum: None };
+    prlimit(Some(publisher.pid()), Limit::Fsize, full).unwrap();
+    let mut number = 0;
+    let taken = loop {
+        let changes: Vec<Change> = (0..2_000).map(|n| long_route(number * 2_000 + n, 500)).collect();
+        number += 1;
+        match publisher.client().publish_changes(&json_lines(&changes)) {
+            Ok(_) => assert!(number < 100, "the store never grows"),
+            Err(error) => {
+                // Killed by the system as it writes, or told that the write failed.
+                assert!(!matches!(&error, ClientError::Unreachable(_)), "{error}");
+                break Version::new(version.term, version.number + number as u64 - 1);
+            }
+        }
+    };
+    assert!(!publisher.wait().success());
+    let mut told = version;
+    while let Heard::Message(message) = watch.next(PATIENCE) {
+        told = message.version().max(Some(told)).unwrap();
+    }
+    assert_eq!(told, taken);
+    let publisher = start(&state, &[]);
+    assert_eq!(publisher.started_from, taken);
+    publisher.end();
+}
+
 #[test]
 fn without_its_log_it_begins_a_higher_term_and_gives_no_empty_snapshot() {
     let state = state_folder("lost");
--- a/crates/publisher/src/requests.rs
+++ b/crates/publisher/src/requests.rs
@@ -87,7 +87,11 @@
             Err(error) => return self.refuse(key, StatusCode::BAD_REQUEST, &error.to_string(), false),
         };
         match self.watch_answer(&subscribe) {
-            Ok(WatchAnswer::Lines(lines)) => self.begin_watch(key, subscribe.subscriber, lines),
+            Ok(WatchAnswer::Lines(mut lines)) => {
+                // What is in force after all of it, with its digest.
+                lines.push(self.publisher.heartbeat().write());
+                self.begin_watch(key, subscribe.subscriber, lines);
+            }
             Ok(WatchAnswer::RetryAfter(micros)) => self.respond_retry_after(key, micros),
             Err(refusal) => self.refuse(key, refusal.status, &refusal.reason, false),
         }
@@ -96,7 +100,7 @@
     fn watch_answer(&mut self, subscribe: &Subscribe) -> Result<WatchAnswer, Refusal> {
         let now = self.now();
         match self.publisher.answer(now, subscribe) {
-            Answer::UpToDate => Ok(WatchAnswer::Lines(vec![self.publisher.heartbeat().write()])),
+            Answer::UpToDate => Ok(WatchAnswer::Lines(Vec::new())),
             Answer::Deltas(deltas) => {
                 let lines: Vec<Line> = deltas.iter().map(|published| published.line.clone()).collect();
                 let bytes: usize = lines.iter().map(|line| line.len()).sum();
