--- a/crates/cli/tests/publisher.rs
+++ b/crates/cli/tests/publisher.rs
@@ -294,7 +294,7 @@
 
 #[test]
 fn a_slow_reader_is_closed_at_the_bound_of_its_bytes_and_others_go_on() {
-    publish_before_slow_reader("slow-bytes", &["--unread-bytes", "2000000"]);
+    publish_before_slow_reader("slow-bytes", &["--unread-bytes", "2000000", "--catch-up", "600"]);
 }
 
 #[test]
