--- a/crates/cli/tests/common/publisher.rs
+++ b/crates/cli/tests/common/publisher.rs
@@ -6,7 +6,7 @@
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Output, Stdio};
+use std::process::{Child, Command, ExitStatus, Output, Stdio};
 use std::time::{Duration, Instant};
 use violetseam_distribution::{
     Change, Message, Report, Resource, ResourceKey, RouteKey, Subscribe, Term, Version,
@@ -52,7 +52,26 @@
 
 /// Starts a publisher that must end by itself: what it said.
 pub fn start_refused(state: &Path, more: &[&str]) -> Output {
-    command(state, more).stdin(Stdio::null()).output().unwrap()
+    let mut command = command(state, more);
+    let mut child = command.stdout(Stdio::piped()).stderr(Stdio::piped()).spawn().unwrap();
+    wait_for_end(&mut child);
+    child.wait_with_output().unwrap()
+}
+
+/// Waits until a process that must end has; one that does not is killed, and the test fails.
+fn wait_for_end(child: &mut Child) -> ExitStatus {
+    let until = Instant::now() + PATIENCE;
+    loop {
+        if let Some(status) = child.try_wait().unwrap() {
+            return status;
+        }
+        if Instant::now() >= until {
+            let _ = child.kill();
+            let _ = child.wait();
+            panic!("a publisher that must end runs on");
+        }
+        std::thread::sleep(Duration::from_millis(10));
+    }
 }
 
 pub fn version_of(text: &str) -> Version {
@@ -80,6 +99,11 @@
         Command::new(PROGRAM).args(["publish", "--to", &to]).args(more).output().unwrap()
     }
 
+    /// Waits until it has ended by itself.
+    pub fn wait(&mut self) -> ExitStatus {
+        wait_for_end(&mut self.child)
+    }
+
     pub fn kill(mut self) {
         self.child.kill().unwrap();
         self.child.wait().unwrap();
