Settings: check.rs parted by section, no longer in a circle with script.rs

check.rs (556 lines) and script.rs used each other: the reading used the checks, the checks the reading's struct of sections. Gathering the calls is collect.rs now, what a checked script gives is settings.rs, and check/ has a module for each subject: fleet, classes, routes, tenants, rollout with contract and limits, connections with header fields, budgets, and the decisions' settings. script.rs stands on top of them. No rule and no message changed; the tests of settings scripts pass unchanged.

--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -6,9 +6,11 @@
 //! `load` of its own folder, and its steps and memory are bounded. `docs/settings.md` lists the sections.
 
 mod check;
+mod collect;
 mod script;
 mod sections;
+mod settings;
 
-pub use check::{Connections, FleetFile, Headers, ProxySettings, Route};
 pub use script::{Fault, read_file, read_fleet, read_text};
 pub use sections::{HalfClose, Identity, Member};
+pub use settings::{Connections, FleetFile, Headers, ProxySettings, Route};
--- a/crates/settings/src/sections.rs
+++ b/crates/settings/src/sections.rs
@@ -1,5 +1,5 @@
 //! The sections as a script writes them: names, types and defaults. What they mean together is checked in
-//! `check.rs`.
+//! `check`.
 
 use serde::Deserialize;
 use std::net::SocketAddr;
