A proxy follows the routes that a publisher distributes; fleet configuration shows who is behind

publisher(addr = ...) in the settings, off where it is absent: the proxy keeps a watch of the publisher open (driver/configuration.rs round the core of violetseam-distribution), puts each change in force whole or not at all, and acknowledges or refuses it with a reason. A class that the settings lack is refused, and so is a tenant: quotas are part of what the decisions were started with. Until the first configuration came the script's routes count, from then on the distributed ones alone; the longest prefix counts, and of two with the same prefix the one that names a method. A change costs time by its own size, in the table and on disk. A process that takes over waits for the store. Reading has `distributed` (absent: none), and `violetseam fleet configuration` shows version, age, refusals and who is behind.

Tests on processes (crates/cli/tests/distribution.rs): 12 proxies and a publisher, a third cut off and healed, the publisher stopped until every watch was given up, killed three times while it writes, its log lost; 2 proxies with changes that do not check, a start from the disk without the publisher, and from a damaged file. What each proxy serves is compared with the version that it states.

--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -61,6 +61,8 @@
     },
     /// Show what each holds of the fleet's budgets, side by side
     Rights,
+    /// Show which version of the distributed configuration each has, and who is behind
+    Configuration,
     /// Show name, boot number and version of each
     Whoami,
     /// Withhold votes on the present stage, or hold its clock
@@ -88,7 +90,11 @@
 
 fn act(command: &Command) -> Option<Act> {
     Some(match command {
-        Command::State | Command::Watch { .. } | Command::Rights | Command::Whoami => return None,
+        Command::State
+        | Command::Watch { .. }
+        | Command::Rights
+        | Command::Configuration
+        | Command::Whoami => return None,
         Command::Pause { span } => {
             Act::Pause { until_us: wall_clock() + (span.clamp(0.0, 86_400.0) * 1e6) as u64 }
         }
@@ -143,6 +149,7 @@
         }
         Command::State => show(args, report::state_table, &fleet, &names, &mut heard),
         Command::Rights => show(args, report::rights_table, &fleet, &names, &mut heard),
+        Command::Configuration => show(args, report::configuration_table, &fleet, &names, &mut heard),
         Command::Whoami => whoami(args, &fleet, &names, &mut heard),
         command => {
             let Some(act) = act(command) else { return Err("nothing to do".into()) };
--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -77,10 +77,15 @@
 }
 
 pub fn start_over(world: SocketAddr, name: &str, launch: &str, more: &str) -> Proxy {
+    start_named(world, "test", name, launch, more)
+}
+
+/// The same as a proxy of this fleet.
+pub fn start_named(world: SocketAddr, fleet: &str, name: &str, launch: &str, more: &str) -> Proxy {
     let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.star"));
     let text = format!(
         r#"
-fleet(name = "test", size = 1, position = 0{more})
+fleet(name = "{fleet}", size = 1, position = 0{more})
 listen(addr = "127.0.0.1:0")
 roster(addr = "{world}")
 desk(addr = "{world}")
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -39,6 +39,54 @@
     /// What is held of the fleet's budgets of further attempts, by class; empty where none has one.
     #[serde(default)]
     pub rights: Vec<Rights>,
+    /// The distributed configuration; none where the settings name no publisher.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub distributed: Option<Distributed>,
+}
+
+/// How a daemon stands with the configuration that a publisher distributes.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Distributed {
+    /// The version in force; none: nothing came yet, the routes of the settings count.
+    #[serde(default)]
+    pub version: Option<ConfigurationVersion>,
+    /// Its routes.
+    #[serde(default)]
+    pub routes: u64,
+    /// Microseconds since the publisher last confirmed that this is its newest version; none: not since the
+    /// start.
+    #[serde(default)]
+    pub age_us: Option<u64>,
+    /// A watch of the publisher is open.
+    #[serde(default)]
+    pub watching: bool,
+    /// The newest version that was refused, until it or a later one is in force.
+    #[serde(default)]
+    pub refused: Option<RefusedVersion>,
+}
+
+/// A version of the distributed configuration, ordered by term, then by number.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ConfigurationVersion {
+    /// The publisher's term.
+    pub term: u64,
+    /// The number of changes published before and with it in this term.
+    pub number: u64,
+}
+
+impl std::fmt::Display for ConfigurationVersion {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}.{}", self.term, self.number)
+    }
+}
+
+/// A version that was not taken.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RefusedVersion {
+    /// Which.
+    pub version: ConfigurationVersion,
+    /// Why, for people.
+    pub reason: String,
 }
 
 /// What a daemon holds of one budget of the fleet. Rates are in thousandths a second.
--- a/crates/fleet/src/report.rs
+++ b/crates/fleet/src/report.rs
@@ -7,6 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write as _;
 use violetseam_control::Reading;
+use violetseam_control::state::ConfigurationVersion;
 
 /// Exit statuses of the tool.
 pub mod status {
@@ -189,6 +190,60 @@
     format!("{rows}\n{sums}")
 }
 
+/// Which version of the distributed configuration each daemon has, how long ago that was confirmed to be
+/// the newest, and by how many versions it is behind the newest among those that answered.
+pub fn configuration_table(names: &[String], readings: &[Result<Reading, Silence>]) -> String {
+    let mut rows = table(&["daemon", "version", "behind", "routes", "confirmed", "watch", "refused"]);
+    let versions = readings.iter().filter_map(|r| r.as_ref().ok()?.distributed.as_ref()?.version);
+    let newest = versions.max();
+    let (mut current, mut behind, mut without) = (0, 0, 0);
+    for (name, reading) in names.iter().zip(readings) {
+        let reading = match reading {
+            Ok(reading) => reading,
+            Err(Silence(why)) => {
+                rows.add_row([name.clone(), format!("SILENT: {why}")]);
+                continue;
+            }
+        };
+        let Some(distributed) = &reading.distributed else {
+            without += 1;
+            rows.add_row([name.as_str(), "no publisher in its settings"]);
+            continue;
+        };
+        let is_current = distributed.version == newest;
+        current += usize::from(is_current);
+        behind += usize::from(!is_current);
+        rows.add_row([
+            name.clone(),
+            distributed.version.map_or("none".into(), |version| version.to_string()),
+            versions_behind(distributed.version, newest),
+            distributed.routes.to_string(),
+            distributed.age_us.map_or("never".into(), |us| format!("{:.1} s ago", us as f64 / 1e6)),
+            if distributed.watching { "open".into() } else { "CLOSED".into() },
+            distributed
+                .refused
+                .as_ref()
+                .map_or("-".into(), |refused| format!("{}: {}", refused.version, refused.reason)),
+        ]);
+    }
+    let newest = newest.map_or("none".into(), |version| version.to_string());
+    let silent = readings.iter().filter(|r| r.is_err()).count();
+    format!(
+        "{rows}\nnewest version {newest}: {current} have it, {behind} are behind, {without} without a publisher, \
+         {silent} never answered\n"
+    )
+}
+
+/// How far a daemon is behind: a number of versions within a term; of an older term or without a version, so said.
+fn versions_behind(held: Option<ConfigurationVersion>, newest: Option<ConfigurationVersion>) -> String {
+    match (held, newest) {
+        (held, newest) if held == newest => "-".into(),
+        (Some(held), Some(newest)) if held.term == newest.term => (newest.number - held.number).to_string(),
+        (Some(_), _) => "OLDER TERM".into(),
+        (None, _) => "ALL".into(),
+    }
+}
+
 /// States as data.
 pub fn state_json(names: &[String], readings: &[Result<Reading, Silence>]) -> Value {
     let row = |(name, reading): (&String, &Result<Reading, Silence>)| match reading {
--- a/crates/proxy/src/driver/clients.rs
+++ b/crates/proxy/src/driver/clients.rs
@@ -401,7 +401,9 @@
                 _ => Purpose::Decline(StatusCode::METHOD_NOT_ALLOWED, "reports are posted"),
             };
         }
-        let Some(route) = s.route_table.find(&head.method, path) else {
+        let distributed = self.subscription.as_ref().and_then(|subscription| subscription.table());
+        let routes = distributed.unwrap_or(&s.route_table);
+        let Some(route) = routes.find(&head.method, path) else {
             return Purpose::Decline(StatusCode::NOT_FOUND, "no route");
         };
         // Without its key no server could drop a repeat.
--- /dev/null
+++ b/crates/proxy/src/driver/configuration.rs
@@ -0,0 +1,496 @@
+//! The subscription to a publisher's configuration: an HTTP watch of JSON lines, and reports of what was
+//! taken or refused. What a message means is the core's (`violetseam-distribution`); this is its driver.
+//!
+//! Requests in hand keep the class that they began with: a route is looked up once, when the head is read.
+
+use super::Proxy;
+use super::configuration_store::{self, ConfigurationStore};
+use super::timers::What;
+use crate::distributed_routes::DistributedRoutes;
+use calloop::{Interest, Readiness};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+use violetseam::interface::Micros;
+use violetseam_control::state::{ConfigurationVersion, Distributed, RefusedVersion};
+use violetseam_distribution::message::{LINE_BYTES_MOST, REPORT_BYTES_MOST};
+use violetseam_distribution::subscriber::{Effect, Subscriber};
+use violetseam_distribution::{Message, Report, Subscribe, Version};
+use violetseam_http1::client::{ClientConn, ClientEvent};
+use violetseam_loopio::{Got, Socket, connect};
+use violetseam_settings::RouteTable;
+use violetseam_site::lines::Lines;
+
+/// Opens a watch.
+const WATCH_PATH: &str = "/v1/configuration/watch";
+/// Takes acknowledgements and refusals.
+const ACKNOWLEDGE_PATH: &str = "/v1/configuration/acknowledge";
+/// A report that takes longer is given up.
+const REPORT_TIMEOUT: Micros = 3_000_000;
+/// A report that failed is told again after this.
+const REPORT_RETRY: Micros = 1_000_000;
+/// How long a process that takes over waits for the one before to release the store.
+const TAKEOVER_WAIT: Duration = Duration::from_secs(2);
+/// Between two attempts to open a store that could not be opened again.
+const REOPEN_PAUSE: Micros = 1_000_000;
+
+/// What an exchange with the publisher is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Purpose {
+    Watch,
+    Report,
+}
+
+/// One HTTP exchange on a connection of its own.
+struct Exchange {
+    generation: u64,
+    socket: Socket,
+    http: ClientConn,
+    lines: Lines,
+    /// The answer's status has come and the body is worth reading.
+    accepted: bool,
+}
+
+/// The subscription of one proxy.
+pub(super) struct Subscription {
+    publisher: SocketAddr,
+    subscriber: Subscriber,
+    routes: DistributedRoutes,
+    folder: PathBuf,
+    position: usize,
+    /// None while a process that takes over has it, and after it could not be opened again.
+    store: Option<ConfigurationStore>,
+    reopen_at: Micros,
+    watch: Option<Exchange>,
+    report: Option<Exchange>,
+    /// The latest report of each kind that has still to be told: acknowledgement and refusal.
+    acknowledgement: Option<Report>,
+    refusal: Option<Report>,
+    /// What the open exchange tells, to be told again if that fails.
+    telling: Option<Report>,
+    /// No report is told before.
+    report_at: Micros,
+    /// The timer that looks after the subscription.
+    armed_at: Option<Micros>,
+}
+
+impl Subscription {
+    /// The distributed routes in force; none before the first configuration.
+    pub(super) fn table(&self) -> Option<&RouteTable> {
+        self.routes.table()
+    }
+
+    fn exchange(&mut self, purpose: Purpose) -> &mut Option<Exchange> {
+        match purpose {
+            Purpose::Watch => &mut self.watch,
+            Purpose::Report => &mut self.report,
+        }
+    }
+
+    fn open_exchange(&mut self, purpose: Purpose, generation: u64) -> Option<&mut Exchange> {
+        self.exchange(purpose).as_mut().filter(|exchange| exchange.generation == generation)
+    }
+
+    /// Keeps the latest report of each kind.
+    fn note(&mut self, report: Report) {
+        match report {
+            Report::Acknowledge { .. } => self.acknowledgement = Some(report),
+            Report::Refuse { .. } => self.refusal = Some(report),
+        }
+    }
+
+    /// A report that was not heard is told again, unless a newer one has taken its place.
+    fn note_again(&mut self, report: Report) {
+        let waiting = match report {
+            Report::Acknowledge { .. } => &mut self.acknowledgement,
+            Report::Refuse { .. } => &mut self.refusal,
+        };
+        waiting.get_or_insert(report);
+    }
+
+    fn next_report(&mut self) -> Option<Report> {
+        self.acknowledgement.take().or_else(|| self.refusal.take())
+    }
+
+    fn reading(&self, now: Micros) -> Distributed {
+        let standing = self.subscriber.standing(now);
+        let refused = standing
+            .refused
+            .map(|refusal| RefusedVersion { version: version_read(refusal.version), reason: refusal.reason });
+        Distributed {
+            version: standing.version.map(version_read),
+            routes: self.table().map_or(0, |table| table.len() as u64),
+            age_us: standing.age,
+            watching: standing.watching,
+            refused,
+        }
+    }
+}
+
+fn version_read(version: Version) -> ConfigurationVersion {
+    ConfigurationVersion { term: version.term.0, number: version.number }
+}
+
+impl Proxy {
+    /// Begins with the configuration that was stored, where the settings name a publisher. Before the first
+    /// client is taken, so that no request meets the routes of the settings in between.
+    pub(super) fn open_subscription(&mut self, takes_over: bool) -> std::io::Result<()> {
+        let settings = self.settings.clone();
+        let (Some(publisher), Some(folder)) = (settings.publisher, settings.state_dir.clone()) else {
+            return Ok(());
+        };
+        let position = settings.decisions.position;
+        let wait = if takes_over { TAKEOVER_WAIT } else { Duration::ZERO };
+        let (store, stored) = configuration_store::open(&folder, position, wait)?;
+        let mut routes = DistributedRoutes::new(&settings.class_names);
+        let sound = stored.filter(|configuration| is_usable(&routes, configuration));
+        if let Some(configuration) = &sound {
+            routes.replace(configuration);
+        }
+        let (now, seed) = (self.now(), self.draw());
+        let name = format!("{}-{position}", settings.name);
+        self.subscription = Some(Box::new(Subscription {
+            publisher,
+            subscriber: Subscriber::new(now, &name, seed, sound),
+            routes,
+            folder,
+            position,
+            store: Some(store),
+            reopen_at: 0,
+            watch: None,
+            report: None,
+            acknowledgement: None,
+            refusal: None,
+            telling: None,
+            report_at: 0,
+            armed_at: None,
+        }));
+        self.follow_configuration();
+        Ok(())
+    }
+
+    /// Does what is due of the subscription: calls, gives up a silent watch, tells reports.
+    pub(super) fn follow_configuration(&mut self) {
+        if self.handed_over || self.ending {
+            return;
+        }
+        let now = self.now();
+        let Some(subscription) = &mut self.subscription else { return };
+        if subscription.armed_at.is_some_and(|at| at <= now) {
+            subscription.armed_at = None;
+        }
+        let effects = subscription.subscriber.on_tick(now);
+        self.take_effects(effects);
+        let call = self.subscription.as_mut().and_then(|subscription| subscription.subscriber.call(now));
+        if let Some(call) = call {
+            self.open_configuration_watch(&call);
+        }
+        self.tell_publisher();
+        self.arm_subscription();
+    }
+
+    /// The subscription is the successor's now: it begins with what was stored and what it is told.
+    pub(super) fn leave_publisher(&mut self) {
+        self.close_exchange(Purpose::Watch);
+        self.close_exchange(Purpose::Report);
+    }
+
+    /// Releases the stored configuration to a process that takes over.
+    pub(super) fn release_configuration(&mut self) {
+        if let Some(subscription) = &mut self.subscription {
+            subscription.store = None;
+        }
+    }
+
+    /// Writes what waits for the disk, at the process's end.
+    pub(super) fn finish_configuration(&mut self) {
+        let store = self.subscription.as_mut().and_then(|subscription| subscription.store.take());
+        store.into_iter().for_each(ConfigurationStore::finish);
+    }
+
+    /// Gives the store what it missed, and opens it again after a take-over that failed.
+    pub(super) fn store_upkeep(&mut self) {
+        if self.handing.is_some() || self.handed_over {
+            return;
+        }
+        let now = self.now();
+        let Some(subscription) = &mut self.subscription else { return };
+        let is_behind = match &subscription.store {
+            Some(store) => store.take_behind(),
+            None if subscription.reopen_at > now => false,
+            None => {
+                subscription.reopen_at = now + REOPEN_PAUSE;
+                match configuration_store::open(&subscription.folder, subscription.position, Duration::ZERO) {
+                    Ok((store, _)) => subscription.store = Some(store),
+                    Err(error) => tracing::warn!("the configuration is not stored: {error}"),
+                }
+                subscription.store.is_some()
+            }
+        };
+        let configuration = subscription.subscriber.configuration().filter(|_| is_behind);
+        if let (Some(store), Some(configuration)) = (&mut subscription.store, configuration) {
+            store.replace(configuration);
+        }
+    }
+
+    /// How the subscription stands; none where the settings name no publisher.
+    pub(super) fn configuration_reading(&self) -> Option<Distributed> {
+        self.subscription.as_ref().map(|subscription| subscription.reading(self.now()))
+    }
+
+    fn arm_subscription(&mut self) {
+        let Some(subscription) = &mut self.subscription else { return };
+        let due = subscription.subscriber.deadline();
+        if subscription.armed_at.is_none_or(|at| at > due) {
+            subscription.armed_at = Some(due);
+            self.timers.set(due, What::Configuration);
+        }
+    }
+
+    fn open_configuration_watch(&mut self, call: &Subscribe) {
+        let path = format!("{WATCH_PATH}?{}", call.to_query());
+        if !self.exchange_with_publisher(Purpose::Watch, "GET", &path, &[]) {
+            self.watch_closed();
+        }
+    }
+
+    /// Tells the next report, one at a time.
+    fn tell_publisher(&mut self) {
+        let now = self.now();
+        let Some(subscription) = &mut self.subscription else { return };
+        if subscription.report.is_some() || subscription.report_at > now {
+            return;
+        }
+        let Some(report) = subscription.next_report() else { return };
+        let body = report.write();
+        subscription.telling = Some(report);
+        if self.exchange_with_publisher(Purpose::Report, "POST", ACKNOWLEDGE_PATH, &body) {
+            let generation = self.generation;
+            self.timers.set(now + REPORT_TIMEOUT, What::ConfigurationReport(generation));
+        } else {
+            self.report_failed();
+        }
+    }
+
+    /// Begins an exchange; whether it did.
+    fn exchange_with_publisher(&mut self, purpose: Purpose, method: &str, path: &str, body: &[u8]) -> bool {
+        self.close_exchange(purpose);
+        let generation = self.next_generation();
+        let Some(subscription) = &mut self.subscription else { return false };
+        let to = subscription.publisher;
+        let Ok(stream) = connect(to) else { return false };
+        let on_ready = move |readiness: Readiness, proxy: &mut Proxy| {
+            proxy.on_publisher(purpose, generation, readiness);
+        };
+        let Ok(mut socket) = Socket::register(&self.handle, stream, Interest::BOTH, on_ready) else {
+            return false;
+        };
+        let head = format!(
+            "{method} {path} HTTP/1.1\r\nhost: {to}\r\nconnection: close\r\ncontent-length: {}\r\n\r\n",
+            body.len()
+        );
+        socket.out().extend_from_slice(head.as_bytes());
+        socket.out().extend_from_slice(body);
+        let mut http = ClientConn::new(violetseam_http1::Limits::default());
+        http.expect_answer(false);
+        let line_most = if purpose == Purpose::Watch { LINE_BYTES_MOST } else { REPORT_BYTES_MOST };
+        let exchange = Exchange { generation, socket, http, lines: Lines::new(line_most), accepted: false };
+        *subscription.exchange(purpose) = Some(exchange);
+        true
+    }
+
+    fn close_exchange(&mut self, purpose: Purpose) {
+        if let Some(exchange) = self.subscription.as_mut().and_then(|s| s.exchange(purpose).take()) {
+            exchange.socket.remove(&self.handle);
+        }
+    }
+
+    fn on_publisher(&mut self, purpose: Purpose, generation: u64, readiness: Readiness) {
+        self.heard = true;
+        if readiness.writable && !self.write_to_publisher(purpose, generation) {
+            self.exchange_ended(purpose);
+        }
+        if readiness.readable || readiness.error {
+            self.read_publisher(purpose, generation);
+        }
+        self.follow_configuration();
+        self.pump();
+    }
+
+    /// Whether the connection stands.
+    fn write_to_publisher(&mut self, purpose: Purpose, generation: u64) -> bool {
+        let exchange = self.subscription.as_mut().and_then(|s| s.open_exchange(purpose, generation));
+        let Some(exchange) = exchange else { return true };
+        if exchange.socket.connect_error().is_some() || exchange.socket.flush().is_err() {
+            return false;
+        }
+        exchange.socket.want(&self.handle, true);
+        true
+    }
+
+    fn read_publisher(&mut self, purpose: Purpose, generation: u64) {
+        let mut scratch = std::mem::take(&mut self.scratch);
+        while let Some(exchange) =
+            self.subscription.as_mut().and_then(|s| s.open_exchange(purpose, generation))
+        {
+            match exchange.socket.read(&mut scratch) {
+                Got::Bytes(count) => {
+                    exchange.http.feed(&scratch[..count]);
+                    self.publisher_events(purpose, generation);
+                }
+                Got::Nothing => break,
+                Got::Closed | Got::Broken => self.exchange_ended(purpose),
+            }
+        }
+        self.scratch = scratch;
+    }
+
+    fn publisher_events(&mut self, purpose: Purpose, generation: u64) {
+        while let Some(exchange) =
+            self.subscription.as_mut().and_then(|s| s.open_exchange(purpose, generation))
+        {
+            match exchange.http.next_event() {
+                None => return,
+                Some(ClientEvent::Head(head)) => {
+                    self.on_publisher_status(purpose, generation, head.status.into())
+                }
+                Some(ClientEvent::Body(bytes)) if exchange.accepted => {
+                    exchange.lines.feed(&bytes);
+                    self.publisher_lines(generation);
+                }
+                Some(ClientEvent::Body(_)) => {}
+                Some(ClientEvent::End { .. } | ClientEvent::Fault(_)) => self.exchange_ended(purpose),
+            }
+        }
+    }
+
+    /// A watch is answered with lines, or with 503 and the one line that says when to come back.
+    fn on_publisher_status(&mut self, purpose: Purpose, generation: u64, status: u16) {
+        let now = self.now();
+        match purpose {
+            Purpose::Watch if status == 200 || status == 503 => {
+                let exchange = self.subscription.as_mut().and_then(|s| s.open_exchange(purpose, generation));
+                exchange.into_iter().for_each(|exchange| exchange.accepted = true);
+            }
+            Purpose::Watch => {
+                if self.quiet.allows(now) {
+                    tracing::warn!(status, "the publisher does not open a watch");
+                }
+                self.exchange_ended(purpose);
+            }
+            // Heard; what the publisher does not take (409) it would not take the next time either.
+            Purpose::Report => {
+                self.subscription.iter_mut().for_each(|subscription| subscription.telling = None);
+                self.exchange_ended(purpose);
+            }
+        }
+    }
+
+    fn publisher_lines(&mut self, generation: u64) {
+        let now = self.now();
+        while let Some(subscription) = &mut self.subscription {
+            let Some(exchange) = subscription.open_exchange(Purpose::Watch, generation) else { return };
+            let line = match exchange.lines.next_line() {
+                Ok(None) => return,
+                Ok(Some([])) => continue,
+                Ok(Some(line)) => Message::parse(line),
+                Err(_) => return self.exchange_ended(Purpose::Watch),
+            };
+            let Subscription { subscriber, routes, .. } = &mut **subscription;
+            let effects = match line {
+                Ok(message) => subscriber.on_message(now, message, &mut |proposal| routes.check(proposal)),
+                Err(error) => {
+                    tracing::warn!("publisher: {error}");
+                    subscriber.on_malformed(now, &error)
+                }
+            };
+            self.take_effects(effects);
+        }
+    }
+
+    fn take_effects(&mut self, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Apply { version, changes } => self.apply_changes(version, changes),
+                Effect::Replace { version } => self.replace_configuration(version),
+                Effect::Report(report) => {
+                    self.log_refusal(&report);
+                    self.subscription.iter_mut().for_each(|subscription| subscription.note(report.clone()));
+                }
+                Effect::CloseWatch => self.close_exchange(Purpose::Watch),
+            }
+        }
+    }
+
+    fn apply_changes(&mut self, version: Version, changes: Vec<violetseam_distribution::Change>) {
+        let Some(subscription) = &mut self.subscription else { return };
+        tracing::debug!(target: "configuration", %version, changes = changes.len(), "in force");
+        subscription.routes.apply(&changes);
+        if let (Some(store), Some(configuration)) =
+            (&mut subscription.store, subscription.subscriber.configuration())
+        {
+            store.apply(configuration, changes);
+        }
+    }
+
+    fn replace_configuration(&mut self, version: Version) {
+        let Some(subscription) = &mut self.subscription else { return };
+        let Some(configuration) = subscription.subscriber.configuration() else { return };
+        tracing::info!(target: "configuration", %version, resources = configuration.len(), "snapshot in force");
+        subscription.routes.replace(configuration);
+        if let Some(store) = &mut subscription.store {
+            store.replace(configuration);
+        }
+    }
+
+    fn log_refusal(&mut self, report: &Report) {
+        let now = self.now();
+        if let Report::Refuse { version, reason, .. } = report
+            && self.quiet.allows(now)
+        {
+            tracing::warn!(target: "configuration", %version, "refused: {reason}");
+        }
+    }
+
+    fn exchange_ended(&mut self, purpose: Purpose) {
+        self.close_exchange(purpose);
+        match purpose {
+            Purpose::Watch => self.watch_closed(),
+            Purpose::Report => self.report_failed(),
+        }
+    }
+
+    fn watch_closed(&mut self) {
+        let now = self.now();
+        self.subscription.iter_mut().for_each(|subscription| subscription.subscriber.on_closed(now));
+    }
+
+    /// Nothing failed where the report was heard.
+    fn report_failed(&mut self) {
+        let retry_at = self.now() + REPORT_RETRY;
+        let Some(subscription) = &mut self.subscription else { return };
+        if let Some(report) = subscription.telling.take() {
+            subscription.note_again(report);
+            subscription.report_at = retry_at;
+            self.timers.set(retry_at, What::Configuration);
+        }
+    }
+
+    /// A report has had its time.
+    pub(super) fn report_timeout(&mut self, generation: u64) {
+        let subscription = self.subscription.as_mut();
+        if subscription.is_some_and(|s| s.open_exchange(Purpose::Report, generation).is_some()) {
+            self.exchange_ended(Purpose::Report);
+        }
+        self.follow_configuration();
+    }
+}
+
+/// Whether a stored configuration can be in force with these settings, which may have changed since.
+fn is_usable(routes: &DistributedRoutes, configuration: &violetseam_distribution::Configuration) -> bool {
+    let checked = routes.check(violetseam_distribution::subscriber::Proposal::Whole(configuration));
+    if let Err(why) = &checked {
+        tracing::warn!(version = %configuration.version(), "the stored configuration is not used: {why}");
+    }
+    checked.is_ok()
+}
--- a/crates/proxy/src/driver/mod.rs
+++ b/crates/proxy/src/driver/mod.rs
@@ -3,6 +3,8 @@
 //! - `clients.rs`: listeners and client connections, up to a whole request and from an answer on
 //! - `servers.rs`: connections to servers and the attempts on them
 //! - `control.rs`: calls to the roster and the release desk
+//! - `configuration.rs`: the subscription to a publisher, and reports to it
+//! - `configuration_store.rs`: the last good configuration on disk
 //! - `line.rs`: an operator's connection, local or under TLS
 //! - `operators.rs`: the control sockets, commands and the reading of the state
 //! - `peers.rs`: datagrams
@@ -10,6 +12,8 @@
 //! - `timers.rs`: the driver's own time-outs, all of them bounds of connections
 
 mod clients;
+mod configuration;
+mod configuration_store;
 mod control;
 mod line;
 mod operators;
@@ -22,6 +26,7 @@
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, LoopHandle, RegistrationToken};
 use clients::{Client, Held};
+use configuration::Subscription;
 use control::Call;
 pub use operators::{Keeper, Operators, Reload, Reloaded, Reopen, Reopened, SetLog};
 use rand::{Rng, RngExt, SeedableRng};
@@ -123,6 +128,8 @@
     desk_chosen: usize,
     /// The highest fencing number heard of a controller.
     desk_fence: u64,
+    /// To a publisher's configuration, where the settings name one.
+    subscription: Option<Box<Subscription>>,
     udp: Option<Rc<UdpSocket>>,
     udp_token: Option<RegistrationToken>,
     via: String,
@@ -178,6 +185,7 @@
     let signals = Signals::new(&heard).map_err(std::io::Error::other)?;
     let takes_over = inherited.is_some();
     let mut proxy = Proxy::new(settings, &options, event_loop.handle(), inherited.as_ref())?;
+    proxy.open_subscription(takes_over)?;
     event_loop
         .handle()
         .insert_source(signals, |event, (), proxy| match event.signal() {
@@ -285,6 +293,7 @@
             desk_stream: None,
             desk_chosen: 0,
             desk_fence: inherited.map_or(0, Inherited::desk_fence),
+            subscription: None,
             udp: None,
             udp_token: None,
             via: format!("1.1 {}-{}", settings.name, settings.decisions.position),
@@ -470,6 +479,7 @@
         if self.roster_changed {
             self.save_roster();
         }
+        self.finish_configuration();
         if let Some(recorder) = self.engine.take_recorder() {
             if let Some(why) = recorder.ended() {
                 tracing::warn!("recording ended early: {why}");
--- a/crates/proxy/src/driver/operators.rs
+++ b/crates/proxy/src/driver/operators.rs
@@ -564,6 +564,7 @@
             (&old.name, old.site, &old.class_names) == (&new.name, new.site, &new.class_names),
         )?;
         same("addresses that are bound", (&old.listen, old.peer_listen) == (&new.listen, new.peer_listen))?;
+        same("the publisher", old.publisher == new.publisher)?;
         same("tenants", old.tenants == new.tenants)?;
         same("budgets of the fleet", old.budgets == new.budgets)?;
         let control = |s: &ProxySettings| s.control_tls.as_ref().map(|tls| tls.0);
@@ -675,6 +676,7 @@
             peers: self.peers_heard.values().filter(|at| **at + PEERS_RECENT > now).count() as u64,
             list_age_us: self.list_heard.map(|at| now.saturating_sub(at)),
             servers: self.roster_lines.len() as u64,
+            distributed: self.configuration_reading(),
             rights: self.engine.budgets(now).into_iter().map(|sight| self.rights(sight)).collect(),
         }
     }
--- a/crates/proxy/src/driver/takeover.rs
+++ b/crates/proxy/src/driver/takeover.rs
@@ -210,6 +210,7 @@
         clients.into_iter().for_each(|key| self.rest_client(key));
         self.save_roster();
         self.release_store();
+        self.release_configuration();
         if let Err(e) = self.offer(key) {
             self.keep_serving(&format!("nothing could be handed over: {e}"));
         }
@@ -268,6 +269,7 @@
         self.handed_over = true;
         self.leave_control();
         self.leave_site();
+        self.leave_publisher();
         self.leave_peers();
         // Both hold these sockets: closing this side's copies ends no connection. Other connections that have
         // become idle meanwhile were told to close with their answers.
--- a/crates/proxy/src/driver/timers.rs
+++ b/crates/proxy/src/driver/timers.rs
@@ -28,6 +28,10 @@
     Takeover(u64),
     /// An operator's connection has been quiet for long.
     Operator(usize, u64),
+    /// The subscription to a publisher's configuration has something due.
+    Configuration,
+    /// A report to the publisher has had its time.
+    ConfigurationReport(u64),
     /// Slow upkeep.
     Upkeep,
     /// A final answer held back on purpose.
@@ -54,6 +58,8 @@
                     }
                 }
                 What::Operator(key, generation) => self.operator_timeout(key, generation),
+                What::Configuration => self.follow_configuration(),
+                What::ConfigurationReport(generation) => self.report_timeout(generation),
                 What::Upkeep => self.upkeep(now),
                 #[cfg(feature = "sabotage")]
                 What::Late(request, come_back, timed_out) => {
@@ -74,6 +80,7 @@
     fn upkeep(&mut self, now: Micros) {
         self.next_upkeep(now);
         self.operators_upkeep();
+        self.store_upkeep();
         if let Some(recorder) = self.engine.recorder() {
             recorder.flush();
         }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -5,5 +5,6 @@
 //! the thin part: sockets and the clock on one `calloop` loop. Neither decides on routing, time-outs,
 //! retries, refusals or releases. One loop is one balancer and shares nothing with another.
 
+pub mod distributed_routes;
 pub mod driver;
 pub mod engine;
--- a/crates/settings/src/check/fleet.rs
+++ b/crates/settings/src/check/fleet.rs
@@ -1,7 +1,7 @@
 //! The fleet that a proxy belongs to, its control over TCP, and the daemons of a fleet file.
 
 use crate::collect::Sections;
-use crate::sections::{ControlTls, Fleet, Identity, Member, Peers};
+use crate::sections::{ControlTls, Fleet, Identity, Member, Peers, Publisher};
 use crate::settings::FleetFile;
 use std::net::SocketAddr;
 use violetseam_script::{Fault, Placed, one};
@@ -41,6 +41,28 @@
     Ok(Some((listen, Identity { cert, key, trusted, revoked })))
 }
 
+/// The longest name that a publisher knows a proxy by, in bytes: its fleet's name, `-` and its position.
+const SUBSCRIBER_BYTES_MOST: usize = 64;
+
+/// Where the publisher is, if the settings name one.
+pub(super) fn check_publisher(
+    fleet: &Placed<Fleet>,
+    publisher: Option<&Placed<Publisher>>,
+) -> Result<Option<SocketAddr>, Fault> {
+    let Some(publisher) = publisher else { return Ok(None) };
+    let Fleet { name, position, state_dir, .. } = &fleet.is;
+    if state_dir.is_none() {
+        return publisher
+            .fault("publisher: needs fleet(state_dir = ...), where the last configuration is kept");
+    }
+    if format!("{name}-{position}").len() > SUBSCRIBER_BYTES_MOST {
+        return publisher.fault(format!(
+            "publisher: the fleet's name and the position are {SUBSCRIBER_BYTES_MOST} characters at most, with - between"
+        ));
+    }
+    Ok(Some(publisher.is.addr))
+}
+
 /// The daemons of a fleet file.
 pub(crate) fn members(script: &str, s: &Sections) -> Result<FleetFile, Fault> {
     let identity = one("identity", &s.identity)?.map(|placed| placed.is.clone());
--- a/crates/settings/src/check/mod.rs
+++ b/crates/settings/src/check/mod.rs
@@ -16,7 +16,7 @@
 use connections::{check_connections, check_headers};
 use decisions::decisions;
 pub(crate) use fleet::members;
-use fleet::{check_control_tls, check_fleet};
+use fleet::{check_control_tls, check_fleet, check_publisher};
 use rollout::{check_contract, check_limits, check_rollout};
 use routes::check_routes;
 use std::path::PathBuf;
@@ -54,6 +54,7 @@
         desks: std::iter::once(desk.is.addr).chain(desk.is.standby.iter().copied()).collect(),
         desk_silence: desk.is.silence.map(|span| span.0),
         desk_reconnect: desk.is.reconnect.0,
+        publisher: check_publisher(fleet, one("publisher", &s.publisher)?)?,
         peer_listen: peers.map(|p| p.is.listen),
         peers: peers.map(|p| p.is.addrs.clone()).unwrap_or_default(),
         class_names,
--- a/crates/settings/src/script.rs
+++ b/crates/settings/src/script.rs
@@ -7,7 +7,7 @@
 pub use violetseam_script::Fault;
 use violetseam_script::{evaluate, evaluate_file};
 
-violetseam_script::functions! { functions: fleet, listen, roster, desk, peers, request_class, route, tenant, headers, budgets, rollout, limits, contract, connections, member, identity, control_tls }
+violetseam_script::functions! { functions: fleet, listen, roster, desk, publisher, peers, request_class, route, tenant, headers, budgets, rollout, limits, contract, connections, member, identity, control_tls }
 
 /// Reads and checks a settings file. `options` are what `option(...)` gives.
 pub fn read_file(path: &Path, options: &[(String, String)]) -> Result<ProxySettings, Fault> {
--- a/crates/settings/src/sections.rs
+++ b/crates/settings/src/sections.rs
@@ -92,6 +92,12 @@
     pub reconnect: Span,
 }
 
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Publisher {
+    pub addr: SocketAddr,
+}
+
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct Peers {
--- a/crates/settings/src/settings.rs
+++ b/crates/settings/src/settings.rs
@@ -93,6 +93,8 @@
     pub desk_silence: Option<Micros>,
     /// Before a lost stream of stage news is opened again.
     pub desk_reconnect: Micros,
+    /// The publisher of the routes, if they are distributed; needs [`ProxySettings::state_dir`].
+    pub publisher: Option<SocketAddr>,
     /// Where peers' datagrams arrive.
     pub peer_listen: Option<SocketAddr>,
     /// Peers by position, this proxy's own among them.
