--- a/crates/proxy/src/driver/clients.rs
+++ b/crates/proxy/src/driver/clients.rs
@@ -460,10 +460,9 @@
                 _ => Purpose::Decline(StatusCode::METHOD_NOT_ALLOWED, "reports are posted"),
             };
         }
-        let fits = |r: &&violetseam_settings::Route| {
-            r.method.as_ref().is_none_or(|m| *m == head.method) && path.starts_with(&r.prefix)
-        };
-        let Some(route) = s.routes.iter().find(fits) else {
+        let distributed = self.subscription.as_ref().and_then(|subscription| subscription.table());
+        let routes = distributed.unwrap_or(&s.route_table);
+        let Some(route) = routes.find(&head.method, path) else {
             return Purpose::Decline(StatusCode::NOT_FOUND, "no route");
         };
         // Without its key no server could drop a repeat.
--- a/crates/settings/src/sections.rs
+++ b/crates/settings/src/sections.rs
@@ -1,5 +1,5 @@
 //! The sections as a script writes them: names, types and defaults. What they mean together is checked in
-//! `check.rs`.
+//! `check`.
 
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -92,6 +92,12 @@
     pub reconnect: Span,
 }
 
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Publisher {
+    pub addr: SocketAddr,
+}
+
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct Peers {
