--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -4,6 +4,7 @@
 pub mod capacity;
 pub mod fleet;
 pub mod platform;
+pub mod publisher;
 pub mod services;
 pub mod steps;
 pub mod world;
@@ -77,10 +78,15 @@
 }
 
 pub fn start_over(world: SocketAddr, name: &str, launch: &str, more: &str) -> Proxy {
+    start_named(world, "test", name, launch, more)
+}
+
+/// The same as a proxy of this fleet.
+pub fn start_named(world: SocketAddr, fleet: &str, name: &str, launch: &str, more: &str) -> Proxy {
     let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.star"));
     let text = format!(
         r#"
-fleet(name = "test", size = 1, position = 0{more})
+fleet(name = "{fleet}", size = 1, position = 0{more})
 listen(addr = "127.0.0.1:0")
 roster(addr = "{world}")
 desk(addr = "{world}")
@@ -104,6 +110,14 @@
     proxy
 }
 
+/// A test that fails leaves no process behind.
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
 impl Proxy {
     pub fn pid(&self) -> Pid {
         Pid::from_raw(self.child.id() as i32).unwrap()
--- a/crates/proxy/src/driver/mod.rs
+++ b/crates/proxy/src/driver/mod.rs
@@ -3,6 +3,8 @@
 //! - `clients.rs`: listeners and client connections, up to a whole request and from an answer on
 //! - `servers.rs`: connections to servers and the attempts on them
 //! - `control.rs`: calls to the roster and the release desk
+//! - `configuration.rs`: the subscription to a publisher, and reports to it
+//! - `configuration_store.rs`: the last good configuration on disk
 //! - `line.rs`: an operator's connection, local or under TLS
 //! - `operators.rs`: the control sockets, commands and the reading of the state
 //! - `peers.rs`: datagrams
@@ -10,6 +12,8 @@
 //! - `timers.rs`: the driver's own time-outs, all of them bounds of connections
 
 mod clients;
+mod configuration;
+mod configuration_store;
 mod control;
 mod line;
 mod operators;
@@ -22,6 +26,7 @@
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, LoopHandle, RegistrationToken};
 use clients::{Client, Held};
+use configuration::Subscription;
 use control::Call;
 pub use operators::{Keeper, Operators, Reload, Reloaded, Reopen, Reopened, SetLog};
 use rand::{Rng, RngExt, SeedableRng};
@@ -123,6 +128,8 @@
     desk_chosen: usize,
     /// The highest fencing number heard of a controller.
     desk_fence: u64,
+    /// To a publisher's configuration, where the settings name one.
+    subscription: Option<Box<Subscription>>,
     udp: Option<Rc<UdpSocket>>,
     udp_token: Option<RegistrationToken>,
     via: String,
@@ -130,8 +137,10 @@
     scratch: Vec<u8>,
     rng: rand_pcg::Pcg64,
     generation: u64,
-    /// Takes nothing new.
+    /// Takes nothing new but what is on its way.
     draining: bool,
+    /// When a drain closes the listeners whatever waits in their queues.
+    listen_until: Micros,
     /// Ends once nothing is left in hand.
     ending: bool,
     stopping: bool,
@@ -178,6 +187,7 @@
     let signals = Signals::new(&heard).map_err(std::io::Error::other)?;
     let takes_over = inherited.is_some();
     let mut proxy = Proxy::new(settings, &options, event_loop.handle(), inherited.as_ref())?;
+    proxy.open_subscription(takes_over)?;
     event_loop
         .handle()
         .insert_source(signals, |event, (), proxy| match event.signal() {
@@ -285,6 +295,7 @@
             desk_stream: None,
             desk_chosen: 0,
             desk_fence: inherited.map_or(0, Inherited::desk_fence),
+            subscription: None,
             udp: None,
             udp_token: None,
             via: format!("1.1 {}-{}", settings.name, settings.decisions.position),
@@ -297,6 +308,7 @@
             rng,
             generation: 0,
             draining: false,
+            listen_until: 0,
             ending: false,
             stopping: false,
             quiet: RateLimit::default(),
@@ -353,11 +365,17 @@
         self.pump();
         self.own_timers(looked);
         self.pump();
-        if self.ending && self.engine.owed() == 0 && self.clients.is_empty() && self.held.is_empty() {
+        if self.ending && self.has_ended() {
             self.stopping = true;
         }
     }
 
+    /// Nothing is in hand and nothing can come.
+    fn has_ended(&self) -> bool {
+        let nothing_open = self.listeners.is_empty() && self.clients.is_empty();
+        nothing_open && self.engine.owed() == 0 && self.held.is_empty()
+    }
+
     /// Does what the engine ordered, and what comes of that, until nothing is left. Called from within, it
     /// leaves that to the call it came from.
     fn pump(&mut self) {
@@ -439,18 +457,17 @@
         self.stop_taking();
     }
 
-    /// Stops taking connections and requests. Listeners close: a connection that waited in the kernel's
-    /// queue would be neither taken nor free to go elsewhere.
+    /// Stops taking connections and requests, but for those on their way: in the listeners' queues, and first requests
+    /// on connections that were accepted. Listeners close once their queues are empty: what waits there would be
+    /// neither taken nor free to go elsewhere.
     fn stop_taking(&mut self) {
         if std::mem::replace(&mut self.draining, true) {
             return;
         }
         tracing::info!(owed = self.engine.owed(), "draining");
-        self.accept_last();
-        for (_, token) in self.listeners.drain(..) {
-            token.into_iter().for_each(|token| self.handle.remove(token));
-        }
+        self.listen_until = self.last_listening();
         self.close_idle_clients();
+        self.drain_queues();
         self.pump();
     }
 
@@ -460,8 +477,13 @@
             return Err("this daemon is on its way out".into());
         }
         if self.draining {
-            self.bind_listeners().map_err(|e| e.to_string())?;
+            if self.listeners.is_empty() {
+                self.bind_listeners().map_err(|e| e.to_string())?;
+            } else {
+                self.set_accepting(true);
+            }
             self.draining = false;
+            self.keep_idle_clients();
         }
         Ok(())
     }
@@ -470,6 +492,7 @@
         if self.roster_changed {
             self.save_roster();
         }
+        self.finish_configuration();
         if let Some(recorder) = self.engine.take_recorder() {
             if let Some(why) = recorder.ended() {
                 tracing::warn!("recording ended early: {why}");
