--- a/crates/cli/src/controller.rs
+++ b/crates/cli/src/controller.rs
@@ -1,11 +1,11 @@
 //! `violetseam controller`, the daemon that runs release plans, and `violetseam release`, which speaks to it.
 
+use crate::logs;
 use crate::serve::pair;
 use clap::{Args as ClapArgs, Subcommand};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
-use tracing_subscriber::EnvFilter;
 use violetseam_controller::control::{Answer, Word, say};
 use violetseam_release::{Order, Reply};
 
@@ -49,14 +49,7 @@
 pub fn serve(args: &Args) -> Result<ExitCode, String> {
     let settings = violetseam_controller::settings::read_file(&args.settings, &args.set);
     let settings = settings.map_err(|e| e.to_string())?;
-    let filter = EnvFilter::try_new(&args.log).map_err(|e| format!("--log: {e}"))?;
-    // As for `serve`: a log on a full disk must not end the process.
-    tracing_subscriber::fmt()
-        .log_internal_errors(false)
-        .with_env_filter(filter)
-        .with_writer(std::io::stderr)
-        .with_ansi(false)
-        .init();
+    logs::start(&args.log)?;
     let name = settings.name.clone();
     let stop_after = args.stop_after.map(Duration::from_secs);
     #[cfg(feature = "sabotage")]
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,6 +3,7 @@
 mod controller;
 mod fleet;
 mod lab;
+mod logs;
 mod plan;
 mod platform;
 mod publisher;
--- a/crates/cli/src/publisher.rs
+++ b/crates/cli/src/publisher.rs
@@ -1,12 +1,12 @@
 //! `violetseam publisher`, the daemon that distributes the configuration, and `violetseam publish`, which
 //! speaks to it.
 
+use crate::logs;
 use clap::Args as ClapArgs;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
-use tracing_subscriber::EnvFilter;
 use violetseam_distribution::publisher::LogLimits;
 use violetseam_distribution::{Term, Version};
 use violetseam_publisher::client::{Client, ClientError};
@@ -78,14 +78,7 @@
 /// Runs a publisher until it is told to stop.
 pub fn serve(args: &Args) -> Result<ExitCode, String> {
     let settings = args.settings()?;
-    let filter = EnvFilter::try_new(&args.log).map_err(|error| format!("--log: {error}"))?;
-    // As for `serve`: a log on a full disk must not end the process.
-    tracing_subscriber::fmt()
-        .log_internal_errors(false)
-        .with_env_filter(filter)
-        .with_writer(std::io::stderr)
-        .with_ansi(false)
-        .init();
+    logs::start(&args.log)?;
     violetseam_publisher::serve::serve(settings, |address, version| {
         println!("publishes from version {version} on {address}");
     })?;
