--- a/crates/platform-proxy/src/clients.rs
+++ b/crates/platform-proxy/src/clients.rs
@@ -371,7 +371,8 @@
         self.held_bytes += call.size();
         let (class, wait, is_retry) = (call.class, call.wait, call.is_retry);
         let id = self.engine.request(now, request, true);
-        tracing::debug!(request = id, client = key, class, wait, unread, is_retry, "request");
+        let client_id = String::from_utf8_lossy(&call.id);
+        tracing::debug!(request = id, %client_id, client = key, class, wait, unread, is_retry, "request");
         self.open_ids.insert(call.id.clone(), id);
         self.held.insert(id, Held { client: key, client_generation, call, attempts: Vec::new() });
         if let Some(client) = self.clients.get_mut(key) {
@@ -493,7 +494,11 @@
             }
         };
         let over: Vec<usize> = self.clients.iter().filter(|(_, c)| over(c)).map(|(key, _)| key).collect();
-        over.into_iter().for_each(|key| self.client_gone(key));
+        for key in over {
+            let state = self.clients.get(key).map(|client| (client.state, client.owed.len()));
+            tracing::debug!(client = key, ?state, "closed: its time is over");
+            self.client_gone(key);
+        }
     }
 
     /// Takes nothing new but what is on its way: connections in the kernel's queue, commands on those that have
--- a/crates/platform-proxy/src/discovery.rs
+++ b/crates/platform-proxy/src/discovery.rs
@@ -47,6 +47,8 @@
 /// The same without any list, where nothing can be served: quicker than the decisions' back-off, so that a process
 /// that starts while the service is down is ready soon after that.
 const EMPTY_AGAIN: Micros = 1_000_000;
+/// The status of an answer that carries a list.
+const STATUS_OK: u16 = 200;
 /// A watch that has nothing new to say so soon is not waiting: it would be asked without end.
 const ANSWERED_AT_ONCE: Micros = 100_000;
 
@@ -77,7 +79,8 @@
     socket: Socket,
     http: ClientConn,
     body: Vec<u8>,
-    accepted: bool,
+    /// The answer's status, once its head has come.
+    status: Option<u16>,
     /// The present exchange has time until then; timers of earlier ones may still come.
     until: Micros,
     /// When it began.
@@ -118,6 +121,11 @@
         !self.pushed || self.answered
     }
 
+    /// Whether lists are pushed.
+    pub fn is_pushed(&self) -> bool {
+        self.pushed
+    }
+
     /// So many tenths of the time without a word.
     fn tenths(&self, tenths: Micros) -> Micros {
         self.silence / 10 * tenths
@@ -232,22 +240,13 @@
                 };
                 let socket = Socket::register(&self.handle, stream, Interest::BOTH, on_ready).ok()?;
                 let http = ClientConn::new(Limits::default());
-                Call {
-                    generation,
-                    socket,
-                    http,
-                    body: Vec::new(),
-                    accepted: false,
-                    until: 0,
-                    began: 0,
-                    asked,
-                }
+                Call { generation, socket, http, body: Vec::new(), status: None, until: 0, began: 0, asked }
             }
         };
         let head = format!("GET {path} HTTP/1.1\r\nhost: {address}\r\n\r\n");
         call.socket.out().extend_from_slice(head.as_bytes());
         call.http.expect_answer(false);
-        call.accepted = false;
+        call.status = None;
         call.socket.want_connected(&self.handle);
         (call.began, call.asked) = (self.now(), asked);
         call.until = call.began + within;
@@ -292,7 +291,7 @@
         while let Some(call) = self.discovery.call(generation) {
             match call.http.next_event() {
                 None => return,
-                Some(ClientEvent::Head(head)) => call.accepted = head.status == 200,
+                Some(ClientEvent::Head(head)) => call.status = Some(head.status.as_u16()),
                 Some(ClientEvent::Body(bytes)) => {
                     call.body.extend_from_slice(&bytes);
                     if call.body.len() > ANSWER_MOST {
@@ -312,7 +311,7 @@
         let now = self.now();
         self.discovery.answered = true;
         let Some(call) = self.discovery.call(generation) else { return };
-        if !call.accepted {
+        if call.status != Some(STATUS_OK) {
             return self.discovery_ended(generation, "declined");
         }
         let body = std::mem::take(&mut call.body);
@@ -369,7 +368,8 @@
     /// A call is over without an answer.
     fn discovery_ended(&mut self, generation: u64, why: &str) {
         let Some(call) = self.discovery.call.take_if(|call| call.generation == generation) else { return };
-        tracing::debug!(asked = ?call.asked, after = self.now() - call.began, why, "list call failed");
+        let after_us = self.now() - call.began;
+        tracing::debug!(asked = ?call.asked, after_us, status = call.status, body = call.body.len(), why, "list call failed");
         call.socket.remove(&self.handle);
         self.list_failed(why);
     }
--- a/crates/platform-proxy/src/lib.rs
+++ b/crates/platform-proxy/src/lib.rs
@@ -49,6 +49,9 @@
 /// leaves it 0.7 s.
 const ENDING: Micros = 450_000;
 
+/// A shutdown names so many of the requests that it ends.
+const OWED_TOLD: usize = 20;
+
 /// What comes due. Connections are named by their place and generation, as places are used again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum What {
@@ -229,6 +232,7 @@
         self.timers.set(now + UPKEEP, What::Upkeep);
         let name = &self.config.name;
         tracing::info!(%name, servers = entries.len(), listen = %self.config.listen, "started");
+        self.tell_limits();
         self.pump();
     }
 
@@ -330,6 +334,7 @@
             let classes = &self.config.instance.decisions.classes;
             let end_at = now + classes.iter().map(|c| c.deadline).max().unwrap_or(0) + ENDING;
             self.end_at = Some(end_at);
+            tracing::info!(ends_in_us = end_at - now, "SIGTERM");
             self.timers.set(now + TAKING_ON, What::Leave);
             self.timers.set(end_at.max(now + TAKING_ON), What::End);
         }
@@ -338,11 +343,35 @@
     /// The time is over: what is still owed is answered as failed, and answers that no client takes are left.
     fn stop(&mut self) {
         let now = self.now();
+        self.tell_owed();
         self.engine.abandon(now);
         self.pump();
         self.stopping = true;
     }
 
+    /// The limits that the settings give, without which no log of a shutdown or of a stale list can be read.
+    fn tell_limits(&self) {
+        let instance = &self.config.instance;
+        let contract = &instance.decisions.contract;
+        tracing::info!(
+            longest_deadline_us = instance.decisions.classes.iter().map(|c| c.deadline).max().unwrap_or(0),
+            ask_within_us = contract.ask_within,
+            drain_grace_us = contract.drain_grace,
+            pushed = self.discovery.is_pushed(),
+            list_version = self.roster.version(),
+            "limits"
+        );
+    }
+
+    /// The requests that a shutdown ends without a server's answer, by the ids that their clients gave them.
+    fn tell_owed(&self) {
+        let ids = self.open_ids.iter().take(OWED_TOLD);
+        for (id, request) in ids {
+            let id = String::from_utf8_lossy(id);
+            tracing::warn!(request, %id, "shutdown ends a request without a server's answer");
+        }
+    }
+
     fn tell_counts(&self, what: &str) {
         let c = self.engine.counts();
         tracing::info!(
