--- a/crates/cli/tests/common/services.rs
+++ b/crates/cli/tests/common/services.rs
@@ -19,8 +19,13 @@
     Unavailable,
     /// Bytes that are no answer.
     Spoilt,
+    /// Has more callers than it can serve: 503 after a wait, which nobody can tell from an outage.
+    Crowded,
 }
 
+/// How long a crowded service has a call wait before it declines it.
+pub const CROWDED_WAIT: Duration = Duration::from_millis(500);
+
 /// The four ways to fail.
 pub const FAILURES: [Mood; 4] = [Mood::Silent, Mood::Closed, Mood::Unavailable, Mood::Spoilt];
 
@@ -145,6 +150,10 @@
                 Mood::Unavailable => {
                     stream.write_all(b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n")
                 }
+                Mood::Crowded => {
+                    std::thread::sleep(CROWDED_WAIT);
+                    stream.write_all(b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n")
+                }
                 Mood::Spoilt => stream.write_all(NOISE),
                 Mood::Silent => return service.sit_out(),
                 Mood::Closed => return,
@@ -188,7 +197,7 @@
                 Mood::Silent => return service.sit_out(),
                 Mood::Closed => return,
                 Mood::Spoilt => String::from_utf8_lossy(NOISE).into_owned(),
-                Mood::Unavailable => {
+                Mood::Unavailable | Mood::Crowded => {
                     format!(
                         r#"{{"jsonrpc":"2.0","id":{id},"error":{{"code":-32000,"message":"unavailable"}}}}"#
                     )
@@ -222,7 +231,7 @@
                 let _ = stream.write_all(NOISE);
                 return;
             }
-            Mood::Closed | Mood::Unavailable => return,
+            Mood::Closed | Mood::Unavailable | Mood::Crowded => return,
         }
         if revision > seen {
             text += &format!("{{\"jsonrpc\":\"2.0\",\"method\":\"stage\",\"params\":{told}}}\n");
