Leases on the server list and on a process's life, decided in one place

Faulty lines: `Proxy::end` took the longest deadline of the settings whole, where the platform counts three seconds of it; `Discovery::is_ready` and `Roster`/`pick` used the list from before a start at once, and any list for ever. Both go on with something that was given for a limited time.

`src/permission.rs` now holds what is held for a limited time (ListLease, Lifetime) and decides whether an attempt may start or be written; the engine asks it at each start and each write and counts what it had to stop (violations, held_back). The module hears of both limits as events: it holds and then refuses requests without a list that may be used, and answers all before the end. At the end of a shutdown every connection is ended between two requests and read no more, so that a request that crosses the end is not taken; before, such bytes were read and dropped.

Tests whose discovery never answered relied on the list from before the start; they answer now (world.rs, platform_settings.rs).

--- a/crates/cli/tests/common/world.rs
+++ b/crates/cli/tests/common/world.rs
@@ -1,6 +1,6 @@
 //! A platform whose every peer a test plays itself, step by step: discovery, the release service, servers.
 
-use super::platform::{Proxy, start, words};
+use super::platform::{Proxy, launch, wait_until, words};
 use super::services::{Member, list};
 use super::steps::{Peer, Wire};
 use serde_json::{Value, json};
@@ -36,12 +36,16 @@
     /// Starts the program, whose first call asks for what is newer than the list that it starts with, and answers with
     /// the whole list: the program, and the watch that follows.
     pub fn start(&self, name: &str, known: &[Member]) -> (Proxy, Wire) {
-        let proxy = start(name, &self.config.to_string());
+        let proxy = launch(name, &self.config.to_string());
         let mut hosts = self.hosts.accept();
         let asked = hosts.http();
         assert!(asked.contains("/discovery/hosts?index=1&wait="), "{asked}");
+        // Nothing is taken by a list from before the start.
+        wait_until("it listens", || proxy.ping().is_some());
+        assert_eq!(proxy.ping(), Some(b"-LOADING no server list yet\r\n".to_vec()));
         tell(&mut hosts, &list(2, known));
         assert!(hosts.http().contains("index=2&wait="));
+        wait_until("it does not serve", || proxy.ping() == Some(b"+PONG\r\n".to_vec()));
         (proxy, hosts)
     }
 }
--- a/crates/cli/tests/platform_permissions.rs
+++ b/crates/cli/tests/platform_permissions.rs
@@ -6,7 +6,9 @@
 use common::platform::{
     Client, Heard, PATIENCE, Proxy, Say, Server, good, launch, look, server, start, value, wait_until, words,
 };
-use common::services::{CROWDED_WAIT, Member, Mood, Service, discovery, list, member, news, pipeline, told};
+use common::services::{CROWDED_WAIT, Member, Mood, Service, discovery, list, member, pipeline, told};
+use common::steps::Peer;
+use common::world::tell;
 use rustix::process::Signal;
 use serde_json::{Value, json};
 use std::sync::{Arc, Mutex};
@@ -178,32 +180,29 @@
     proxy.end();
 }
 
-/// A discovery that is surely away tells no change to anybody: the list held stays in force for as long as that lasts.
+/// A discovery that refuses connections tells no change to anybody: the list held stays in force for as long as that
+/// lasts. One that declines calls may be there: see the test before.
 #[test]
 fn an_outage_of_discovery_leaves_the_list_in_force() {
-    std::thread::scope(|scope| {
-        for (n, mood) in [Mood::Closed, Mood::Unavailable].into_iter().enumerate() {
-            scope.spawn(move || {
-                let one = watched();
-                let known = [member("s-1", one.server.addr, 7)];
-                let (hosts, releases) = (discovery(list(2, &known)), pipeline(news(7, 2, "stable", 1.0)));
-                let mut config = configuration(&hosts, &releases, &known);
-                config["settings"]["Contract"]["AskWithin"] = json!(1_000_000);
-                config["settings"]["Contract"]["DrainGrace"] = json!(600_000);
-                let proxy = start(&format!("away-{n}"), &config.to_string());
-                ask_until(&proxy, "before", |heard| matches!(heard, Heard::Value(_)));
-                hosts.set(mood);
-                let began = Instant::now();
-                ask_until(&proxy, "away", |heard| {
-                    assert!(
-                        matches!(heard, Heard::Value(_)),
-                        "{mood:?}, after {:?}: {heard:?}",
-                        began.elapsed()
-                    );
-                    began.elapsed() > Duration::from_secs(4)
-                });
-                proxy.end();
-            });
-        }
+    let one = watched();
+    let known = [member("s-1", one.server.addr, 7)];
+    let (hosts, releases) = (Peer::new(), pipeline(RELEASED.into()));
+    let mut config: Value =
+        serde_json::from_str(&told([&discovery(list(1, &known)), &releases], &known, RELEASED)).unwrap();
+    config["discovery"] = json!(hosts.addr.to_string());
+    config["settings"]["Contract"]["AskWithin"] = json!(1_000_000);
+    config["settings"]["Contract"]["DrainGrace"] = json!(600_000);
+    let proxy = launch("away", &config.to_string());
+    let mut watch = hosts.accept();
+    assert!(watch.http().contains("index=1&wait="));
+    tell(&mut watch, &list(2, &known));
+    assert!(watch.http().contains("index=2&wait="));
+    ask_until(&proxy, "before", |heard| matches!(heard, Heard::Value(_)));
+    drop((watch, hosts));
+    let began = Instant::now();
+    ask_until(&proxy, "away", |heard| {
+        assert!(matches!(heard, Heard::Value(_)), "after {:?}: {heard:?}", began.elapsed());
+        began.elapsed() > Duration::from_secs(4)
     });
+    proxy.end();
 }
--- a/crates/cli/tests/platform_settings.rs
+++ b/crates/cli/tests/platform_settings.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::platform::{Heard, Proxy, good, words};
-use common::services::member;
+use common::services::{discovery, list, member};
 use common::steps::{Peer, Wire};
 use common::world::{ALL, World, world};
 use rustix::process::Signal;
@@ -56,7 +56,10 @@
 
 impl Customer {
     fn world(&self, servers: &Peer) -> World {
-        let mut world = world(&[member("s-1", servers.addr, 7)], ALL);
+        let known = [member("s-1", servers.addr, 7)];
+        let mut world = world(&known, ALL);
+        // A list is used once discovery has confirmed it.
+        world.config["discovery"] = json!(discovery(list(2, &known)).addr.to_string());
         let class = |(name, effect, ms): &(&str, &str, u64)| {
             json!({"Name": name, "Effect": effect, "Group": "all", "HardLimit": ms * 1000,
                 "Objective": ms * 900, "Window": 5_000_000})
--- a/crates/platform-proxy/src/clients.rs
+++ b/crates/platform-proxy/src/clients.rs
@@ -3,7 +3,7 @@
 //! Answers go out in the order of a connection's commands. What is no sound call is answered with an error
 //! here, and the connection ends after that: nothing of it reaches the decisions or a server.
 
-use super::{Proxy, What};
+use super::{Ending, Proxy, What};
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction, Readiness};
 use std::collections::VecDeque;
@@ -31,8 +31,6 @@
 /// once over unread bytes, it would be reset, and the answer could be lost with it.
 const LINGER: Micros = 300_000;
 const LINGER_BYTES: usize = 256 * 1024;
-/// What is taken after SIGTERM is answered so long before the process ends by itself.
-const END_MARGIN: Micros = 100_000;
 /// Answers that a client does not take are held for so long.
 const UNREAD: Micros = 3_000_000;
 
@@ -60,8 +58,11 @@
     Open,
     /// Nothing more is read: the connection ends after the answers that are owed.
     Closing,
-    /// All is written and this side is closed; so many bytes have been dropped.
+    /// An error was the last answer, and this side is closed; so many bytes have been dropped.
     Lingering(usize),
+    /// This side has ended the connection between two requests. Nothing is read any more: a request that crossed the
+    /// end has not been taken, and its client sends it elsewhere.
+    Ended,
 }
 
 /// A place in the order of answers.
@@ -79,6 +80,17 @@
     pub attempts: Vec<Option<usize>>,
 }
 
+impl Ending {
+    /// Whether this side may end a connection now: on the way out, between two requests.
+    fn may_end(self, client: &Client) -> bool {
+        match self {
+            Ending::No | Ending::Told => false,
+            Ending::Leaving => client.is_free(),
+            Ending::LastAnswers => client.is_answered(),
+        }
+    }
+}
+
 impl Client {
     /// A whole sound command has come on it.
     pub fn is_proven(&self) -> bool {
@@ -88,7 +100,17 @@
     /// Nothing is owed on it, and no part of a command has come: it may be closed without a request's loss once
     /// nothing lies unread either.
     pub fn is_free(&self) -> bool {
-        self.owed.is_empty() && !self.socket.waits() && !self.reading && self.input.is_empty()
+        self.is_answered() && self.input.is_empty()
+    }
+
+    /// Nothing is owed on it: at a process's last answers it may be closed, also over a part of a command.
+    pub fn is_answered(&self) -> bool {
+        self.owed.is_empty() && !self.socket.waits() && !self.reading
+    }
+
+    /// Tells it from others that had its place.
+    pub fn generation(&self) -> u64 {
+        self.generation
     }
 
     /// No further command is taken before an answer has gone.
@@ -132,7 +154,7 @@
                     }
                 }
                 Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {
-                    return if self.leaving {
+                    return if self.is_leaving() {
                         self.stop_listening()
                     };
                 }
@@ -163,7 +185,7 @@
         if let Some((_, token)) = &self.listener {
             drop(self.handle.enable(token));
             self.accepting = true;
-            if self.leaving {
+            if self.is_leaving() {
                 self.accept_rest();
             }
         }
@@ -209,6 +231,7 @@
     /// Takes a connection off the loop and tells nobody.
     pub(super) fn close_client(&mut self, key: usize) {
         if let Some(client) = self.clients.try_remove(key) {
+            self.closed_while_owed += u64::from(!client.is_answered());
             client.socket.remove(&self.handle);
         }
     }
@@ -226,6 +249,10 @@
     }
 
     fn on_client(&mut self, key: usize, readiness: Readiness) {
+        if self.clients.get(key).is_some_and(|client| client.state == State::Ended) {
+            // Nothing is asked for: the other side has ended, too.
+            return self.close_client(key);
+        }
         if readiness.writable {
             self.flush_client(key);
         }
@@ -315,10 +342,8 @@
             return self.decline(key, "too many commands at once");
         }
         match call::read(words, &self.config.instance) {
-            Ok(Command::Ping) if self.roster.is_empty() || !self.discovery.is_ready() => {
-                self.reply(key, b"-LOADING no server list yet\r\n");
-            }
-            Ok(Command::Ping) => self.reply(key, b"+PONG\r\n"),
+            Ok(Command::Ping) if self.is_ready() => self.reply(key, b"+PONG\r\n"),
+            Ok(Command::Ping) => self.reply(key, b"-LOADING no server list yet\r\n"),
             Ok(Command::Courtesy) => self.reply(key, b"+OK\r\n"),
             Ok(Command::Call(call)) => self.take_call(key, *call),
             Err(why) => self.decline(key, &why.0),
@@ -357,11 +382,9 @@
         let now = self.now();
         // The client's wait began when it sent; how late this loop is, the call may have lain unread.
         let unread = self.timers.behind(now, self.engine.due());
-        let deadline = now + call.wait.saturating_sub(unread);
         let request = Request {
             id: 0,
-            // What comes after SIGTERM is answered before this process must have ended.
-            deadline: self.end_at.map_or(deadline, |end| deadline.min(end.saturating_sub(END_MARGIN))),
+            deadline: now + call.wait.saturating_sub(unread),
             class: call.class,
             hint: None,
             key: Some(call.key),
@@ -434,7 +457,7 @@
             client.socket.close_write();
             client.state = State::Lingering(0);
         }
-        let ends = self.leaving && client.is_free();
+        let ends = self.ending.may_end(client);
         let goes_on = client.waiting && !client.is_full();
         if client.state == State::Open && (ends || goes_on) {
             self.revisit.push((key, client.generation));
@@ -454,16 +477,17 @@
             }
             let came = self.read_client(key);
             self.pump();
-            let (now, leaving) = (self.now(), self.leaving);
-            let Some(client) = self.clients.get_mut(key).filter(is) else { continue };
-            if leaving && client.is_free() {
-                if came {
-                    self.revisit.push((key, generation));
-                } else {
-                    client.socket.close_write();
-                    (client.state, client.quiet_since) = (State::Lingering(0), now);
-                    self.rest_client(key);
-                }
+            let now = self.now();
+            let ending = self.ending;
+            let Some(client) = self.clients.get_mut(key).filter(is).filter(|c| ending.may_end(c)) else {
+                continue;
+            };
+            if came {
+                self.revisit.push((key, generation));
+            } else {
+                client.socket.close_write();
+                (client.state, client.quiet_since) = (State::Ended, now);
+                self.rest_client(key);
             }
         }
     }
@@ -477,6 +501,7 @@
             // What comes now is read for its end only.
             State::Closing => false,
             State::Lingering(_) => true,
+            State::Ended => false,
         };
         client.socket.want(&self.handle, read);
     }
@@ -486,7 +511,7 @@
         let over = |c: &Client| {
             let quiet = now.saturating_sub(c.quiet_since);
             match c.state {
-                State::Lingering(_) => quiet >= LINGER,
+                State::Lingering(_) | State::Ended => quiet >= LINGER,
                 _ if c.socket.waits() => quiet >= UNREAD,
                 _ if !c.owed.is_empty() => false,
                 _ if !c.proven => quiet >= UNPROVEN,
@@ -504,7 +529,7 @@
     /// Takes nothing new but what is on its way: connections in the kernel's queue, commands on those that have
     /// none yet. The others end between two requests.
     pub(super) fn leave(&mut self) {
-        self.leaving = true;
+        self.ending = self.ending.max(Ending::Leaving);
         self.accept_rest();
         let free = self.clients.iter().filter(|(_, c)| c.proven && c.is_free());
         self.revisit.extend(free.map(|(key, c)| (key, c.generation)));
--- a/crates/platform-proxy/src/discovery.rs
+++ b/crates/platform-proxy/src/discovery.rs
@@ -18,10 +18,11 @@
 use violetseam_platform::discovery::{ANSWER_MOST, List, WHOLE_PATH, watch_path};
 
 /// What is drawn below is counted in parts of the time that the settings let a proxy go without a word, within these
-/// bounds; a watch waits for 6 tenths of it, the decisions ask again after 7 tenths.
+/// bounds; a watch waits for 4 tenths of it at most, the decisions ask again after 7 tenths. What a watch misses that has
+/// fallen silent counts as told 2 s after its wait is over or 6 s after it fell silent: 4 s of waiting give both.
 const SILENCE_LEAST: Micros = 500_000;
 const SILENCE_MOST: Micros = 10_000_000;
-const WAIT_TENTHS: Micros = 6;
+const WAIT_TENTHS: Micros = 4;
 /// A new watch costs the service work, and one that it has declined costs it as much; only a watch that is renewed at
 /// once is free. So proxies that all start, lose their watches or move together spread their next calls: the first
 /// call of a life and the first one at another address within so many tenths, further ones after a failed call after
@@ -40,6 +41,13 @@
 /// A call for the whole list has so long, a watch so long beyond its wait. The service declines a call by itself that
 /// waited for too long; one that is given up before that costs it as much, and is made again.
 const CALL_TIMEOUT: Micros = 2_500_000;
+/// A watch that was renewed in time and has said nothing so long after its wait is dead, and another one is opened after
+/// about so long: the lease on the list ends soon.
+const WATCH_LATE: Micros = 1_000_000;
+const WATCH_AGAIN: Micros = 500_000;
+/// Each call that fails doubles the wait for the next one, so many times at most: a service that works through its calls
+/// one by one and has too many spends its time on calls that have waited for too long, until fewer come.
+const DOUBLINGS_MOST: u32 = 2;
 /// Where lists are pushed, what the service has counts at once, and its calls are free of cost: one that failed is made
 /// again after about so long, and a watch is replaced after seven tenths of the second figure without a word.
 const PUSHED_AGAIN: Micros = 300_000;
@@ -59,10 +67,14 @@
     silence: Micros,
     /// What the service has counts as told from a process's first moment, heard or not.
     pushed: bool,
-    /// A call has ended, with an answer or without.
-    answered: bool,
+    /// The process says that it is ready from then on at the latest.
+    pub(super) ready_by: Micros,
+    /// It has said so.
+    ready: bool,
     /// The service at this address has answered.
     confirmed: bool,
+    /// Calls that failed since the last list.
+    failures: u32,
     /// The exchange that is out.
     call: Option<Call>,
     /// When the next call is planned, if it is.
@@ -85,6 +97,8 @@
     until: Micros,
     /// When it began.
     began: Micros,
+    /// It follows an answer on the same connection at once, so that the watch goes on.
+    renewed: bool,
     /// What it asks for.
     asked: Asked,
 }
@@ -98,6 +112,65 @@
     NewerThan(u64),
 }
 
+/// How a call ended that brought no list.
+#[derive(Debug)]
+enum CallEnd {
+    /// No socket, or no way there from this machine.
+    NotDialled,
+    NotConnected,
+    Closed,
+    Reset,
+    /// Any status but 200.
+    Declined,
+    TimedOut,
+    Unreadable(String),
+    /// The service has less than was held.
+    CountedAnew,
+    /// A watch that does not wait.
+    NothingNew,
+}
+
+impl std::fmt::Display for CallEnd {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            CallEnd::NotDialled => "no connection could be begun",
+            CallEnd::NotConnected => "no connection",
+            CallEnd::Closed => "closed",
+            CallEnd::Reset => "connection lost",
+            CallEnd::Declined => "declined",
+            CallEnd::TimedOut => "no answer in time",
+            CallEnd::Unreadable(why) => why,
+            CallEnd::CountedAnew => "versions counted anew",
+            CallEnd::NothingNew => "a watch that answers with nothing new",
+        })
+    }
+}
+
+/// What the end of a call says of the list held.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Word {
+    /// The watch was alive until then: whatever had changed before that was told on it.
+    Alive,
+    /// Discovery was away when the call began, and told nobody of a change.
+    Away,
+    /// A part of a list has come: it was written, and counts as told though it cannot be read.
+    Cut,
+    Nothing,
+}
+
+impl Call {
+    fn word(&self, end: &CallEnd) -> Word {
+        match end {
+            CallEnd::Declined if self.renewed => Word::Alive,
+            CallEnd::NothingNew => Word::Alive,
+            // Refused. A call that is declined, even at once, may have met a service that is there and has too many.
+            CallEnd::NotConnected => Word::Away,
+            _ if self.status == Some(STATUS_OK) => Word::Cut,
+            _ => Word::Nothing,
+        }
+    }
+}
+
 impl Discovery {
     /// `ask_within`: how long the settings let a proxy go without a word from discovery.
     pub fn new(address: SocketAddr, pushed: bool, ask_within: Micros) -> Self {
@@ -106,8 +179,10 @@
             address,
             silence,
             pushed,
-            answered: false,
+            ready_by: 0,
+            ready: false,
             confirmed: false,
+            failures: 0,
             call: None,
             again: None,
             verify_at: None,
@@ -115,12 +190,6 @@
         }
     }
 
-    /// Whether the list held may be used for the first requests of a life: where lists are pushed, only after the
-    /// first call, which ends within [`CALL_TIMEOUT`].
-    pub fn is_ready(&self) -> bool {
-        !self.pushed || self.answered
-    }
-
     /// Whether lists are pushed.
     pub fn is_pushed(&self) -> bool {
         self.pushed
@@ -196,7 +265,7 @@
         };
         match self.call_discovery(asked, on) {
             Some(call) => self.discovery.call = Some(call),
-            None => self.list_failed("no connection"),
+            None => self.list_failed(&CallEnd::NotDialled),
         }
     }
 
@@ -211,6 +280,8 @@
         if let Some(call) = self.discovery.call.take() {
             call.socket.remove(&self.handle);
         }
+        let now = self.now();
+        self.engine.change_list_lease(now, |lease| lease.move_discovery(now));
         self.verify_later();
         match self.discovery.pushed {
             true => self.ask_discovery(None),
@@ -226,10 +297,14 @@
             Asked::Whole => (WHOLE_PATH.to_owned(), CALL_TIMEOUT),
             Asked::NewerThan(version) => {
                 let wait = self.discovery.tenths(WAIT_TENTHS);
+                // Drawn: watches that were all answered by one change come apart again.
+                let wait = self.rng.random_range(wait / 4 * 3..=wait);
                 let wait = if confirmed { wait } else { wait.min(FIRST_WAIT) };
-                (watch_path(version, wait), wait + CALL_TIMEOUT)
+                let late = if on.is_some() { WATCH_LATE } else { CALL_TIMEOUT };
+                (watch_path(version, wait), wait + late)
             }
         };
+        let renewed = on.is_some();
         let mut call = match on {
             // Its readiness is known by the number it was opened under, so it keeps that.
             Some(call) => call,
@@ -240,7 +315,17 @@
                 };
                 let socket = Socket::register(&self.handle, stream, Interest::BOTH, on_ready).ok()?;
                 let http = ClientConn::new(Limits::default());
-                Call { generation, socket, http, body: Vec::new(), status: None, until: 0, began: 0, asked }
+                Call {
+                    generation,
+                    socket,
+                    http,
+                    body: Vec::new(),
+                    status: None,
+                    until: 0,
+                    began: 0,
+                    renewed: false,
+                    asked,
+                }
             }
         };
         let head = format!("GET {path} HTTP/1.1\r\nhost: {address}\r\n\r\n");
@@ -249,6 +334,7 @@
         call.status = None;
         call.socket.want_connected(&self.handle);
         (call.began, call.asked) = (self.now(), asked);
+        call.renewed = renewed && asked != Asked::Whole;
         call.until = call.began + within;
         self.timers.set(call.until, What::Discovery(call.generation));
         Some(call)
@@ -258,7 +344,7 @@
         let Some(call) = self.discovery.call(generation) else { return };
         if readiness.writable {
             if call.socket.connect_error().is_some() || call.socket.flush().is_err() {
-                return self.discovery_ended(generation, "no connection");
+                return self.discovery_ended(generation, CallEnd::NotConnected);
             }
             call.socket.want(&self.handle, true);
         }
@@ -279,9 +365,9 @@
                 Got::Nothing => {}
                 Got::Closed => match call.http.close() {
                     Some(ClientEvent::End { .. }) => self.discovery_answer(generation, false),
-                    _ => self.discovery_ended(generation, "closed"),
+                    _ => self.discovery_ended(generation, CallEnd::Closed),
                 },
-                Got::Broken => self.discovery_ended(generation, "connection lost"),
+                Got::Broken => self.discovery_ended(generation, CallEnd::Reset),
             }
         }
         self.scratch = scratch;
@@ -295,12 +381,15 @@
                 Some(ClientEvent::Body(bytes)) => {
                     call.body.extend_from_slice(&bytes);
                     if call.body.len() > ANSWER_MOST {
-                        return self.discovery_ended(generation, "an answer over the limit");
+                        return self.discovery_ended(
+                            generation,
+                            CallEnd::Unreadable("an answer over the limit".into()),
+                        );
                     }
                 }
                 Some(ClientEvent::End { reusable }) => return self.discovery_answer(generation, reusable),
                 Some(ClientEvent::Fault(fault)) => {
-                    return self.discovery_ended(generation, fault.reason);
+                    return self.discovery_ended(generation, CallEnd::Unreadable(fault.reason.into()));
                 }
             }
         }
@@ -309,37 +398,38 @@
     /// An answer has come whole.
     fn discovery_answer(&mut self, generation: u64, reusable: bool) {
         let now = self.now();
-        self.discovery.answered = true;
         let Some(call) = self.discovery.call(generation) else { return };
         if call.status != Some(STATUS_OK) {
-            return self.discovery_ended(generation, "declined");
+            return self.discovery_ended(generation, CallEnd::Declined);
         }
         let body = std::mem::take(&mut call.body);
         let (began, asked) = (call.began, call.asked);
         let list = match List::parse(&body) {
             Ok(list) => list,
-            Err(why) => return self.discovery_ended(generation, &why.0),
+            Err(why) => return self.discovery_ended(generation, CallEnd::Unreadable(why.0)),
         };
         if let Asked::NewerThan(held) = asked {
             if list.revision < held {
                 // Whatever it waited for, the service has less than was held: it counts its versions anew.
                 self.roster.forget_version();
                 if !list.complete {
-                    return self.discovery_ended(generation, "versions counted anew");
+                    return self.discovery_ended(generation, CallEnd::CountedAnew);
                 }
             }
             let is_new = list.revision > held || !list.members.is_empty();
             if !list.complete && !is_new && now < began + ANSWERED_AT_ONCE {
-                return self.discovery_ended(generation, "a watch that answers with nothing new");
+                return self.discovery_ended(generation, CallEnd::NothingNew);
             }
         }
         let version = list.revision;
         let applied = match self.roster.apply(&list) {
             Ok(applied) => applied,
-            Err(why) => return self.discovery_ended(generation, &why.0),
+            Err(why) => return self.discovery_ended(generation, CallEnd::Unreadable(why.0)),
         };
         tracing::debug!(version, lines = applied.entries.len(), kind = ?applied.kind, ?asked, "server list");
         self.discovery.confirmed = true;
+        self.discovery.failures = 0;
+        self.list_confirmed(now, self.looked_before);
         if list.complete {
             self.discovery.verify_at = None;
         }
@@ -361,30 +451,75 @@
     pub(super) fn discovery_timeout(&mut self, generation: u64) {
         let now = self.now();
         if self.discovery.call(generation).is_some_and(|call| now >= call.until) {
-            self.discovery_ended(generation, "no answer in time");
+            self.discovery_ended(generation, CallEnd::TimedOut);
         }
     }
 
-    /// A call is over without an answer.
-    fn discovery_ended(&mut self, generation: u64, why: &str) {
+    /// A call is over without an answer that can be used.
+    fn discovery_ended(&mut self, generation: u64, end: CallEnd) {
         let Some(call) = self.discovery.call.take_if(|call| call.generation == generation) else { return };
-        let after_us = self.now() - call.began;
-        tracing::debug!(asked = ?call.asked, after_us, status = call.status, body = call.body.len(), why, "list call failed");
+        let now = self.now();
+        let after = now - call.began;
+        tracing::debug!(asked = ?call.asked, after_us = after, status = call.status, renewed = call.renewed, %end, "list call failed");
         call.socket.remove(&self.handle);
-        self.list_failed(why);
+        match call.word(&end) {
+            Word::Alive => self.list_confirmed(now, self.looked_before),
+            Word::Away => self.list_confirmed(now, call.began),
+            Word::Cut => self.engine.change_list_lease(now, |lease| lease.unwatched(now)),
+            Word::Nothing => {}
+        }
+        match end {
+            CallEnd::TimedOut if call.renewed => self.list_failed_until(&end, WATCH_AGAIN),
+            CallEnd::NothingNew => self.list_failed(&end),
+            _ if call.status == Some(STATUS_OK) => self.list_failed_until(&end, WATCH_AGAIN),
+            _ => self.list_failed(&end),
+        }
     }
 
-    fn list_failed(&mut self, why: &str) {
-        if self.may_say() {
-            tracing::warn!("discovery: {why}");
+    /// The list was current at that moment, or discovery was away.
+    fn list_confirmed(&mut self, now: Micros, at: Micros) {
+        let held = self.engine.permissions().list.holds(now);
+        self.engine.change_list_lease(now, |lease| lease.confirm(at));
+        let holds = self.engine.permissions().list.holds(now);
+        if holds && !held {
+            tracing::info!(version = self.roster.version(), "the server list may be used");
         }
-        self.discovery.answered = true;
+    }
+
+    /// Whether requests may come: a list may be used, or the time for that is up.
+    pub(super) fn is_ready(&mut self) -> bool {
+        let now = self.now();
+        let may_use = self.engine.permissions().list.holds(now);
+        let listed = !self.roster.is_empty();
+        self.discovery.ready |= listed && (may_use || now >= self.discovery.ready_by);
+        self.discovery.ready
+    }
+
+    fn list_failed(&mut self, end: &CallEnd) {
         let span = match self.discovery.pushed {
             true => PUSHED_AGAIN,
             false if self.roster.is_empty() => EMPTY_AGAIN,
-            false => self.discovery.tenths(RETRY_TENTHS),
+            // One that is refused costs nobody anything.
+            false if matches!(end, CallEnd::NotConnected) => self.discovery.tenths(RETRY_TENTHS),
+            false => {
+                let doublings = self.discovery.failures.min(DOUBLINGS_MOST);
+                self.discovery.failures = self.discovery.failures.saturating_add(1);
+                self.discovery.tenths(RETRY_TENTHS) << doublings
+            }
         };
-        let at = self.now() + self.jittered(span);
+        self.list_failed_until(end, span);
+    }
+
+    /// A call is over without an answer, and another one is made after about this span.
+    fn list_failed_until(&mut self, end: &CallEnd, span: Micros) {
+        if self.may_say() {
+            tracing::warn!("discovery: {end}");
+        }
+        let now = self.now();
+        if self.discovery.pushed {
+            self.engine.change_list_lease(now, |lease| lease.unwatched(now));
+        }
+        let at = now + self.jittered(span);
         self.discovery.again = Some(at);
         self.timers.set(at, What::ListAgain);
     }
--- a/crates/platform-proxy/src/lib.rs
+++ b/crates/platform-proxy/src/lib.rs
@@ -31,6 +31,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use violetseam::interface::*;
+use violetseam::permission::{Lifetime, ListLease};
 use violetseam_loopio::quiet::RateLimit;
 use violetseam_loopio::timers::Timers;
 use violetseam_platform::config::Config;
@@ -45,10 +46,10 @@
 /// After SIGTERM new connections still come for a while, and clients go on with those that they have: the platform
 /// states 0.4 s at most.
 const TAKING_ON: Micros = 500_000;
-/// A process ends so long after SIGTERM beyond the longest deadline of the settings, whatever is left; the platform
-/// leaves it 0.7 s.
-const ENDING: Micros = 450_000;
 
+/// A process says that it is ready so long after its start at the latest, with or without a list that may be used: the
+/// platform wants nine in ten of them after 6 s where a day ends soon.
+const READY_BY: Micros = 5_500_000;
 /// A shutdown names so many of the requests that it ends.
 const OWED_TOLD: usize = 20;
 
@@ -71,12 +72,27 @@
     Accept,
     /// Take nothing new.
     Leave,
+    /// Answer what is left and end all client connections.
+    LastAnswers,
     /// Stop, whatever is left.
     End,
     /// Slow upkeep.
     Upkeep,
 }
 
+/// The steps of a shutdown.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Ending {
+    /// No word of an end.
+    No,
+    /// SIGTERM has come; new connections still come for a while, and are served.
+    Told,
+    /// Nothing new is accepted, answered connections end.
+    Leaving,
+    /// All has been answered, and every connection ends once nothing lies unread on it.
+    LastAnswers,
+}
+
 /// What a proxy did, told when it stops.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Summary {
@@ -121,14 +137,16 @@
     pumping: bool,
     /// Sockets had something to say in this turn.
     heard: bool,
-    /// SIGTERM has come: when the process ends at the latest.
-    end_at: Option<Micros>,
-    /// Nothing new is accepted, answered connections close.
-    leaving: bool,
+    /// When the loop looked at its sockets in the turn before this one: what is read now was not there then.
+    looked_before: Micros,
+    /// How far the end after SIGTERM has come.
+    ending: Ending,
     /// Client connections to be looked at again in this turn.
     revisit: Vec<(usize, u64)>,
     stopping: bool,
     quiet: RateLimit,
+    /// Client connections that this side ended over a request without an answer; a fault if ever over 0.
+    closed_while_owed: u64,
 }
 
 /// Reads the configuration, at the start and again at SIGHUP.
@@ -162,6 +180,7 @@
         // A wait that ended with nothing has looked at its end.
         let looked = if proxy.heard { before } else { proxy.now() };
         proxy.on_time(looked);
+        proxy.looked_before = before;
     }
     let summary = Summary { counts: proxy.engine.counts(), owed: proxy.engine.owed() };
     proxy.tell_counts("stopped");
@@ -183,6 +202,7 @@
         let budgets = Budgets::new(&config.limits, config.instance.open_cap);
         Proxy {
             engine: Engine::new(decisions, config.seed, None),
+            looked_before: 0,
             config_file,
             handle,
             started: Instant::now(),
@@ -207,11 +227,11 @@
             generation: 0,
             pumping: false,
             heard: false,
-            end_at: None,
-            leaving: false,
+            ending: Ending::No,
             revisit: Vec::new(),
             stopping: false,
             quiet: RateLimit::default(),
+            closed_while_owed: 0,
             config,
         }
     }
@@ -222,6 +242,11 @@
         let known = self.config.known.take();
         let applied = known.and_then(|list| self.roster.apply(&list).ok());
         let entries = applied.map(|applied| applied.entries).unwrap_or_default();
+        self.looked_before = now;
+        // How old that list is, nobody knows: it is used once discovery has confirmed it.
+        let lease = ListLease::unconfirmed(&self.config.instance.decisions.contract);
+        self.engine.keep_list_lease(now, lease);
+        self.discovery.ready_by = now + READY_BY;
         self.engine.list(now, ListKind::Cached, &entries);
         match self.config.news.map(|news| news.read()) {
             Some(Ok(news)) => self.engine.stage(now, news),
@@ -267,13 +292,15 @@
                 What::Vote(key, generation) => self.vote_timeout(key, generation),
                 What::Accept => self.accept_again(),
                 What::Leave => self.leave(),
+                What::LastAnswers => self.last_answers(),
                 What::End => self.stop(),
                 What::Upkeep => self.upkeep(now),
             }
             self.pump();
         }
         self.revisit_clients();
-        if self.leaving && self.listener.is_none() && self.clients.is_empty() && self.engine.owed() == 0 {
+        if self.is_leaving() && self.listener.is_none() && self.clients.is_empty() && self.engine.owed() == 0
+        {
             self.stopping = true;
         }
     }
@@ -326,26 +353,44 @@
         self.pump();
     }
 
-    /// SIGTERM: connections still come for a moment, and are served.
+    fn longest_deadline(&self) -> Micros {
+        self.config.instance.decisions.classes.iter().map(|class| class.deadline).max().unwrap_or(0)
+    }
+
+    fn is_leaving(&self) -> bool {
+        self.ending >= Ending::Leaving
+    }
+
+    /// SIGTERM: connections still come for a moment, and are served. A second one changes nothing.
     fn end(&mut self) {
-        if self.end_at.is_none() {
-            self.tell_counts("ending");
-            let now = self.now();
-            let classes = &self.config.instance.decisions.classes;
-            let end_at = now + classes.iter().map(|c| c.deadline).max().unwrap_or(0) + ENDING;
-            self.end_at = Some(end_at);
-            tracing::info!(ends_in_us = end_at - now, "SIGTERM");
-            self.timers.set(now + TAKING_ON, What::Leave);
-            self.timers.set(end_at.max(now + TAKING_ON), What::End);
+        if self.ending > Ending::No {
+            return;
         }
+        self.ending = Ending::Told;
+        self.tell_counts("ending");
+        let now = self.now();
+        let life = self.engine.end(now, Lifetime::told_to_end(now, self.longest_deadline()));
+        tracing::info!(answer_in_us = life.answer_by - now, end_in_us = life.end_by - now, "SIGTERM");
+        self.timers.set(now + TAKING_ON, What::Leave);
+        self.timers.set(life.answer_by, What::LastAnswers);
+        self.timers.set(life.end_by, What::End);
+        self.pump();
     }
 
-    /// The time is over: what is still owed is answered as failed, and answers that no client takes are left.
-    fn stop(&mut self) {
-        let now = self.now();
+    /// What is still owed is answered as failed, and every client connection ends: what has come on it is answered
+    /// first, as it was taken.
+    fn last_answers(&mut self) {
         self.tell_owed();
+        let now = self.now();
         self.engine.abandon(now);
         self.pump();
+        self.leave();
+        self.ending = Ending::LastAnswers;
+        self.revisit.extend(self.clients.iter().map(|(key, client)| (key, client.generation())));
+    }
+
+    /// The time is over: answers that no client takes are left.
+    fn stop(&mut self) {
         self.stopping = true;
     }
 
@@ -354,7 +399,7 @@
         let instance = &self.config.instance;
         let contract = &instance.decisions.contract;
         tracing::info!(
-            longest_deadline_us = instance.decisions.classes.iter().map(|c| c.deadline).max().unwrap_or(0),
+            longest_deadline_us = self.longest_deadline(),
             ask_within_us = contract.ask_within,
             drain_grace_us = contract.drain_grace,
             pushed = self.discovery.is_pushed(),
@@ -382,6 +427,10 @@
             gone = c.gone,
             attempts = c.attempts,
             overdue = c.overdue,
+            violations = c.violations,
+            held_back = c.held_back,
+            without_list = c.without_list,
+            closed_while_owed = self.closed_while_owed,
             owed = self.engine.owed(),
             clients = self.clients.len(),
             servers = self.servers.len(),
--- a/crates/platform-proxy/src/servers.rs
+++ b/crates/platform-proxy/src/servers.rs
@@ -150,6 +150,14 @@
         let (Some(held), Some(cut_at)) = (self.held.get(&job.request), cut_at) else {
             return self.close_server(key);
         };
+        if !self.engine.may_write(now, job.request, job.attempt) {
+            tracing::warn!(
+                request = job.request,
+                attempt = job.attempt,
+                "held back at the moment of writing"
+            );
+            return;
+        }
         held.call.write(server.socket.out(), cut_at.saturating_sub(now));
         self.flush_server(key);
     }
--- a/crates/proxy/src/engine.rs
+++ b/crates/proxy/src/engine.rs
@@ -9,6 +9,7 @@
 use std::collections::{BinaryHeap, HashMap, VecDeque};
 use violetseam::balance::Balancer;
 use violetseam::interface::*;
+use violetseam::permission::{AttemptFacts, Denial, Lifetime, ListLease, Permissions};
 use violetseam_recorder::Recorder;
 use violetseam_shared::budgets::{Budgets, Sight};
 
@@ -106,6 +107,12 @@
     pub attempts: u64,
     /// Final answers that the module left out until they were overdue; a fault if ever over 0.
     pub overdue: u64,
+    /// Attempts that the module asked for where the process may send nothing at all; a fault if ever over 0.
+    pub violations: u64,
+    /// Attempts that had been started and were held back at the moment of writing.
+    pub held_back: u64,
+    /// Requests that came while the server list might not be used.
+    pub without_list: u64,
 }
 
 #[derive(Debug)]
@@ -169,7 +176,7 @@
     /// Events that the module's own actions brought about: it hears them after all of these are done.
     later: VecDeque<Event<'static>>,
     busy: bool,
-    starts_nothing: bool,
+    permissions: Permissions,
     /// What this proxy may spend of the fleet's budgets of further attempts.
     budgets: Option<Budgets>,
     counts: Counts,
@@ -195,7 +202,7 @@
             orders: VecDeque::new(),
             later: VecDeque::new(),
             busy: false,
-            starts_nothing: false,
+            permissions: Permissions::new(ListLease::unlimited()),
             budgets: None,
             counts: Counts::default(),
             news: None,
@@ -217,7 +224,48 @@
     /// Whether no attempt is started any more: each that the module asks for ends as moot. After a hand-over
     /// the successor's module counts exposure and cold budgets, and nothing may be sent that it cannot know.
     pub fn start_nothing(&mut self, nothing: bool) {
-        self.starts_nothing = nothing;
+        self.permissions.hand_over(nothing);
+    }
+
+    /// Limits the list's use from now on: it is used only for as long as this lease holds. Before the first request.
+    pub fn keep_list_lease(&mut self, now: Micros, lease: ListLease) {
+        self.permissions.list = lease;
+        self.feed(now, Event::ListLease { until: lease.until() });
+    }
+
+    /// Changes the lease on the list.
+    pub fn change_list_lease(&mut self, now: Micros, change: impl FnOnce(&mut ListLease)) {
+        let before = self.permissions.list.until();
+        change(&mut self.permissions.list);
+        let until = self.permissions.list.until();
+        if until != before {
+            self.feed(now, Event::ListLease { until });
+        }
+    }
+
+    /// What this process may do now.
+    pub fn permissions(&self) -> &Permissions {
+        &self.permissions
+    }
+
+    /// The process was told to end: nothing is sent and everything has its final answer by the time that is returned,
+    /// which is an earlier one where it was told before.
+    pub fn end(&mut self, now: Micros, lifetime: Lifetime) -> Lifetime {
+        let lifetime = self.permissions.end(lifetime);
+        let at = lifetime.answer_by;
+        let mut cuts = Vec::new();
+        for (&id, r) in self.requests.iter_mut().filter(|(_, r)| r.deadline > at) {
+            r.deadline = at;
+            cuts.push(Due::Overdue(id));
+            for (number, attempt) in r.attempts.iter_mut().enumerate().filter(|(_, a)| a.cut_at > at) {
+                attempt.cut_at = at;
+                cuts.push(Due::Cut(id, number));
+            }
+        }
+        cuts.sort_unstable();
+        cuts.into_iter().for_each(|due| self.schedule(at, due));
+        self.feed(now, Event::EndsAt { at });
+        lifetime
     }
 
     /// Keeps to the fleet's budgets from now on: an attempt beyond a request's first is started only with a right to it,
@@ -282,7 +330,8 @@
     pub fn request(&mut self, now: Micros, request: Request, repeatable: bool) -> RequestId {
         self.last_id += 1;
         let id = self.last_id;
-        let deadline = request.deadline;
+        let deadline = self.permissions.answer_by(request.deadline);
+        let request = Request { deadline, ..request };
         let in_hand = InHand {
             class: request.class,
             deadline,
@@ -295,6 +344,7 @@
         };
         self.requests.insert(id, in_hand);
         self.counts.taken += 1;
+        self.counts.without_list += u64::from(!self.permissions.list.holds(now));
         self.schedule(deadline + self.settings.contract.answer_grace, Due::Overdue(id));
         self.feed(now, Event::Request(Request { id, ..request }));
         id
@@ -320,13 +370,39 @@
             return false;
         }
         self.feed(now, Event::Leaving { request: id, attempt: number });
-        // Whatever the module finds: nothing leaves for nobody. What was booked before a hand-over may, as the
-        // successor's module counts it.
-        let over = |r: &InHand| r.finished || r.streaming.is_some();
-        if self.awaits(id, number) && self.requests.get(&id).is_some_and(over) {
+        self.may_write(now, id, number)
+    }
+
+    /// Asks at the moment of writing whether an attempt that was started in this turn may be written, whatever the module
+    /// decided. If not, its end has been told, and an [`Order::Drop`] closes its connection.
+    pub fn may_write(&mut self, now: Micros, id: RequestId, number: usize) -> bool {
+        if !self.awaits(id, number) {
+            return false;
+        }
+        let facts = self
+            .requests
+            .get(&id)
+            .zip(self.cut_at(id, number))
+            .map(|(r, cut_at)| self.facts(r, number, cut_at));
+        let denied = facts.is_some_and(|facts| self.permissions.may_write(now, &facts).is_err());
+        if denied {
+            self.counts.held_back += 1;
             self.withhold(now, id, number);
         }
-        self.awaits(id, number)
+        !denied
+    }
+
+    fn facts(&self, r: &InHand, number: usize, cut_at: Micros) -> AttemptFacts {
+        AttemptFacts {
+            request_over: r.finished,
+            streaming: r.streaming.is_some(),
+            earlier: number,
+            // One that was withheld left nothing of the body, and no right, used.
+            earlier_left: r.attempts.iter().take(number).any(|a| !a.withheld),
+            most: self.settings.limits.max_attempts,
+            repeatable: r.repeatable,
+            cut_at,
+        }
     }
 
     fn withhold(&mut self, now: Micros, id: RequestId, number: usize) {
@@ -598,33 +674,47 @@
         }
     }
 
-    /// Starts an attempt, or ends it at once as moot where none may start: the request is finished or is
-    /// being passed on, its attempts are used up, its time is over, its body is gone, or the fleet's budget.
+    /// Starts an attempt, or ends it at once where none may start ([`Permissions::may_start`]) or the fleet's budget is
+    /// used up.
     fn start(&mut self, now: Micros, id: RequestId, server: ServerId, cut_at: Micros) {
-        let most = self.settings.limits.max_attempts;
-        let Some(r) = self.requests.get_mut(&id) else { return };
+        let Some(r) = self.requests.get(&id) else { return };
         let number = r.attempts.len();
         let cut_at = if cut_at == 0 { r.deadline } else { cut_at.min(r.deadline) };
-        // One that was withheld left nothing of the body, and no right, used.
-        let further = r.attempts.iter().any(|a| !a.withheld);
-        let spent = !r.repeatable && further;
-        let idle = self.starts_nothing || r.finished || r.streaming.is_some() || number >= most || spent;
+        let facts = self.facts(r, number, cut_at);
+        let permitted = self.permissions.may_start(now, &facts);
         // A right is taken last, for an attempt that would leave now.
-        let spare = further && r.spare_rights > 0;
-        let mut has_right =
-            |class| !further || spare || self.budgets.as_mut().is_none_or(|b| b.spend(now, class));
-        let moot = idle || (cut_at > now && !has_right(r.class));
-        r.spare_rights -= usize::from(spare && !moot && cut_at > now);
+        let has_right = permitted.is_err() || !facts.earlier_left || self.take_right(now, id);
+        let Some(r) = self.requests.get_mut(&id) else { return };
         r.attempts.push(Attempt { server, sent_at: now, cut_at, over: false, withheld: false });
-        if moot {
-            self.attempt_ended(now, id, number, Outcome::Moot);
-        } else if cut_at <= now {
-            self.attempt_ended(now, id, number, Outcome::Timeout);
-        } else {
-            self.counts.attempts += 1;
-            self.schedule(cut_at, Due::Cut(id, number));
-            self.orders.push_back(Order::Start { request: id, attempt: number, server });
+        match permitted {
+            Ok(()) if has_right => {
+                self.counts.attempts += 1;
+                self.schedule(cut_at, Due::Cut(id, number));
+                self.orders.push_back(Order::Start { request: id, attempt: number, server });
+            }
+            Err(Denial::TimeOver) => {
+                self.attempt_ended(now, id, number, Outcome::Timeout);
+            }
+            Ok(()) => {
+                self.attempt_ended(now, id, number, Outcome::Moot);
+            }
+            Err(denial) => {
+                // The module is told of both, and has to keep to them by itself.
+                self.counts.violations += u64::from(matches!(denial, Denial::Ending | Denial::ListExpired));
+                self.attempt_ended(now, id, number, Outcome::Moot);
+            }
+        }
+    }
+
+    /// Takes a right to a further attempt: one that a withheld attempt left unused, or one of the fleet's budget.
+    fn take_right(&mut self, now: Micros, id: RequestId) -> bool {
+        let Some(r) = self.requests.get_mut(&id) else { return false };
+        if r.spare_rights > 0 {
+            r.spare_rights -= 1;
+            return true;
         }
+        let class = r.class;
+        self.budgets.as_mut().is_none_or(|budgets| budgets.spend(now, class))
     }
 
     fn cancel(&mut self, now: Micros, id: RequestId, number: usize) {
--- a/crates/recorder/src/frame.rs
+++ b/crates/recorder/src/frame.rs
@@ -74,6 +74,10 @@
     Operator(Operator),
     /// See [`Event::Leaving`].
     Leaving(RequestId, usize),
+    /// See [`Event::ListLease`].
+    ListLease(Micros),
+    /// See [`Event::EndsAt`].
+    EndsAt(Micros),
 }
 
 impl PartialEq for OwnedEvent {
@@ -98,6 +102,8 @@
             Event::PeerMessage { from, payload } => OwnedEvent::PeerMessage(from, payload.to_vec()),
             Event::Operator(word) => OwnedEvent::Operator(word),
             Event::Leaving { request, attempt } => OwnedEvent::Leaving(request, attempt),
+            Event::ListLease { until } => OwnedEvent::ListLease(until),
+            Event::EndsAt { at } => OwnedEvent::EndsAt(at),
             Event::Probed { server, outcome } => OwnedEvent::Probed(server, outcome),
             Event::PlatformCount { build, class, attempts, failed, mean, age } => {
                 OwnedEvent::PlatformCount(build, class, attempts, failed, mean, age)
@@ -122,6 +128,8 @@
             OwnedEvent::PlatformCount(..) => "platform counts",
             OwnedEvent::Operator(..) => "operators' words",
             OwnedEvent::Leaving(..) => "attempts about to leave",
+            OwnedEvent::ListLease(..) => "leases on the list",
+            OwnedEvent::EndsAt(..) => "ends of the process",
         }
     }
 
@@ -140,6 +148,8 @@
             OwnedEvent::PeerMessage(from, ref payload) => Event::PeerMessage { from, payload },
             OwnedEvent::Operator(word) => Event::Operator(word),
             OwnedEvent::Leaving(request, attempt) => Event::Leaving { request, attempt },
+            OwnedEvent::ListLease(until) => Event::ListLease { until },
+            OwnedEvent::EndsAt(at) => Event::EndsAt { at },
             OwnedEvent::Probed(server, outcome) => Event::Probed { server, outcome },
             OwnedEvent::PlatformCount(build, class, attempts, failed, mean, age) => {
                 Event::PlatformCount { build, class, attempts, failed, mean, age }
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -113,6 +113,8 @@
             Event::PeerMessage { from, payload } => self.on_peer_message(from, payload),
             Event::Operator(word) => self.on_operator(now, word, out),
             Event::Leaving { request, attempt } => self.on_leaving(now, request, attempt, out),
+            Event::ListLease { until } => self.m.list_until = Some(until),
+            Event::EndsAt { at } => self.on_end(at),
             Event::Probed { .. } | Event::PlatformCount { .. } => {}
         }
         // One timer, for what comes next: hundreds of idle balancers cost next to nothing.
@@ -270,7 +272,8 @@
         let same = |e: &ServerEntry| (e.build, e.started_at) == (to.build, to.started_at);
         let is = |e: &ServerEntry| e.status == Status::Ready && same(e);
         let stands = listed.is_some_and(|e| is(&e) && self.may_repeat(now, &open, Some(&e)));
-        let may = stands && !open.done && !open.streaming && self.build_admits(now, to.build, &open);
+        let may = stands && self.may_send(now) && !open.done && !open.streaming;
+        let may = may && self.build_admits(now, to.build, &open);
         let cold = self.m.servers.get(&to.id).is_some_and(|s| s.warmth(now, &self.set.contract) < 1.0);
         if may && (!cold || self.cold_limit(now, to.id, open.cost, false) > 0.0) {
             self.book(now, id, number);
@@ -279,6 +282,27 @@
         }
     }
 
+    /// The process ends: requests that would wait for longer get their final answer shortly before that.
+    fn on_end(&mut self, at: Micros) {
+        self.m.ends_at = Some(at);
+        let waits = |open: &Open| !open.done && !open.streaming && open.request.deadline > at;
+        let last_look = at.saturating_sub(3 * self.set.tick);
+        let mut looks = Vec::new();
+        for (&id, open) in self.m.open.iter_mut().filter(|(_, open)| waits(open)) {
+            open.request.deadline = at;
+            looks.push((id, open.due.min(last_look)));
+        }
+        for (id, look) in looks {
+            self.m.look_again(id, look);
+        }
+    }
+
+    /// Whether a server list that may be used is held, and something may still be sent.
+    fn may_send(&self, now: Micros) -> bool {
+        self.m.list_until.is_none_or(|until| now < until)
+            && self.m.ends_at.is_none_or(|at| now + 3 * self.set.tick < at)
+    }
+
     fn on_due(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
         let Some(open) = self.m.open.get(&id).filter(|o| !o.done && !o.streaming) else { return };
         match open.out() {
@@ -403,6 +427,9 @@
 
     /// Chooses a server: the trial build by its share of warm listed machines, then two random choices.
     fn pick(&mut self, now: Micros, id: RequestId) -> Option<ServerId> {
+        if !self.may_send(now) {
+            return None;
+        }
         let open = self.m.open.get(&id)?.clone();
         let gate = |b: Build| (b, usize::from(self.on_trial(b)), self.build_admits(now, b, &open));
         let gates: Vec<(Build, usize, bool)> = self.m.builds.iter().map(|&b| gate(b)).collect();
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -442,6 +442,16 @@
         /// The attempt's number.
         attempt: usize,
     },
+    /// Until when the server list may be used, unless it is confirmed again. Without this event nothing limits it.
+    ListLease {
+        /// That moment.
+        until: Micros,
+    },
+    /// The process was told to end: nothing is sent any more from that moment on, and all has been answered by then.
+    EndsAt {
+        /// That moment.
+        at: Micros,
+    },
 }
 
 /// Something to do.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod balance;
 pub mod evidence;
 pub mod interface;
+pub mod permission;
 pub mod state;
 pub mod stats;
--- a/src/state.rs
+++ b/src/state.rs
@@ -343,6 +343,12 @@
     pub list_heard: Micros,
     /// When to ask for the list again.
     pub list_retry: Option<Micros>,
+    /// Until when the list may be used, where something limits that. Not handed over: the next process asks anew.
+    #[cfg_attr(feature = "serde", serde(skip))]
+    pub list_until: Option<Micros>,
+    /// Nothing is sent from then on, once the process was told to end. Not handed over.
+    #[cfg_attr(feature = "serde", serde(skip))]
+    pub ends_at: Option<Micros>,
     /// Failed list calls in a row.
     pub list_failures: u32,
     /// The platform's last word.
