Starts, reloads and list calls that fail for a moment are tried again in time

A start gave up on the first ENFILE, ENOBUFS or address in use (serve, cli/platform.rs); a reload that read half a file kept the old discovery for good, while all counts as told 4 s after SIGHUP (`Proxy::reload`); a declined list call was followed by one after the lease on the list had ended (`list_failed`); an idle client connection was closed over a request that lay unread (`room_for_client`). Each is tried again, or looked at first. One test plays a held address and half a configuration.

--- a/crates/cli/tests/common/platform.rs
+++ b/crates/cli/tests/common/platform.rs
@@ -229,6 +229,16 @@
     proxy
 }
 
+/// Starts the program while its address is held by another listener, which goes once `held` returns.
+pub fn launch_behind(name: &str, config: &str, held: impl FnOnce(&Proxy)) -> Proxy {
+    let addr = free_address();
+    let listener = TcpListener::bind(addr).unwrap();
+    let proxy = launch_at(name, config, addr);
+    held(&proxy);
+    drop(listener);
+    proxy
+}
+
 /// Starts the program and waits for nothing.
 pub fn launch(name: &str, config: &str) -> Proxy {
     launch_at(name, config, free_address())
--- a/crates/cli/tests/platform_faults.rs
+++ b/crates/cli/tests/platform_faults.rs
@@ -76,6 +76,32 @@
     proxy.end();
 }
 
+/// A start whose address is still held by somebody waits for it; a configuration that is half written at SIGHUP is read again
+/// until it is whole, without another signal.
+#[test]
+fn a_start_and_a_reload_wait_for_what_is_missing_for_a_moment() {
+    let (first, second) = (sound(), sound());
+    let known = [member("s-1", first.addr, 7)];
+    let (hosts, moved) = (discovery(list(2, &known)), discovery(list(9, &[member("s-2", second.addr, 7)])));
+    let releases = pipeline(news(7, 2, "stable", 1.0));
+    let text = told([&hosts, &releases], &known, &news(7, 2, "stable", 1.0));
+    let proxy = common::platform::launch_behind("moment", &text, |held| {
+        // Until the program has tried and found it taken.
+        wait_until("it does not say that it waits", || held.log().contains("trying again"));
+    });
+    wait_until("it serves", || proxy.ping() == Some(b"+PONG\r\n".to_vec()));
+    ask_until(&proxy, "first", "served", || calls(&first) > 0);
+    let whole = told([&moved, &releases], &known, &news(7, 2, "stable", 1.0));
+    std::fs::write(&proxy.file, &whole[..whole.len() / 2]).unwrap();
+    proxy.signal(Signal::HUP);
+    wait_until("it does not say that it goes on", || {
+        proxy.log().contains("the old configuration stays for now")
+    });
+    std::fs::write(&proxy.file, &whole).unwrap();
+    ask_until(&proxy, "second", "the new discovery's server is used", || calls(&second) > 0);
+    proxy.end();
+}
+
 /// An id that returns is what discovery says of it now: another address, another build, another start.
 #[test]
 fn an_id_that_returns_is_what_it_is_listed_as_now() {
--- a/crates/platform-proxy/src/budgets.rs
+++ b/crates/platform-proxy/src/budgets.rs
@@ -48,7 +48,9 @@
             c.is_free() && now >= c.quiet_since() + span
         };
         let oldest = self.clients.iter().filter(|(_, c)| gives_way(c));
-        let key = oldest.min_by_key(|(_, c)| (c.is_proven(), c.quiet_since())).map(|(key, _)| key);
+        let oldest = oldest.min_by_key(|(_, c)| (c.is_proven(), c.quiet_since()));
+        // What lies unread on it may be a request: it is read in the next turn.
+        let key = oldest.filter(|(_, c)| !c.has_unread()).map(|(key, _)| key);
         key.into_iter().for_each(|key| self.close_client(key));
         key.is_some()
     }
--- a/crates/platform-proxy/src/clients.rs
+++ b/crates/platform-proxy/src/clients.rs
@@ -108,6 +108,11 @@
         self.owed.is_empty() && !self.socket.waits() && !self.reading
     }
 
+    /// Bytes, or its end, lie unread in the kernel.
+    pub fn has_unread(&self) -> bool {
+        self.socket.is_stale()
+    }
+
     /// Tells it from others that had its place.
     pub fn generation(&self) -> u64 {
         self.generation
--- a/crates/platform-proxy/src/discovery.rs
+++ b/crates/platform-proxy/src/discovery.rs
@@ -40,14 +40,17 @@
 const FIRST_WAIT: Micros = 1_000_000;
 /// A call for the whole list has so long, a watch so long beyond its wait. The service declines a call by itself that
 /// waited for too long; one that is given up before that costs it as much, and is made again.
-const CALL_TIMEOUT: Micros = 2_500_000;
+const CALL_TIMEOUT: Micros = 3_500_000;
 /// A watch that was renewed in time and has said nothing so long after its wait is dead, and another one is opened after
 /// about so long: the lease on the list ends soon.
-const WATCH_LATE: Micros = 1_000_000;
-const WATCH_AGAIN: Micros = 500_000;
+const WATCH_LATE: Micros = 1_500_000;
+const WATCH_AGAIN: Micros = 300_000;
 /// Each call that fails doubles the wait for the next one, so many times at most: a service that works through its calls
 /// one by one and has too many spends its time on calls that have waited for too long, until fewer come.
-const DOUBLINGS_MOST: u32 = 2;
+const DOUBLINGS_MOST: u32 = 1;
+/// Where the lease on the list would end before that, a call is made this long before the lease ends, or up to half as long
+/// again: it may wait in the service's queue for seconds.
+const BEFORE_LEASE_ENDS: Micros = 2_000_000;
 /// Where lists are pushed, what the service has counts at once, and its calls are free of cost: one that failed is made
 /// again after about so long, and a watch is replaced after seven tenths of the second figure without a word.
 const PUSHED_AGAIN: Micros = 300_000;
@@ -476,6 +479,13 @@
         }
     }
 
+    /// The last moment at which a call may still be answered before the list may be used no more.
+    fn before_lease_ends(&mut self, now: Micros) -> Option<Micros> {
+        let early = self.jittered(BEFORE_LEASE_ENDS / 2) + BEFORE_LEASE_ENDS / 2;
+        let at = self.engine.permissions().list.until().saturating_sub(early);
+        (at > now + EMPTY_AGAIN).then_some(at)
+    }
+
     /// The list was current at that moment, or discovery was away.
     fn list_confirmed(&mut self, now: Micros, at: Micros) {
         let held = self.engine.permissions().list.holds(now);
@@ -519,7 +529,8 @@
         if self.discovery.pushed {
             self.engine.change_list_lease(now, |lease| lease.unwatched(now));
         }
-        let at = now + self.jittered(span);
+        let drawn = now + self.jittered(span);
+        let at = self.before_lease_ends(now).map_or(drawn, |last| drawn.min(last));
         self.discovery.again = Some(at);
         self.timers.set(at, What::ListAgain);
     }
--- a/crates/platform-proxy/src/lib.rs
+++ b/crates/platform-proxy/src/lib.rs
@@ -15,6 +15,7 @@
 mod peers;
 mod pipeline;
 mod servers;
+mod start;
 
 use budgets::Budgets;
 use calloop::signals::{Signal, Signals};
@@ -25,6 +26,7 @@
 use rand::{RngExt, SeedableRng};
 use servers::Server;
 use slab::Slab;
+use start::patiently;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::{TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
@@ -50,6 +52,9 @@
 /// A process says that it is ready so long after its start at the latest, with or without a list that may be used: the
 /// platform wants nine in ten of them after 6 s where a day ends soon.
 const READY_BY: Micros = 5_500_000;
+/// A configuration that cannot be read at a reload is read again after so long, and so many times in all.
+const RELOAD_AGAIN: Micros = 200_000;
+const RELOADS_MOST: u32 = 25;
 /// A shutdown names so many of the requests that it ends.
 const OWED_TOLD: usize = 20;
 
@@ -70,6 +75,8 @@
     Vote(usize, u64),
     /// Accept again.
     Accept,
+    /// Read the configuration again, so many times more at most.
+    Reload(u64, u32),
     /// Take nothing new.
     Leave,
     /// Answer what is left and end all client connections.
@@ -145,33 +152,53 @@
     revisit: Vec<(usize, u64)>,
     stopping: bool,
     quiet: RateLimit,
+    /// Names the reload that may still be tried again.
+    reload_generation: u64,
     /// Client connections that this side ended over a request without an answer; a fault if ever over 0.
     closed_while_owed: u64,
 }
 
 /// Reads the configuration, at the start and again at SIGHUP.
+///
+/// # Errors
+/// What is wrong with the file or its text.
 pub fn read_config(file: &Path) -> Result<Config, String> {
-    let text = std::fs::read(file).map_err(|e| format!("{}: {e}", file.display()))?;
+    let text = std::fs::read(file);
+    parse_config(file, text)
+}
+
+/// The same at a start, where a file that cannot be read for a moment is waited for.
+///
+/// # Errors
+/// As [`read_config`], after ten seconds where the error may pass.
+pub fn read_first_config(file: &Path) -> Result<Config, String> {
+    let text = patiently("configuration", || std::fs::read(file));
+    parse_config(file, text)
+}
+
+fn parse_config(file: &Path, text: std::io::Result<Vec<u8>>) -> Result<Config, String> {
+    let text = text.map_err(|e| format!("{}: {e}", file.display()))?;
     Config::parse(&text).map_err(|e| format!("{}: {e}", file.display()))
 }
 
 /// Binds everything and serves until SIGTERM or SIGINT, and then what is owed. SIGHUP reads the file again.
 pub fn serve(config: Config, config_file: PathBuf) -> std::io::Result<Summary> {
-    let mut event_loop: EventLoop<'static, Proxy> = EventLoop::try_new().map_err(std::io::Error::other)?;
+    let mut event_loop: EventLoop<'static, Proxy> =
+        patiently("event loop", || EventLoop::try_new().map_err(io_error))?;
     let heard = [Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP];
-    let signals = Signals::new(&heard).map_err(std::io::Error::other)?;
+    let signals = patiently("signals", || Signals::new(&heard).map_err(io_error))?;
     event_loop
         .handle()
         .insert_source(signals, |event, (), proxy: &mut Proxy| match event.signal() {
-            Signal::SIGHUP => proxy.reload(),
+            Signal::SIGHUP => proxy.reload(RELOADS_MOST),
             _ => proxy.end(),
         })
         .map_err(|e| std::io::Error::other(e.to_string()))?;
     let mut proxy = Proxy::new(config, config_file, event_loop.handle());
-    proxy.bind_peers()?;
+    patiently("peers' address", || proxy.bind_peers())?;
     // First events, then clients: nothing is taken before the list and the news are known.
     proxy.begin();
-    proxy.listen()?;
+    patiently("clients' address", || proxy.listen())?;
     while !proxy.stopping {
         let timeout = proxy.timeout();
         proxy.heard = false;
@@ -189,6 +216,14 @@
     Ok(summary)
 }
 
+/// The system's error behind one of the loop's.
+fn io_error(error: calloop::Error) -> std::io::Error {
+    match error {
+        calloop::Error::IoError(error) => error,
+        error => std::io::Error::other(error),
+    }
+}
+
 impl Proxy {
     fn new(config: Config, config_file: PathBuf, handle: LoopHandle<'static, Proxy>) -> Self {
         let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
@@ -231,6 +266,7 @@
             revisit: Vec::new(),
             stopping: false,
             quiet: RateLimit::default(),
+            reload_generation: 0,
             closed_while_owed: 0,
             config,
         }
@@ -291,6 +327,8 @@
                 What::PipelineAgain => self.open_watch(),
                 What::Vote(key, generation) => self.vote_timeout(key, generation),
                 What::Accept => self.accept_again(),
+                What::Reload(generation, tries) if generation == self.reload_generation => self.reload(tries),
+                What::Reload(..) => {}
                 What::Leave => self.leave(),
                 What::LastAnswers => self.last_answers(),
                 What::End => self.stop(),
@@ -340,9 +378,16 @@
         self.servers_upkeep(now);
     }
 
-    /// SIGHUP: the new addresses are in force at once. A file that cannot be read leaves the old ones.
-    fn reload(&mut self) {
+    /// SIGHUP: the new addresses are in force at once. A file that cannot be read, or is half written, leaves the old ones
+    /// and is read again a little later, so many times at most: discovery counts what it has to tell as told either way.
+    fn reload(&mut self, tries: u32) {
+        self.reload_generation = self.next_generation();
         match read_config(&self.config_file) {
+            Err(why) if tries > 1 => {
+                tracing::warn!("reload: {why}; the old configuration stays for now");
+                let again = What::Reload(self.reload_generation, tries - 1);
+                self.timers.set(self.now() + RELOAD_AGAIN, again);
+            }
             Err(why) => tracing::error!("reload: {why}; the old configuration stays"),
             Ok(config) => {
                 tracing::info!(discovery = %config.discovery, pipeline = %config.pipeline, "reload");
