--- a/crates/cli/tests/common/platform.rs
+++ b/crates/cli/tests/common/platform.rs
@@ -207,7 +207,8 @@
     start_at(name, config, free_address())
 }
 
-fn free_address() -> SocketAddr {
+/// An address that nobody else here binds to.
+pub fn free_address() -> SocketAddr {
     // Free a moment ago, on an address of its own: nothing else here binds to it meanwhile.
     static STARTED: AtomicU8 = AtomicU8::new(1);
     let process = 100 + (std::process::id() % 100) as u8;
@@ -244,7 +245,8 @@
     launch_at(name, config, free_address())
 }
 
-fn launch_at(name: &str, config: &str, addr: SocketAddr) -> Proxy {
+/// Starts the program at this address and waits for nothing.
+pub fn launch_at(name: &str, config: &str, addr: SocketAddr) -> Proxy {
     let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("platform-{name}"));
     std::fs::create_dir_all(&folder).unwrap();
     let file = folder.join("config.json");
