--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod balance;
 pub mod evidence;
 pub mod interface;
+mod judging;
 pub mod permission;
 pub mod state;
 pub mod stats;
--- a/src/permission.rs
+++ b/src/permission.rs
@@ -1,12 +1,12 @@
-//! Whether something may begin, be repeated or go on now: the one place that knows what a process holds for a limited time,
-//! and until when.
+//! Whether something may begin, be repeated or go on now: the one place that knows what a process holds for a
+//! limited time, and until when.
 //!
 //! - [`ListLease`]: for how long the server list may be used without a word from discovery
 //! - [`Lifetime`]: until when a process that was told to end still answers
 //! - [`Permissions`]: both, and whether an attempt may start or be written now; why not is a [`Denial`]
 //!
-//! Times are microseconds on one clock that runs on evenly, whatever becomes of the machine's wall clock. Sources: the
-//! platform's protocol page and its standing test; `docs/design.md` has the reasons.
+//! Times are microseconds on one clock that runs on evenly, whatever becomes of the machine's wall clock.
+//! Sources: the platform's protocol page and its standing test; `docs/design.md` has the reasons.
 
 use crate::interface::{Contract, Micros};
 
@@ -23,8 +23,8 @@
 /// Clients need so long to take the last answers and the ends of their connections.
 const LAST_ANSWERS: Micros = 200_000;
 
-/// For how long the server list may be used: until no change that has not been heard could have counted as told for longer
-/// than its grace.
+/// For how long the server list may be used: until no change that has not been heard could have counted as
+/// told for longer than its grace.
 #[derive(Clone, Copy, Debug)]
 pub struct ListLease {
     /// `None`: nothing limits the list's use.
@@ -191,8 +191,8 @@
         self.may_write(now, attempt)
     }
 
-    /// Whether an attempt that was started may be written now: what has changed since its start counts, and what was
-    /// booked before a hand-over may still leave.
+    /// Whether an attempt that was started may be written now: what has changed since its start counts, and
+    /// what was booked before a hand-over may still leave.
     ///
     /// # Errors
     /// The first reason that stands against it.
