Only a refused connection is taken for a sure outage; a reset or an overtaken list confirms nothing

`on_discovery` told an established call's reset as a failed connection, which was taken for an outage and lengthened the lease, though a crowded service may reset a call that waited for too long; a whole list older than the one held confirmed the lease without changing anything. The starving test now has four forms (declined at once and after a wait, closed, reset), and fails on the reset one if a reset counts as an outage. The soak's discovery resets, too.

--- a/crates/cli/tests/common/services.rs
+++ b/crates/cli/tests/common/services.rs
@@ -21,6 +21,8 @@
     Spoilt,
     /// Has more callers than it can serve: 503 after a wait, which nobody can tell from an outage.
     Crowded,
+    /// The same, by a reset.
+    CrowdedResets,
 }
 
 /// How long a crowded service has a call wait before it declines it.
@@ -154,6 +156,10 @@
                     std::thread::sleep(CROWDED_WAIT);
                     stream.write_all(b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n")
                 }
+                Mood::CrowdedResets => {
+                    std::thread::sleep(CROWDED_WAIT);
+                    return reset(stream);
+                }
                 Mood::Spoilt => stream.write_all(NOISE),
                 Mood::Silent => return service.sit_out(),
                 Mood::Closed => return,
@@ -165,6 +171,11 @@
     })
 }
 
+/// Ends a connection so that the other side sees a reset.
+pub fn reset(stream: TcpStream) {
+    socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+}
+
 /// A watch's version and how long it waits; `None` for a call for the whole list.
 pub fn watch_of(request: &str) -> Option<(u64, Duration)> {
     let number = |name: &str| {
@@ -197,7 +208,7 @@
                 Mood::Silent => return service.sit_out(),
                 Mood::Closed => return,
                 Mood::Spoilt => String::from_utf8_lossy(NOISE).into_owned(),
-                Mood::Unavailable | Mood::Crowded => {
+                Mood::Unavailable | Mood::Crowded | Mood::CrowdedResets => {
                     format!(
                         r#"{{"jsonrpc":"2.0","id":{id},"error":{{"code":-32000,"message":"unavailable"}}}}"#
                     )
@@ -231,7 +242,7 @@
                 let _ = stream.write_all(NOISE);
                 return;
             }
-            Mood::Closed | Mood::Unavailable | Mood::Crowded => return,
+            Mood::Closed | Mood::Unavailable | Mood::Crowded | Mood::CrowdedResets => return,
         }
         if revision > seen {
             text += &format!("{{\"jsonrpc\":\"2.0\",\"method\":\"stage\",\"params\":{told}}}\n");
--- a/crates/cli/tests/platform_permissions.rs
+++ b/crates/cli/tests/platform_permissions.rs
@@ -160,6 +160,14 @@
 /// told, and its grace; what comes then is refused, and served again once the list is confirmed.
 #[test]
 fn a_list_that_goes_unconfirmed_is_used_no_longer_than_it_may_be() {
+    std::thread::scope(|scope| {
+        for mood in [Mood::Crowded, Mood::CrowdedResets, Mood::Closed, Mood::Unavailable] {
+            scope.spawn(move || starve(mood));
+        }
+    });
+}
+
+fn starve(mood: Mood) {
     let one = watched();
     let known = [member("s-1", one.server.addr, 7)];
     let (hosts, releases) = (discovery(list(2, &known)), pipeline(RELEASED.into()));
@@ -167,14 +175,14 @@
     let (ask_within, grace) = (Duration::from_millis(1_000), Duration::from_millis(600));
     config["settings"]["Contract"]["AskWithin"] = json!(ask_within.as_micros() as u64);
     config["settings"]["Contract"]["DrainGrace"] = json!(grace.as_micros() as u64);
-    let proxy = start("starved", &config.to_string());
+    let proxy = start(&format!("starved-{mood:?}"), &config.to_string());
     ask_until(&proxy, "before", |heard| matches!(heard, Heard::Value(_)));
-    hosts.set(Mood::Crowded);
+    hosts.set(mood);
     // The watch that is out is declined after the crowd's wait, and was alive until then.
     let bound = Instant::now() + CROWDED_WAIT + ask_within + grace;
     ask_until(&proxy, "starved", |_| Instant::now() > bound + Duration::from_secs(2));
     let last = *one.calls.lock().unwrap().last().unwrap();
-    assert!(last <= bound, "used for {:?} too long", last - bound);
+    assert!(last <= bound, "{mood:?}: used for {:?} too long", last - bound);
     hosts.set(Mood::Good);
     ask_until(&proxy, "again", |heard| matches!(heard, Heard::Value(_)));
     proxy.end();
--- a/crates/cli/tests/soak/discovery.rs
+++ b/crates/cli/tests/soak/discovery.rs
@@ -18,11 +18,14 @@
     Crowded,
     Silent,
     Closes,
+    /// Resets after a wait.
+    Resets,
     /// Writes the first half of each answer and closes.
     Cuts,
 }
 
-pub const MOODS: [Mood; 5] = [Mood::Declines, Mood::Crowded, Mood::Silent, Mood::Closes, Mood::Cuts];
+pub const MOODS: [Mood; 6] =
+    [Mood::Declines, Mood::Crowded, Mood::Silent, Mood::Closes, Mood::Resets, Mood::Cuts];
 const CROWDED_WAIT: Duration = Duration::from_millis(300);
 const LOOK: Duration = Duration::from_millis(5);
 const DECLINED: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n";
@@ -152,6 +155,12 @@
                 false
             }
             Mood::Closes => false,
+            Mood::Resets => {
+                std::thread::sleep(CROWDED_WAIT);
+                socket2::SockRef::from(&*stream).set_linger(Some(Duration::ZERO)).unwrap();
+                // The reader's handle on it goes with it.
+                false
+            }
             Mood::Cuts => {
                 let text = self.written(proxy, request);
                 let _ = stream.write_all(&text[..text.len() / 2]);
--- a/crates/platform-proxy/src/discovery.rs
+++ b/crates/platform-proxy/src/discovery.rs
@@ -10,6 +10,7 @@
 use super::{Proxy, What};
 use calloop::{Interest, Readiness};
 use rand::RngExt;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use violetseam::interface::Micros;
 use violetseam_http1::Limits;
@@ -100,6 +101,8 @@
     until: Micros,
     /// When it began.
     began: Micros,
+    /// The connection has come up.
+    connected: bool,
     /// It follows an answer on the same connection at once, so that the watch goes on.
     renewed: bool,
     /// What it asks for.
@@ -120,6 +123,8 @@
 enum CallEnd {
     /// No socket, or no way there from this machine.
     NotDialled,
+    /// Nobody listens there.
+    Refused,
     NotConnected,
     Closed,
     Reset,
@@ -137,6 +142,7 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.write_str(match self {
             CallEnd::NotDialled => "no connection could be begun",
+            CallEnd::Refused => "connection refused",
             CallEnd::NotConnected => "no connection",
             CallEnd::Closed => "closed",
             CallEnd::Reset => "connection lost",
@@ -162,12 +168,23 @@
 }
 
 impl Call {
+    /// Writes the request once the connection is up; how the call has ended, if it has.
+    fn write_what_waits(&mut self) -> Option<CallEnd> {
+        match (self.socket.connect_error(), self.connected) {
+            (Some(_), true) => return Some(CallEnd::Reset),
+            (Some(e), false) if e.kind() == ErrorKind::ConnectionRefused => return Some(CallEnd::Refused),
+            (Some(_), false) => return Some(CallEnd::NotConnected),
+            (None, _) => self.connected = true,
+        }
+        self.socket.flush().is_err().then_some(CallEnd::Reset)
+    }
+
     fn word(&self, end: &CallEnd) -> Word {
         match end {
             CallEnd::Declined if self.renewed => Word::Alive,
             CallEnd::NothingNew => Word::Alive,
-            // Refused. A call that is declined, even at once, may have met a service that is there and has too many.
-            CallEnd::NotConnected => Word::Away,
+            // A call that is declined or reset, even at once, may have met a service that is there and has too many.
+            CallEnd::Refused => Word::Away,
             _ if self.status == Some(STATUS_OK) => Word::Cut,
             _ => Word::Nothing,
         }
@@ -326,6 +343,7 @@
                     status: None,
                     until: 0,
                     began: 0,
+                    connected: false,
                     renewed: false,
                     asked,
                 }
@@ -346,8 +364,8 @@
     fn on_discovery(&mut self, generation: u64, readiness: Readiness) {
         let Some(call) = self.discovery.call(generation) else { return };
         if readiness.writable {
-            if call.socket.connect_error().is_some() || call.socket.flush().is_err() {
-                return self.discovery_ended(generation, CallEnd::NotConnected);
+            if let Some(end) = call.write_what_waits() {
+                return self.discovery_ended(generation, end);
             }
             call.socket.want(&self.handle, true);
         }
@@ -425,6 +443,7 @@
             }
         }
         let version = list.revision;
+        let overtaken = self.roster.version().is_some_and(|held| version < held);
         let applied = match self.roster.apply(&list) {
             Ok(applied) => applied,
             Err(why) => return self.discovery_ended(generation, CallEnd::Unreadable(why.0)),
@@ -432,7 +451,9 @@
         tracing::debug!(version, lines = applied.entries.len(), kind = ?applied.kind, ?asked, "server list");
         self.discovery.confirmed = true;
         self.discovery.failures = 0;
-        self.list_confirmed(now, self.looked_before);
+        if !overtaken {
+            self.list_confirmed(now, self.looked_before);
+        }
         if list.complete {
             self.discovery.verify_at = None;
         }
@@ -510,7 +531,7 @@
             true => PUSHED_AGAIN,
             false if self.roster.is_empty() => EMPTY_AGAIN,
             // One that is refused costs nobody anything.
-            false if matches!(end, CallEnd::NotConnected) => self.discovery.tenths(RETRY_TENTHS),
+            false if matches!(end, CallEnd::Refused) => self.discovery.tenths(RETRY_TENTHS),
             false => {
                 let doublings = self.discovery.failures.min(DOUBLINGS_MOST);
                 self.discovery.failures = self.discovery.failures.saturating_add(1);
