--- a/crates/platform-proxy/src/discovery.rs
+++ b/crates/platform-proxy/src/discovery.rs
@@ -488,8 +488,8 @@
         call.socket.remove(&self.handle);
         match call.word(&end) {
             Word::Alive => self.list_confirmed(now, self.looked_before),
-            Word::Away => self.list_confirmed(now, call.began),
-            Word::Cut => self.engine.change_list_lease(now, |lease| lease.unwatched(now)),
+            Word::Away => self.engine.change_list_lease(now, |lease| lease.away(call.began)),
+            Word::Cut => self.engine.change_list_lease(now, |lease| lease.missed(now)),
             Word::Nothing => {}
         }
         match end {
@@ -507,7 +507,7 @@
         (at > now + EMPTY_AGAIN).then_some(at)
     }
 
-    /// The list was current at that moment, or discovery was away.
+    /// The list was current at that moment.
     fn list_confirmed(&mut self, now: Micros, at: Micros) {
         let held = self.engine.permissions().list.holds(now);
         self.engine.change_list_lease(now, |lease| lease.confirm(at));
--- a/src/permission.rs
+++ b/src/permission.rs
@@ -31,6 +31,8 @@
     terms: Option<Terms>,
     /// 0 until the list has been confirmed for the first time.
     until: Micros,
+    /// Changes that were told and not heard: no outage lengthens the lease beyond this, only a list does.
+    missed_until: Option<Micros>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -44,36 +46,50 @@
 impl ListLease {
     /// A list whose use nothing limits, for protocols that state no such limit.
     pub fn unlimited() -> Self {
-        ListLease { terms: None, until: Micros::MAX }
+        ListLease { terms: None, until: Micros::MAX, missed_until: None }
     }
 
     /// Not to be used before its first confirmation.
     pub fn unconfirmed(contract: &Contract) -> Self {
         let grace = contract.drain_grace.saturating_sub(HELD_UP);
         let span = TOLD_AT_LATEST.min(contract.ask_within).saturating_add(grace);
-        ListLease { terms: Some(Terms { span, grace }), until: 0 }
+        ListLease { terms: Some(Terms { span, grace }), until: 0, missed_until: None }
     }
 
-    /// The list was current at that moment, or discovery was surely away then and told nobody of a change.
+    /// The list was current at that moment.
     pub fn confirm(&mut self, at: Micros) {
         if let Some(Terms { span, .. }) = self.terms {
+            self.missed_until = None;
             self.until = self.until.max(at.saturating_add(span));
         }
     }
 
+    /// Discovery was surely away at that moment, and told nobody of a change.
+    pub fn away(&mut self, at: Micros) {
+        if let Some(Terms { span, .. }) = self.terms {
+            let until = at.saturating_add(span).min(self.missed_until.unwrap_or(Micros::MAX));
+            self.until = self.until.max(until);
+        }
+    }
+
     /// Discovery has another address since that moment, and counts all as told soon after.
     pub fn move_discovery(&mut self, at: Micros) {
-        self.shorten(at.saturating_add(TOLD_AFTER_MOVE));
+        self.missed(at.saturating_add(TOLD_AFTER_MOVE));
     }
 
-    /// From that moment on each change counts as told as it is made, heard or not.
-    pub fn unwatched(&mut self, at: Micros) {
-        self.shorten(at);
+    /// Changes counted as told at that moment, and were not heard.
+    pub fn missed(&mut self, at: Micros) {
+        if let Some(Terms { grace, .. }) = self.terms {
+            let until = at.saturating_add(grace);
+            self.missed_until = Some(self.missed_until.map_or(until, |before| before.min(until)));
+            self.until = self.until.min(until);
+        }
     }
 
-    fn shorten(&mut self, told_at: Micros) {
+    /// From that moment on each change counts as told as it is made, heard or not.
+    pub fn unwatched(&mut self, at: Micros) {
         if let Some(Terms { grace, .. }) = self.terms {
-            self.until = self.until.min(told_at.saturating_add(grace));
+            self.until = self.until.min(at.saturating_add(grace));
         }
     }
 
