The scripted discovery of the tests ends a watch without changes once its wait is over

It left watches open for ever, which the protocol's service does not; since lists have a lease, a proxy before it refuses everything after some seconds. What it asserts is unchanged.

--- a/crates/cli/tests/common/platform.rs
+++ b/crates/cli/tests/common/platform.rs
@@ -2,6 +2,7 @@
 //! `run` line of deploy/balancer.toml. They share no code with what they check.
 
 use super::PROGRAM;
+use super::services::watch_of;
 use rustix::process::{Pid, Signal, kill_process};
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
@@ -123,11 +124,15 @@
         let mut reader = BufReader::new(stream.try_clone().unwrap());
         while let Some(request) = line(&mut reader) {
             while line(&mut reader).is_some_and(|field| !field.is_empty()) {}
-            let held =
-                request.split("index=").nth(1).and_then(|rest| rest.split('&').next()?.parse::<u64>().ok());
-            if held.is_some_and(|held| held >= revision) {
-                continue;
-            }
+            // A watch for what is newer than this ends without changes once its wait is over.
+            let unchanged = format!(r#"{{"revision":{revision},"complete":false,"members":[]}}"#);
+            let body = match watch_of(&request) {
+                Some((held, wait)) if held >= revision => {
+                    std::thread::sleep(wait);
+                    &unchanged
+                }
+                _ => &body,
+            };
             let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
             if stream.write_all(format!("{head}{body}").as_bytes()).is_err() {
                 return;
