The longest deadline, a declined call and a reset stand once each; one way to read a first config

Found on reading the change again; behaviour is as it was. The longest deadline was worked out in both drivers and is a method of `Settings`; the tests' 503 and their reset stood two and three times; `read_config` and `read_first_config` were one too many.

--- a/crates/cli/src/platform.rs
+++ b/crates/cli/src/platform.rs
@@ -11,7 +11,7 @@
     let discovery = variable("PROXY_DISCOVERY")?;
     let file = PathBuf::from(variable("PROXY_CONFIG")?);
     let address = |name: &str, text: &str| text.parse().map_err(|e| format!("{name}: {text:?}: {e}"));
-    let mut config = violetseam_platform_proxy::read_first_config(&file)?;
+    let mut config = violetseam_platform_proxy::read_config(&file)?;
     config.name = name;
     config.listen = address("PROXY_LISTEN", &listen)?;
     config.discovery = address("PROXY_DISCOVERY", &discovery)?;
--- a/crates/cli/tests/common/services.rs
+++ b/crates/cli/tests/common/services.rs
@@ -32,6 +32,8 @@
 pub const FAILURES: [Mood; 4] = [Mood::Silent, Mood::Closed, Mood::Unavailable, Mood::Spoilt];
 
 const LOOK: Duration = Duration::from_millis(10);
+/// How a call to discovery is declined.
+pub const DECLINED: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n";
 const NOISE: &[u8] = b"\x02\xfe{{{ 17 \r\n\r\n\x00noise\r\n";
 
 /// One server as discovery lists it.
@@ -149,16 +151,14 @@
                     let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
                     stream.write_all(format!("{head}{body}").as_bytes())
                 }
-                Mood::Unavailable => {
-                    stream.write_all(b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n")
-                }
+                Mood::Unavailable => stream.write_all(DECLINED),
                 Mood::Crowded => {
                     std::thread::sleep(CROWDED_WAIT);
-                    stream.write_all(b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n")
+                    stream.write_all(DECLINED)
                 }
                 Mood::CrowdedResets => {
                     std::thread::sleep(CROWDED_WAIT);
-                    return reset(stream);
+                    return reset(&stream);
                 }
                 Mood::Spoilt => stream.write_all(NOISE),
                 Mood::Silent => return service.sit_out(),
@@ -171,9 +171,9 @@
     })
 }
 
-/// Ends a connection so that the other side sees a reset.
-pub fn reset(stream: TcpStream) {
-    socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+/// Has the other side see a reset once this connection is dropped.
+pub fn reset(stream: &TcpStream) {
+    socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO)).unwrap();
 }
 
 /// A watch's version and how long it waits; `None` for a call for the whole list.
--- a/crates/cli/tests/common/steps.rs
+++ b/crates/cli/tests/common/steps.rs
@@ -158,7 +158,7 @@
 
     /// Ends the connection so that the other side sees a reset.
     pub fn reset(self) {
-        socket2::SockRef::from(&self.stream).set_linger(Some(std::time::Duration::ZERO)).unwrap();
+        super::services::reset(&self.stream);
     }
 }
 
--- a/crates/cli/tests/soak/discovery.rs
+++ b/crates/cli/tests/soak/discovery.rs
@@ -2,7 +2,7 @@
 //! told what and when. It declines, falls silent, closes, and cuts its answers.
 
 use super::common::platform::line;
-use super::common::services::watch_of;
+use super::common::services::{DECLINED, reset, watch_of};
 use std::io::{BufReader, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
@@ -28,7 +28,6 @@
     [Mood::Declines, Mood::Crowded, Mood::Silent, Mood::Closes, Mood::Resets, Mood::Cuts];
 const CROWDED_WAIT: Duration = Duration::from_millis(300);
 const LOOK: Duration = Duration::from_millis(5);
-const DECLINED: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n";
 
 /// A server's place in the list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -157,7 +156,7 @@
             Mood::Closes => false,
             Mood::Resets => {
                 std::thread::sleep(CROWDED_WAIT);
-                socket2::SockRef::from(&*stream).set_linger(Some(Duration::ZERO)).unwrap();
+                reset(stream);
                 // The reader's handle on it goes with it.
                 false
             }
--- a/crates/platform-proxy/src/lib.rs
+++ b/crates/platform-proxy/src/lib.rs
@@ -158,22 +158,12 @@
     closed_while_owed: u64,
 }
 
-/// Reads the configuration, at the start and again at SIGHUP.
+/// Reads the configuration at a start, where a file that cannot be read for a moment is waited for.
 ///
 /// # Errors
-/// What is wrong with the file or its text.
+/// What is wrong with the file or its text; after ten seconds where the error may pass.
 pub fn read_config(file: &Path) -> Result<Config, String> {
-    let text = std::fs::read(file);
-    parse_config(file, text)
-}
-
-/// The same at a start, where a file that cannot be read for a moment is waited for.
-///
-/// # Errors
-/// As [`read_config`], after ten seconds where the error may pass.
-pub fn read_first_config(file: &Path) -> Result<Config, String> {
-    let text = patiently("configuration", || std::fs::read(file));
-    parse_config(file, text)
+    parse_config(file, patiently("configuration", || std::fs::read(file)))
 }
 
 fn parse_config(file: &Path, text: std::io::Result<Vec<u8>>) -> Result<Config, String> {
@@ -382,7 +372,7 @@
     /// and is read again a little later, so many times at most: discovery counts what it has to tell as told either way.
     fn reload(&mut self, tries: u32) {
         self.reload_generation = self.next_generation();
-        match read_config(&self.config_file) {
+        match parse_config(&self.config_file, std::fs::read(&self.config_file)) {
             Err(why) if tries > 1 => {
                 tracing::warn!("reload: {why}; the old configuration stays for now");
                 let again = What::Reload(self.reload_generation, tries - 1);
@@ -398,10 +388,6 @@
         self.pump();
     }
 
-    fn longest_deadline(&self) -> Micros {
-        self.config.instance.decisions.classes.iter().map(|class| class.deadline).max().unwrap_or(0)
-    }
-
     fn is_leaving(&self) -> bool {
         self.ending >= Ending::Leaving
     }
@@ -414,7 +400,9 @@
         self.ending = Ending::Told;
         self.tell_counts("ending");
         let now = self.now();
-        let life = self.engine.end(now, Lifetime::told_to_end(now, self.longest_deadline()));
+        let life = self
+            .engine
+            .end(now, Lifetime::told_to_end(now, self.config.instance.decisions.longest_deadline()));
         tracing::info!(answer_in_us = life.answer_by - now, end_in_us = life.end_by - now, "SIGTERM");
         self.timers.set(now + TAKING_ON, What::Leave);
         self.timers.set(life.answer_by, What::LastAnswers);
@@ -444,7 +432,7 @@
         let instance = &self.config.instance;
         let contract = &instance.decisions.contract;
         tracing::info!(
-            longest_deadline_us = self.longest_deadline(),
+            longest_deadline_us = instance.decisions.longest_deadline(),
             ask_within_us = contract.ask_within,
             drain_grace_us = contract.drain_grace,
             pushed = self.discovery.is_pushed(),
--- a/crates/proxy/src/driver/clients.rs
+++ b/crates/proxy/src/driver/clients.rs
@@ -212,8 +212,7 @@
     /// When a drain gives up what still waits for room: first requests have had their time to come, and those that
     /// keep the room their deadline.
     pub(super) fn last_listening(&self) -> Micros {
-        let classes = &self.settings.decisions.classes;
-        self.now() + FIRST_REQUEST + classes.iter().map(|class| class.deadline).max().unwrap_or(0)
+        self.now() + FIRST_REQUEST + self.settings.decisions.longest_deadline()
     }
 
     /// Closes the listeners.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -254,6 +254,13 @@
     Withheld,
 }
 
+impl Settings {
+    /// The longest deadline of all classes, in microseconds; 0 without a class.
+    pub fn longest_deadline(&self) -> Micros {
+        self.classes.iter().map(|class| class.deadline).max().unwrap_or(0)
+    }
+}
+
 impl Outcome {
     /// Whether the attempt may have taken effect.
     pub fn may_have_run(self) -> bool {
