Review case 2: a request on a rested connection is dropped in the middle of reading it

Cause: the time-out for a half command counts from the last answer instead of the command's first byte, so a command on a rested connection that is not read in one turn is closed on.

Done: review/2 has the claim and a script that fails. The proxy is held up for 0.1 s while a request of 64 KiB arrives on a connection that has rested for 1.6 s.

--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -6,6 +6,8 @@
 
 #[path = "../1/case.rs"]
 mod case_1;
+#[path = "../2/case.rs"]
+mod case_2;
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
@@ -16,6 +18,7 @@
     platform::begin(std::path::Path::new(folder));
     let broken = match number.as_str() {
         "1" => case_1::run(),
+        "2" => case_2::run(),
         _ => panic!("no such case"),
     };
     platform::say(if broken { "the rule was broken" } else { "the rule held" });
