Review case 3: the late answer to a vote overrides the news that a build goes back

Cause: the state that comes with the answer to a vote replaces a newer one from the watch, as nothing orders the two connections.

Done: review/3 has the claim and a script that fails. The proxy is held up for 0.1 s while its vote is answered and the build is then taken back.

--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -8,6 +8,8 @@
 mod case_1;
 #[path = "../2/case.rs"]
 mod case_2;
+#[path = "../3/case.rs"]
+mod case_3;
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
@@ -19,6 +21,7 @@
     let broken = match number.as_str() {
         "1" => case_1::run(),
         "2" => case_2::run(),
+        "3" => case_3::run(),
         _ => panic!("no such case"),
     };
     platform::say(if broken { "the rule was broken" } else { "the rule held" });
