--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -7,6 +7,8 @@
 /// The parts of the time for which the proxy is held up: until a sign of life, until the answer to the vote,
 /// until the news that the build goes back, and until the proxy goes on.
 const HELD_UP_MS: [u64; 4] = [15, 15, 15, 35];
+/// A vote is answered within this time (the settings allow 0.8 s).
+const MAX_ANSWER_MS: u64 = 600;
 const REPEAT_MS: u64 = 4_000;
 /// From this long after the news on, the lower cap binds: the grace of the settings, 150 ms that the protocol
 /// page adds to a lower cap, and the 50 ms that it adds to every time limit.
@@ -37,14 +39,21 @@
         if vote.decision != "promote" || told.lock().unwrap().is_some() {
             return service.accept(&mut vote);
         }
+        // The sign of life comes once a second. This vote is answered just after the next one, if that comes in time.
+        let to_ping_ms = PING_MS.saturating_sub(service.ms_since_ping());
+        if !(30..=MAX_ANSWER_MS).contains(&to_ping_ms) {
+            return service.accept(&mut vote);
+        }
+        sleep_ms(to_ping_ms - HELD_UP_MS[0]);
         let proxy = cell.get().unwrap();
         let held_up_from = elapsed_us();
         if trouble() {
             note("the proxy is held up");
             proxy.signal(SIGSTOP);
         }
-        sleep_ms(HELD_UP_MS[0]);
-        service.ping();
+        while service.ms_since_ping() > PING_MS / 2 {
+            sleep_ms(1);
+        }
         sleep_ms(HELD_UP_MS[1]);
         service.accept(&mut vote);
         sleep_ms(HELD_UP_MS[2]);
--- a/review/stand-ins/platform.rs
+++ b/review/stand-ins/platform.rs
@@ -86,7 +86,8 @@
 
 /// Writes a line to the record and to the standard output.
 pub fn say(text: &str) {
-    println!("{text}");
+    // The verdict does not depend on whether somebody reads the output.
+    let _ = writeln!(std::io::stdout(), "{text}");
     note(text);
 }
 
@@ -345,11 +346,15 @@
     pub stream: TcpStream,
 }
 
+/// The time between two signs of life.
+pub const PING_MS: u64 = 1_000;
+
 #[derive(Default)]
 struct ReleaseState {
     status: Option<Status>,
     since: Option<Instant>,
     told_at: Option<Instant>,
+    pinged_at: Option<Instant>,
     watches: Vec<TcpStream>,
 }
 
@@ -371,6 +376,7 @@
             status: Some(status),
             since: Some(Instant::now()),
             told_at: Some(Instant::now()),
+            pinged_at: Some(Instant::now()),
             watches: Vec::new(),
         }));
         let shared = state.clone();
@@ -413,11 +419,9 @@
         let service = ReleaseService { address, state };
         let repeating = service.clone();
         std::thread::spawn(move || {
-            let mut ticks = 0u64;
             loop {
-                sleep_ms(50);
-                ticks += 50;
-                if ticks % 1000 == 0 {
+                sleep_ms(5);
+                if repeating.ms_since_ping() >= PING_MS {
                     repeating.ping();
                 }
                 if repeating.told_ms_ago() >= repeat_ms {
@@ -433,8 +437,16 @@
     }
 
     /// Writes the sign of life on each watch.
-    pub fn ping(&self) {
-        self.state.lock().unwrap().write("{\"jsonrpc\":\"2.0\",\"method\":\"ping\"}\n");
+    fn ping(&self) {
+        let mut state = self.state.lock().unwrap();
+        state.pinged_at = Some(Instant::now());
+        note("release service: sign of life");
+        state.write("{\"jsonrpc\":\"2.0\",\"method\":\"ping\"}\n");
+    }
+
+    /// How long ago the last sign of life was written.
+    pub fn ms_since_ping(&self) -> u64 {
+        self.state.lock().unwrap().pinged_at.unwrap().elapsed().as_millis() as u64
     }
 
     fn told_ms_ago(&self) -> u64 {
