Review: the scripts wait for the proxy that they have ended

Cause: a script that ended its proxy and then itself left the dead process for others to collect, where the first process of the machine does not do that.

Done: it waits for the process.

--- a/review/stand-ins/platform.rs
+++ b/review/stand-ins/platform.rs
@@ -14,6 +14,7 @@
 unsafe extern "C" {
     fn ioctl(descriptor: i32, request: u64, value: *mut i32) -> i32;
     fn kill(pid: i32, signal: i32) -> i32;
+    fn waitpid(pid: i32, status: *mut i32, options: i32) -> i32;
     fn prctl(option: i32, arg2: u64, arg3: u64, arg4: u64, arg5: u64) -> i32;
 }
 
@@ -58,7 +59,10 @@
 pub fn end(status: i32) -> ! {
     if let Ok(children) = CHILDREN.lock() {
         for pid in children.iter() {
-            unsafe { kill(*pid, SIGKILL) };
+            unsafe {
+                kill(*pid, SIGKILL);
+                waitpid(*pid, std::ptr::null_mut(), 0);
+            }
         }
     }
     if let Ok(Some(folder)) = TEMPORARY.lock().as_deref() {
