Platform: half a command is timed from its first byte, not from the answer before it

What callers saw: on a connection that had been idle for 1.5 s or longer, a request was dropped in the middle of being read and its connection reset, without an answer; also the first request of a connection that had been silent for 1.3 s.

Cause: client.rs timed silence, half commands and unread responses with the one field idle_since, which was set when a command was complete and when a response was queued. A command that began after a rest was late from its first byte on, and the next maintenance closed the connection.

Change: the input has a time of its first byte, from which the 1.5 s count, and not while responses are pending; on a new connection the first command must be complete 2.5 s after the accept. A late connection is read once more before it is closed.

--- a/crates/platform-proxy/src/client.rs
+++ b/crates/platform-proxy/src/client.rs
@@ -9,10 +9,13 @@
 /// Clients open more connections when all of theirs are busy, so a well-behaved client does not send a longer
 /// burst on one of them.
 pub(super) const MAX_PIPELINED_COMMANDS: usize = 32;
-/// A connection that has not sent one complete command within this time is closed.
-const FIRST_COMMAND_TIMEOUT: Micros = 1_500_000;
+/// A connection that has not sent a call yet is closed once it has been silent for this long.
+const FIRST_CALL_TIMEOUT: Micros = 1_500_000;
 /// A command must be complete within this time of its first byte.
 const PARTIAL_COMMAND_TIMEOUT: Micros = 1_500_000;
+/// The first command of a connection must also be complete within this time of the accept: the platform
+/// states that a client that sends half a command has an error or a close within 3 s of connecting.
+const FIRST_COMMAND_DEADLINE: Micros = 2_500_000;
 /// How long input is read and dropped after a response that ends the connection, and how long a connection
 /// that this side has closed waits for its client to close it as well.
 const LINGER_TIMEOUT: Micros = 300_000;
@@ -38,10 +41,25 @@
     pub is_backpressured: bool,
     /// Whether a complete and valid call has arrived.
     pub has_sent_call: bool,
-    /// Since when no response has been pending, or since when the current command has been arriving.
+    /// When the connection was accepted.
+    accepted_at: Micros,
+    /// Whether a complete command of any kind has arrived.
+    has_sent_command: bool,
+    /// When the first byte of the incomplete command in the input was read, if there is such a command.
+    partial_command_since: Option<Micros>,
+    /// Since when no response has been pending, or since when the connection has been lingering or ended.
     pub idle_since: Micros,
 }
 
+/// A time-out of a client connection that has expired.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ClientTimeout {
+    /// The connection has sent no call, or only a part of a command.
+    Command,
+    /// The responses were not read, or the client has not closed a connection that this side has ended.
+    Closing,
+}
+
 /// The state of a client connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ClientState {
@@ -84,6 +102,9 @@
             is_parsing: false,
             is_backpressured: false,
             has_sent_call: false,
+            accepted_at: now,
+            has_sent_command: false,
+            partial_command_since: None,
             idle_since: now,
         }
     }
@@ -136,16 +157,40 @@
         self.socket.set_read_interest(loop_handle, wants_read);
     }
 
-    /// Whether the connection has been silent, a command has been incomplete, or responses have been unread
-    /// for too long.
-    pub fn is_timed_out(&self, now: Micros) -> bool {
+    /// Keeps the input that follows the commands that were parsed. `consumed` is the length of those commands.
+    pub fn set_unparsed_input(&mut self, input: Vec<u8>, consumed: usize, now: Micros) {
+        self.has_sent_command |= consumed > 0;
+        // What follows a complete command has arrived with its last bytes, so it is as recent as they are.
+        let continues_command = consumed == 0;
+        let since = self.partial_command_since.filter(|_| continues_command).unwrap_or(now);
+        self.input = if continues_command { input } else { input[consumed..].to_vec() };
+        self.partial_command_since = (!self.input.is_empty()).then_some(since);
+    }
+
+    /// Returns the time-out that has expired, if any: the connection has been silent, a command has been
+    /// incomplete, or responses have been unread for too long.
+    pub fn expired_timeout(&self, now: Micros) -> Option<ClientTimeout> {
         let idle = now.saturating_sub(self.idle_since);
-        match self.state {
-            ClientState::Lingering(_) | ClientState::Ended => idle >= LINGER_TIMEOUT,
-            _ if self.socket.has_unwritten_bytes() => idle >= WRITE_STALL_TIMEOUT,
-            _ if !self.pending_responses.is_empty() => false,
-            _ if !self.has_sent_call => idle >= FIRST_COMMAND_TIMEOUT,
-            _ => !self.input.is_empty() && idle >= PARTIAL_COMMAND_TIMEOUT,
-        }
+        let (is_expired, timeout) = match self.state {
+            ClientState::Lingering(_) | ClientState::Ended => {
+                (idle >= LINGER_TIMEOUT, ClientTimeout::Closing)
+            }
+            _ if self.socket.has_unwritten_bytes() => (idle >= WRITE_STALL_TIMEOUT, ClientTimeout::Closing),
+            _ if !self.pending_responses.is_empty() => return None,
+            _ => (now >= self.command_deadline()?, ClientTimeout::Command),
+        };
+        is_expired.then_some(timeout)
+    }
+
+    /// Returns when the next command must have arrived on a connection without pending responses. Returns
+    /// `None` if there is no such time.
+    fn command_deadline(&self) -> Option<Micros> {
+        let Some(partial_since) = self.partial_command_since else {
+            return (!self.has_sent_call).then_some(self.idle_since + FIRST_CALL_TIMEOUT);
+        };
+        // Input may not be read while responses are pending, so the time until the last one does not count.
+        let deadline = partial_since.max(self.idle_since) + PARTIAL_COMMAND_TIMEOUT;
+        let first_deadline = self.accepted_at + FIRST_COMMAND_DEADLINE;
+        Some(if self.has_sent_command { deadline } else { deadline.min(first_deadline) })
     }
 }
--- a/crates/platform-proxy/src/clients.rs
+++ b/crates/platform-proxy/src/clients.rs
@@ -3,7 +3,9 @@
 //! Responses are written in the order of a connection's commands. A malformed call is answered with an error,
 //! after which the connection is closed; no part of it reaches the engine or a server.
 
-use crate::client::{Client, ClientState, MAX_LINGER_BYTES, MAX_PIPELINED_COMMANDS, PendingResponse};
+use crate::client::{
+    Client, ClientState, ClientTimeout, MAX_LINGER_BYTES, MAX_PIPELINED_COMMANDS, PendingResponse,
+};
 use crate::event_loop::ConnectionId;
 use crate::proxy::Proxy;
 use calloop::Readiness;
@@ -16,6 +18,10 @@
 /// The error that a client gets for a burst of more commands than may wait on one connection.
 const TOO_MANY_COMMANDS: &str = "too many commands at once";
 
+/// How often a connection whose command is late is read before it is closed. These reads hold the longest
+/// command.
+const MAX_READS_AT_TIMEOUT: usize = 4;
+
 /// The commands that were parsed from a connection's input.
 struct ParsedCommands<'a> {
     /// The arguments of each command.
@@ -136,8 +142,7 @@
         if let Some(client) = self.clients.get_mut(slot) {
             client.is_parsing = false;
             if client.state == ClientState::Open {
-                client.idle_since = if consumed > 0 { now } else { client.idle_since };
-                client.input = if consumed == 0 { input } else { input[consumed..].to_vec() };
+                client.set_unparsed_input(input, consumed, now);
             }
         }
         self.flush_client(slot);
@@ -258,16 +263,31 @@
 
     /// Closes the connections that have been silent, incomplete or unread for too long.
     pub(super) fn close_timed_out_clients(&mut self, now: Micros) {
-        let timed_out: Vec<usize> = self
+        let timed_out: Vec<(usize, ClientTimeout)> = self
             .clients
             .iter()
-            .filter(|(_, client)| client.is_timed_out(now))
-            .map(|(slot, _)| slot)
+            .filter_map(|(slot, client)| Some((slot, client.expired_timeout(now)?)))
             .collect();
-        for slot in timed_out {
+        for (slot, timeout) in timed_out {
+            if timeout == ClientTimeout::Command && self.read_late_input(slot) {
+                continue;
+            }
             let state = self.clients.get(slot).map(|client| (client.state, client.pending_responses.len()));
-            tracing::debug!(client = slot, ?state, "closed: time-out expired");
+            tracing::debug!(client = slot, ?timeout, ?state, "closed: time-out expired");
             self.disconnect_client(slot);
         }
     }
+
+    /// Reads what has arrived on a connection whose command is late. Returns whether the connection stays
+    /// open: the rest of the command may have been unread for as long as the event loop is late.
+    fn read_late_input(&mut self, slot: usize) -> bool {
+        for _ in 0..MAX_READS_AT_TIMEOUT {
+            if !self.is_client_open(slot) || !self.read_client(slot) {
+                break;
+            }
+        }
+        self.run_engine_actions();
+        let now = self.now();
+        self.clients.get(slot).is_none_or(|client| client.expired_timeout(now).is_none())
+    }
 }
