HTTP driver: a request's head and body are timed from their own beginning

What callers saw: 408 for a request whose head began at the end of its connection's idle time and was not complete when that ended, and for one whose body was not complete when the time of its head ended.

Cause: set_client_timeout kept the earlier of the running time-out and the new one, so that a client could not postpone its time with each byte, but it did so across phases: the time of a head counted from the beginning of the idle time, that of a body from the beginning of its head.

Change: the time-out belongs to a phase (first request, idle, head, body, closing, lingering) and is kept only within it. What has arrived is read before an expired one is acted on, except during a hand-over, when it belongs to the new process.

--- a/crates/proxy/src/driver/clients/connections.rs
+++ b/crates/proxy/src/driver/clients/connections.rs
@@ -2,7 +2,7 @@
 
 use super::super::timers::TimerKind;
 use super::super::{ConnectionId, Proxy};
-use super::{Client, ClientState, FIRST_REQUEST_TIMEOUT};
+use super::{Client, ClientPhase, ClientState, FIRST_REQUEST_TIMEOUT};
 use calloop::Readiness;
 use http::StatusCode;
 use std::net::TcpStream;
@@ -165,27 +165,25 @@
         client.socket.set_read_interest(&self.loop_handle, wants_read);
     }
 
-    /// Sets the time-out of the connection's present state.
+    /// Sets the time-out of the connection's present phase.
     fn set_client_timeout(&mut self, key: usize) {
         let now = self.now();
         let first_request_timeout = self.first_request_timeout();
         let settings = &self.settings.connections;
         let Some(client) = self.clients.get_mut(key) else { return };
-        let timeout = match &client.state {
-            ClientState::AwaitingResponse(_) => None,
-            ClientState::ReceivingBody(_) => Some(settings.body_timeout),
-            ClientState::Idle if client.http.is_receiving() => Some(settings.head_timeout),
-            ClientState::Idle if client.has_received_request => Some(settings.client_idle_timeout),
-            ClientState::Idle => Some(first_request_timeout),
-            ClientState::Closing => Some(settings.head_timeout),
-            ClientState::Lingering => Some(LINGER_TIMEOUT),
-        };
-        // A time-out that is running is never postponed: otherwise a client that sends its head byte by byte
-        // could postpone it with each byte.
-        let timeout_at = timeout.map(|timeout| now + timeout);
-        client
-            .timeout
-            .set(timeout_at.map(|at| client.timeout.expires_at().map_or(at, |running| running.min(at))));
+        let phase = client.phase();
+        let timeout_at = phase.map(|phase| match phase {
+            ClientPhase::AwaitingFirstRequest => now + first_request_timeout,
+            ClientPhase::Idle => now + settings.client_idle_timeout,
+            ClientPhase::ReceivingHead | ClientPhase::Closing => now + settings.head_timeout,
+            ClientPhase::ReceivingBody => now + settings.body_timeout,
+            ClientPhase::Lingering => now + LINGER_TIMEOUT,
+        });
+        // A time-out that is running is not postponed within its phase: otherwise a client that sends its
+        // head byte by byte could postpone it with each byte. A new phase has its whole time.
+        let running = client.timeout.expires_at().filter(|_| client.timed_phase == phase);
+        client.timeout.set(timeout_at.map(|at| running.map_or(at, |running| running.min(at))));
+        client.timed_phase = phase;
         let id = ConnectionId { key, generation: client.generation };
         client.timeout.arm(&mut self.timers, TimerKind::Client(id));
     }
@@ -214,12 +212,24 @@
         if !client.timeout.on_timer_fired(now, &mut self.timers, TimerKind::Client(id)) {
             return;
         }
-        let is_receiving =
-            client.http.is_receiving() || matches!(client.state, ClientState::ReceivingBody(_));
-        if is_receiving && !matches!(client.state, ClientState::Closing | ClientState::Lingering) {
-            self.respond_with_error(id.key, StatusCode::REQUEST_TIMEOUT, "the request did not come in time");
-        } else {
-            self.close_client(id.key);
+        // The bytes that the client was to send may have been unread for as long as the event loop is late.
+        // During a hand-over they belong to the new process.
+        if !self.is_handing_over() {
+            self.read_client(id.key);
+        }
+        let Some(client) = self.clients.get(id.key).filter(|client| client.generation == id.generation)
+        else {
+            return;
+        };
+        if client.timeout.expires_at().is_none_or(|expires_at| expires_at > now) {
+            return;
+        }
+        match client.phase() {
+            Some(ClientPhase::ReceivingHead | ClientPhase::ReceivingBody) => {
+                let reason = "the request did not come in time";
+                self.respond_with_error(id.key, StatusCode::REQUEST_TIMEOUT, reason);
+            }
+            _ => self.close_client(id.key),
         }
     }
 }
--- a/crates/proxy/src/driver/clients/listeners.rs
+++ b/crates/proxy/src/driver/clients/listeners.rs
@@ -2,7 +2,7 @@
 
 use super::super::timers::{ACCEPT_PAUSE, StateTimeout, TimerKind};
 use super::super::{ConnectionId, Proxy};
-use super::{Client, ClientState, FIRST_REQUEST_TIMEOUT};
+use super::{Client, ClientPhase, ClientState, FIRST_REQUEST_TIMEOUT};
 use calloop::{Interest, Readiness};
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
@@ -152,6 +152,7 @@
             has_received_request: false,
             is_half_closed: false,
             timeout: StateTimeout::start(timeout_at, &mut self.timers, kind),
+            timed_phase: Some(ClientPhase::AwaitingFirstRequest),
         });
         Ok(())
     }
--- a/crates/proxy/src/driver/clients/mod.rs
+++ b/crates/proxy/src/driver/clients/mod.rs
@@ -35,6 +35,26 @@
     /// Whether the client has closed its sending side. It may still read.
     is_half_closed: bool,
     timeout: StateTimeout,
+    /// The phase that the running time-out is for, if one is running.
+    timed_phase: Option<ClientPhase>,
+}
+
+/// What a client connection's time-out limits. Each phase has its own time-out, which counts from the
+/// beginning of the phase.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ClientPhase {
+    /// No byte of the connection's first request has arrived.
+    AwaitingFirstRequest,
+    /// The connection is between two requests.
+    Idle,
+    /// A request's head is arriving.
+    ReceivingHead,
+    /// A request's body is arriving.
+    ReceivingBody,
+    /// The last response is being written.
+    Closing,
+    /// The last response is written, and what the client still sends is dropped.
+    Lingering,
 }
 
 /// The state of a client connection.
@@ -93,6 +113,20 @@
 }
 
 impl Client {
+    /// Returns the phase that the time-out limits; `None` while a response is awaited, whose time the engine
+    /// limits.
+    fn phase(&self) -> Option<ClientPhase> {
+        match &self.state {
+            ClientState::AwaitingResponse(_) => None,
+            ClientState::ReceivingBody(_) => Some(ClientPhase::ReceivingBody),
+            ClientState::Idle if self.http.is_receiving() => Some(ClientPhase::ReceivingHead),
+            ClientState::Idle if self.has_received_request => Some(ClientPhase::Idle),
+            ClientState::Idle => Some(ClientPhase::AwaitingFirstRequest),
+            ClientState::Closing => Some(ClientPhase::Closing),
+            ClientState::Lingering => Some(ClientPhase::Lingering),
+        }
+    }
+
     /// Whether no response is pending and no byte of a further request has arrived.
     fn is_between_requests(&self) -> bool {
         matches!(self.state, ClientState::Idle) && self.http.is_idle()
--- a/crates/proxy/src/driver/clients/requests.rs
+++ b/crates/proxy/src/driver/clients/requests.rs
@@ -24,6 +24,8 @@
         let arrived_at = now - self.timers.lateness(now, self.engine.next_deadline());
         let Some(client) = self.clients.get_mut(key) else { return };
         client.has_received_request = true;
+        // The phases of this request begin anew, even if the one before it ended in the same phase.
+        client.timed_phase = None;
         let expects_continue = head.expects_continue;
         if expects_continue {
             client.http.write_continue(client.socket.write_buffer());
--- a/crates/proxy/src/driver/clients/responses.rs
+++ b/crates/proxy/src/driver/clients/responses.rs
@@ -131,7 +131,6 @@
             ClientState::Closing if is_all_written && client.is_half_closed => return self.close_client(key),
             ClientState::Closing if is_all_written => {
                 client.state = ClientState::Lingering;
-                client.timeout.set(None);
                 client.socket.close_write();
             }
             ClientState::AwaitingResponse(id)
--- a/crates/proxy/tests/clients.rs
+++ b/crates/proxy/tests/clients.rs
@@ -84,6 +84,50 @@
     proxy.drain();
 }
 
+/// Guards against a request that gets 408 because the time-out of its head counted from the beginning of the
+/// idle time before it.
+#[test]
+fn a_request_that_begins_late_in_the_idle_time_has_its_whole_time_for_its_head() {
+    let (requests, _received) = channel();
+    let server = healthy_server(requests);
+    let proxy = Proxy::with_servers(
+        &[server.addr],
+        "connections(client_idle = \"800ms\", head_timeout = \"5s\", body_timeout = \"5s\")",
+    );
+    let mut stream = proxy.connect();
+    for is_first in [true, false] {
+        // The pause in the middle of the head lasts beyond the end of the idle time.
+        let pauses = if is_first { [0, 0] } else { [500, 600] };
+        for (pause, part) in pauses.into_iter().zip(["GET /read/1 HTTP/1.1\r\nho", "st: t\r\n\r\n"]) {
+            std::thread::sleep(Duration::from_millis(pause));
+            stream.write_all(part.as_bytes()).unwrap();
+        }
+        let response = read_response(&mut stream);
+        assert!(response.starts_with("HTTP/1.1 200"), "{response:?}");
+    }
+    drop(stream);
+    proxy.drain();
+}
+
+/// Guards against a request that gets 408 because the time-out of its body counted from the beginning of its
+/// head. The request has no route, so that no deadline of a class applies.
+#[test]
+fn a_request_whose_head_took_long_has_its_whole_time_for_its_body() {
+    let server = slow_server();
+    let proxy =
+        Proxy::with_servers(&[server.addr], "connections(head_timeout = \"800ms\", body_timeout = \"5s\")");
+    let mut stream = proxy.connect();
+    let parts = ["POST /no-route HTTP/1.1\r\nhost: t\r\n", "content-length: 2\r\n\r\n", "ab"];
+    for (pause, part) in [0, 500, 600].into_iter().zip(parts) {
+        std::thread::sleep(Duration::from_millis(pause));
+        stream.write_all(part.as_bytes()).unwrap();
+    }
+    let response = read_response(&mut stream);
+    assert!(response.starts_with("HTTP/1.1 404"), "{response:?}");
+    drop(stream);
+    proxy.drain();
+}
+
 #[test]
 fn requests_over_a_limit_without_a_route_or_malformed_get_an_error_response() {
     let server = slow_server();
