Release status: a late reply to a vote no longer overrides newer news, nor late news a reply

What callers saw: after the news that a build goes back (cap 0) the proxy sent to it for 2 s more, and clients got its wrong answers.

Cause: the status comes on the watch and in replies to votes, on connections of their own, and nothing ordered them: end_vote and on_release_status passed every status on, and AgeMs was not read. A reply that was read after newer news brought the trial back; so did news that was read after the reply to a vote (found by looking at the reverse).

--- a/crates/cli/tests/common/steps.rs
+++ b/crates/cli/tests/common/steps.rs
@@ -105,6 +105,17 @@
         self.next_command().expect("the connection ended before a command")
     }
 
+    /// The next line without its line end. Panics if the connection ends first.
+    pub fn expect_line(&mut self) -> String {
+        loop {
+            if let Some(end) = self.input.iter().position(|byte| *byte == b'\n') {
+                let line: Vec<u8> = self.input.drain(..=end).collect();
+                return String::from_utf8_lossy(&line).trim_end().to_owned();
+            }
+            assert!(self.read_more(), "the connection ended before a line");
+        }
+    }
+
     /// The request line of the next HTTP request. Panics if the connection ends first.
     pub fn expect_request_line(&mut self) -> String {
         self.next_request_line().expect("the connection ended before a request")
--- a/crates/platform-protocol/src/release_service.rs
+++ b/crates/platform-protocol/src/release_service.rs
@@ -3,10 +3,13 @@
 use crate::ReleaseServiceError;
 use serde::Deserialize;
 use violetseam::interface::{Build, Micros, Outcome, Phase, ReleaseStatus, Verdict};
+use violetseam::release_order::ReleaseReport;
 
 /// The maximum length of a line in either direction, in bytes.
 pub const MAX_LINE_BYTES: usize = 8 * 1024 - 1;
 
+const MICROS_PER_MILLISECOND: f64 = 1000.0;
+
 /// The phase of a release, as in the JSON text.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -25,6 +28,24 @@
     wave: u8,
     state: ReleaseState,
     max_share: f64,
+    age_ms: Option<f64>,
+}
+
+/// The release status of the newest build, and how long it had been in force when it was written.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct AgedStatus {
+    /// The status.
+    pub status: ReleaseStatus,
+    /// How long the status had been in force, in microseconds; `None` if that is not stated.
+    pub age: Option<Micros>,
+}
+
+impl AgedStatus {
+    /// Returns the report that `new_report` creates from the status, with the status's age.
+    pub fn report(self, new_report: impl FnOnce(ReleaseStatus) -> ReleaseReport) -> ReleaseReport {
+        let report = new_report(self.status);
+        self.age.map_or(report, |age| report.with_age(age))
+    }
 }
 
 impl ReleaseStatusText {
@@ -32,7 +53,7 @@
     ///
     /// # Errors
     /// Returns [`ReleaseServiceError::InvalidCap`] if the exposure cap is not between 0 and 1.
-    pub fn to_status(&self) -> Result<ReleaseStatus, ReleaseServiceError> {
+    pub fn to_status(&self) -> Result<AgedStatus, ReleaseServiceError> {
         if !(0.0..=1.0).contains(&self.max_share) {
             return Err(ReleaseServiceError::InvalidCap);
         }
@@ -42,7 +63,8 @@
             ReleaseState::Stable => Phase::Released,
             ReleaseState::Reverted => Phase::Withdrawn,
         };
-        Ok(ReleaseStatus { build: self.revision, stage: self.wave, phase, cap: self.max_share })
+        let status = ReleaseStatus { build: self.revision, stage: self.wave, phase, cap: self.max_share };
+        Ok(AgedStatus { status, age: self.age_ms.map(|age| (age * MICROS_PER_MILLISECOND) as Micros) })
     }
 }
 
@@ -87,7 +109,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Message {
     /// A notification of the release status of the newest build.
-    ReleaseStatus(ReleaseStatus),
+    ReleaseStatus(AgedStatus),
     /// A notification that a client has found a response wrong.
     AnswerFlagged {
         /// The id of the server that sent the response.
@@ -104,7 +126,7 @@
         /// The id of the call.
         id: u64,
         /// The release status of the newest build, if the reply contains it.
-        status: Option<ReleaseStatus>,
+        status: Option<AgedStatus>,
     },
     /// A reply to a call that the service has not carried out.
     Declined {
@@ -156,7 +178,7 @@
     }
 }
 
-fn parse_status(value: serde_json::Value) -> Result<ReleaseStatus, ReleaseServiceError> {
+fn parse_status(value: serde_json::Value) -> Result<AgedStatus, ReleaseServiceError> {
     let text: ReleaseStatusText = serde_json::from_value(value).map_err(ReleaseServiceError::Json)?;
     text.to_status()
 }
--- a/crates/platform-protocol/tests/protocol.rs
+++ b/crates/platform-protocol/tests/protocol.rs
@@ -7,7 +7,7 @@
 use violetseam_platform_protocol::call::{Call, Command, parse};
 use violetseam_platform_protocol::config::Config;
 use violetseam_platform_protocol::discovery::{ListUpdate, ServerList};
-use violetseam_platform_protocol::release_service::{self, Message};
+use violetseam_platform_protocol::release_service::{self, AgedStatus, Message};
 use violetseam_platform_protocol::response::{ServerResponse, parse_response};
 use violetseam_platform_protocol::{CallError, ResponseError};
 use violetseam_resp::{Bounds, FramingError};
@@ -171,9 +171,14 @@
     let status_text = r#"{"Revision":42,"Wave":1,"State":"canary","MaxShare":0.28,"AgeMs":310}"#;
     let parse = |text: &str| Message::parse(text.as_bytes());
     let stage = parse(&format!(r#"{{"jsonrpc":"2.0","method":"stage","params":{status_text}}}"#));
-    assert_eq!(stage.unwrap(), Message::ReleaseStatus(status));
+    let aged = AgedStatus { status, age: Some(310_000) };
+    assert_eq!(stage.unwrap(), Message::ReleaseStatus(aged));
     let accepted = parse(&format!(r#"{{"jsonrpc":"2.0","id":11,"result":{status_text}}}"#));
-    assert_eq!(accepted.unwrap(), Message::Accepted { id: 11, status: Some(status) });
+    assert_eq!(accepted.unwrap(), Message::Accepted { id: 11, status: Some(aged) });
+    let without_age = parse(
+        r#"{"jsonrpc":"2.0","method":"stage","params":{"Revision":42,"Wave":1,"State":"canary","MaxShare":0.28}}"#,
+    );
+    assert_eq!(without_age.unwrap(), Message::ReleaseStatus(AgedStatus { status, age: None }));
     assert_eq!(
         parse(r#"{"jsonrpc":"2.0","id":10,"result":true}"#).unwrap(),
         Message::Accepted { id: 10, status: None }
@@ -223,7 +228,7 @@
     let config = Config::parse(text(SETTINGS).as_bytes()).unwrap();
     assert_eq!((config.seed, config.limits.sockets), (0x8c1f_30d2_7a5b_e964, 384));
     assert_eq!((config.instance.open_cap, config.instance.classes.len()), (77, 2));
-    assert_eq!(config.release_status.unwrap().to_status().unwrap().phase, Phase::Released);
+    assert_eq!(config.release_status.unwrap().to_status().unwrap().status.phase, Phase::Released);
     for invalid in ["{}", "7", r#"{"Classes":[{"Effect":"novel"}]}"#] {
         assert!(Config::parse(text(invalid).as_bytes()).is_err(), "{invalid}");
     }
--- a/crates/platform-proxy/src/proxy.rs
+++ b/crates/platform-proxy/src/proxy.rs
@@ -156,7 +156,7 @@
         self.discovery.report_ready_at = now + READY_TIMEOUT;
         self.engine.on_server_list(now, ListKind::Cached, &entries);
         match self.config.release_status.map(|status| status.to_status()) {
-            Some(Ok(status)) => self.engine.on_release_status(now, status),
+            Some(Ok(initial)) => self.engine.on_release_status(now, initial.status),
             Some(Err(error)) => tracing::warn!("release status in the configuration ignored: {error}"),
             None => {}
         }
--- a/crates/platform-proxy/src/release_watch.rs
+++ b/crates/platform-proxy/src/release_watch.rs
@@ -7,8 +7,9 @@
 use slab::Slab;
 use std::net::SocketAddr;
 use violetseam::interface::{Micros, ReleaseStatus};
+use violetseam::release_order::{ReleaseOrder, ReleaseReport};
 use violetseam_event_io::{ReadOutcome, Socket, connect};
-use violetseam_platform_protocol::release_service::{self, MAX_LINE_BYTES, Message};
+use violetseam_platform_protocol::release_service::{self, AgedStatus, MAX_LINE_BYTES, Message};
 use violetseam_site_protocol::line_reader::LineReader;
 
 /// The watch is opened again if nothing has arrived on it for this long. The service sends a heartbeat each
@@ -27,6 +28,8 @@
     pub votes: Slab<PendingVote>,
     /// The JSON-RPC id of the latest call.
     pub last_call_id: u64,
+    /// Decides which of the statuses that arrive on the watch and in replies to votes is in force.
+    order: ReleaseOrder,
     /// The release status that was logged last.
     last_logged_status: Option<ReleaseStatus>,
 }
@@ -47,6 +50,7 @@
             watch: None,
             votes: Slab::new(),
             last_call_id: WATCH_CALL_ID,
+            order: ReleaseOrder::default(),
             last_logged_status: None,
         }
     }
@@ -156,32 +160,47 @@
                 Ok(Some(line)) => Message::parse(line).map_err(|error| error.to_string()),
                 Err(error) => Err(error.to_string()),
             };
+            let stream = watch.generation;
             match line {
                 Err(reason) => return self.on_release_watch_lost(&reason),
-                Ok(Message::ReleaseStatus(status)) => self.on_release_status(status),
+                Ok(Message::ReleaseStatus(status)) => self.on_release_status(stream, status),
                 Ok(Message::AnswerFlagged { server, class, age }) => {
                     self.on_answer_flagged(&server, &class, age);
                 }
-                Ok(Message::Accepted { status: Some(status), .. }) => self.on_release_status(status),
+                Ok(Message::Accepted { status: Some(status), .. }) => {
+                    self.on_release_status(stream, status);
+                }
                 Ok(Message::Declined { message, .. }) => return self.on_release_watch_lost(&message),
                 Ok(Message::Accepted { status: None, .. } | Message::Heartbeat) => {}
             }
         }
     }
 
-    fn on_release_status(&mut self, status: ReleaseStatus) {
-        self.log_release_status(status);
+    fn on_release_status(&mut self, stream: u64, status: AgedStatus) {
         let now = self.now();
-        self.engine.on_release_status(now, status);
-        self.run_engine_actions();
+        let report = status.report(|status| ReleaseReport::on_stream(status, stream, now));
+        if let Some(status) = self.admit_release_report(report) {
+            self.engine.on_release_status(now, status);
+            self.run_engine_actions();
+        }
     }
 
-    /// Logs a release status if it differs from the one that was logged last.
-    pub(super) fn log_release_status(&mut self, status: ReleaseStatus) {
+    /// Returns the status of a report if it is to be put in force, and logs it if it differs from the one
+    /// that was logged last.
+    pub(super) fn admit_release_report(&mut self, report: ReleaseReport) -> Option<ReleaseStatus> {
+        let status = report.status();
+        let source = report.source();
+        let ReleaseStatus { build, stage, phase, cap } = status;
+        if !self.release_service.order.admits(report) {
+            if self.may_log() {
+                tracing::info!(target: "verdict", build, stage, ?phase, cap, %source, "late stage news ignored");
+            }
+            return None;
+        }
         if self.release_service.last_logged_status.replace(status) != Some(status) {
-            let ReleaseStatus { build, stage, phase, cap } = status;
-            tracing::info!(target: "verdict", build, stage, ?phase, cap, "stage news");
+            tracing::info!(target: "verdict", build, stage, ?phase, cap, %source, "stage news");
         }
+        Some(status)
     }
 
     /// Passes a report of a wrong answer to the engine, unless its server or class is unknown.
--- a/crates/platform-proxy/src/votes.rs
+++ b/crates/platform-proxy/src/votes.rs
@@ -7,9 +7,10 @@
 use crate::event_loop::{ConnectionId, TimerKind};
 use crate::proxy::Proxy;
 use calloop::{Interest, Readiness};
-use violetseam::interface::{Build, Micros, Outcome, ReleaseStatus, Verdict};
+use violetseam::interface::{Build, Micros, Outcome, Verdict};
+use violetseam::release_order::ReleaseReport;
 use violetseam_event_io::{ReadOutcome, Socket, connect};
-use violetseam_platform_protocol::release_service::{self, MAX_LINE_BYTES, Message};
+use violetseam_platform_protocol::release_service::{self, AgedStatus, MAX_LINE_BYTES, Message};
 use violetseam_site_protocol::line_reader::LineReader;
 
 /// How many votes may be waiting for a reply at once. The engine casts one at a time, and another one may
@@ -23,6 +24,8 @@
     generation: u64,
     /// The JSON-RPC id of the vote's call.
     call_id: u64,
+    /// When the vote was sent; its reply was written later.
+    sent_at: Micros,
     socket: Socket,
     line_reader: LineReader,
 }
@@ -32,7 +35,7 @@
     /// Whether the vote counts, as far as that is known.
     outcome: Outcome,
     /// The release status that came with the reply to an accepted vote.
-    status: Option<ReleaseStatus>,
+    status: Option<AgedStatus>,
 }
 
 impl Proxy {
@@ -42,7 +45,7 @@
         self.release_service.last_call_id += 1;
         let call_id = self.release_service.last_call_id;
         if self.send_vote(call_id, release_service::vote_call(call_id, build, stage, verdict)).is_none() {
-            self.end_vote(VoteReply { outcome: Outcome::Error, status: None });
+            self.end_vote(Outcome::Error, None);
         }
     }
 
@@ -52,6 +55,7 @@
         }
         let stream = connect(self.release_service.address).ok()?;
         let generation = self.next_generation();
+        let sent_at = self.now();
         let entry = self.release_service.votes.vacant_entry();
         let slot = entry.key();
         let on_ready =
@@ -61,12 +65,12 @@
         entry.insert(PendingVote {
             generation,
             call_id,
+            sent_at,
             socket,
             line_reader: LineReader::new(MAX_LINE_BYTES),
         });
         let timeout = self.config.instance.decisions.rollout.vote_timeout.min(MAX_VOTE_TIMEOUT);
-        let timeout_at = self.now() + timeout;
-        self.timers.set(timeout_at, TimerKind::VoteTimeout(ConnectionId { slot, generation }));
+        self.timers.set(sent_at + timeout, TimerKind::VoteTimeout(ConnectionId { slot, generation }));
         Some(())
     }
 
@@ -108,9 +112,13 @@
                 Ok(Some(line)) => Message::parse(line).ok(),
                 Err(_) => None,
             };
-            if let Some(reply) = parse_vote_reply(vote.call_id, line) {
+            if let Some(VoteReply { outcome, status }) = parse_vote_reply(vote.call_id, line) {
+                let sent_at = vote.sent_at;
                 self.close_vote(slot);
-                return self.end_vote(reply);
+                let now = self.now();
+                let report =
+                    status.map(|aged| aged.report(|status| ReleaseReport::in_reply(status, sent_at, now)));
+                return self.end_vote(outcome, report);
             }
         }
     }
@@ -129,7 +137,7 @@
         let Some(vote) = self.release_service.votes.get(slot) else { return };
         let outcome = if vote.socket.has_unwritten_bytes() { Outcome::Error } else { Outcome::Timeout };
         self.close_vote(slot);
-        self.end_vote(VoteReply { outcome, status: None });
+        self.end_vote(outcome, None);
     }
 
     fn close_vote(&mut self, slot: usize) {
@@ -138,13 +146,11 @@
         }
     }
 
-    /// Reports the end of a vote to the engine.
-    fn end_vote(&mut self, reply: VoteReply) {
-        let VoteReply { outcome, status } = reply;
+    /// Reports the end of a vote to the engine, with the release status of its reply unless the watch has
+    /// brought a newer one meanwhile.
+    fn end_vote(&mut self, outcome: Outcome, report: Option<ReleaseReport>) {
         tracing::debug!(target: "verdict", ?outcome, "vote reply");
-        if let Some(status) = status {
-            self.log_release_status(status);
-        }
+        let status = report.and_then(|report| self.admit_release_report(report));
         let now = self.now();
         self.engine.on_vote_reply(now, outcome, status);
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,6 +22,7 @@
 mod margins;
 mod outcomes;
 mod release;
+pub mod release_order;
 mod retry;
 mod routing;
 mod slow_start;
