HTTP driver: a late vote reply or stream status no longer overrides a newer release status

What callers saw: as on the platform, requests to a build that is rolled back, until the next status came.

Cause: the release stream and replies to votes are on connections of their own; the fence orders the terms of controllers, and nothing ordered the statuses within one.

Change: the driver asks ReleaseOrder. The controller numbers the statuses of a term ('revision'), so their order is known; a release service that does not leaves the lower cap in force where the order is open. Older proxies ignore the field.

--- a/crates/controller/src/serve/batches.rs
+++ b/crates/controller/src/serve/batches.rs
@@ -82,6 +82,7 @@
             self.desired_version += 1;
         }
         let after = self.release.announcement();
+        self.announcement_revision += u64::from(after != before);
         if (after.build, after.stage, after.phase) != (before.build, before.stage, before.phase) {
             tracing::info!("{}", self.release.describe());
         }
--- a/crates/controller/src/serve/leadership.rs
+++ b/crates/controller/src/serve/leadership.rs
@@ -32,6 +32,9 @@
     pub number: u64,
     /// The state that is in effect. All of it is durable.
     pub release: Arc<Release>,
+    /// Increases with each change of the announcement, so that proxies can order what they receive on
+    /// different connections.
+    pub announcement_revision: u64,
     /// The builds that each place should run, as pairs of place and build.
     pub desired_builds: BTreeSet<(u32, u16)>,
     /// Increases with each change of the desired builds, and each time they are sent again.
@@ -110,6 +113,7 @@
             writer_thread::spawn(writer, self.completions.clone()).map_err(ServeError::WriterThread)?;
         self.term = Some(Term {
             number,
+            announcement_revision: 1,
             desired_builds: release.desired_builds(),
             desired_version: 1,
             desired_sent_at: now,
--- a/crates/controller/src/serve/watches.rs
+++ b/crates/controller/src/serve/watches.rs
@@ -42,7 +42,8 @@
             Phase::Released => PhaseName::Released,
             Phase::Withdrawn => PhaseName::Withdrawn,
         };
-        Some(release_service::ReleaseUpdate { build, stage, phase, cap, fence: term.number })
+        let (fence, revision) = (term.number, term.announcement_revision);
+        Some(release_service::ReleaseUpdate { build, stage, phase, cap, fence, revision })
     }
 
     /// Starts a watch of the release.
--- a/crates/proxy/src/driver/site_calls/call.rs
+++ b/crates/proxy/src/driver/site_calls/call.rs
@@ -23,6 +23,8 @@
 /// A call in flight.
 pub(super) struct Call {
     pub(super) generation: u64,
+    /// When the call was started; the other side receives it later.
+    started_at: Micros,
     pub(super) purpose: CallPurpose,
     socket: Socket,
     http: ClientConnection,
@@ -42,6 +44,7 @@
     fn new(generation: u64, purpose: CallPurpose, socket: Socket, http: ClientConnection) -> Self {
         Call {
             generation,
+            started_at: 0,
             purpose,
             socket,
             http,
@@ -90,14 +93,15 @@
         let CallRequest { purpose, request, timeout } = call;
         let stream = connect(request.address).ok()?;
         let generation = self.next_generation();
+        let started_at = self.now();
         let entry = self.site_calls.in_flight.vacant_entry();
         let key = entry.key();
         let on_ready = move |readiness: Readiness, proxy: &mut Proxy| proxy.on_call_ready(key, readiness);
         let mut socket = Socket::register(&self.loop_handle, stream, Interest::BOTH, on_ready).ok()?;
         let http = request.write_to(&mut socket);
-        entry.insert(Call::new(generation, *purpose, socket, http));
+        entry.insert(Call { started_at, ..Call::new(generation, *purpose, socket, http) });
         if let Some(timeout) = timeout {
-            self.timers.set(self.now() + timeout, TimerKind::SiteCall(ConnectionId { key, generation }));
+            self.timers.set(started_at + timeout, TimerKind::SiteCall(ConnectionId { key, generation }));
         }
         Some(key)
     }
@@ -193,7 +197,8 @@
             }
             call.is_answered = true;
             let purpose = call.purpose;
-            if let Err(error) = self.on_call_line(purpose, &line) {
+            let generation = call.generation;
+            if let Err(error) = self.on_call_line(purpose, generation, &line) {
                 if let Some(call) = self.site_calls.in_flight.get_mut(key) {
                     call.is_answered = false;
                 }
@@ -208,7 +213,8 @@
         if call.purpose == CallPurpose::Vote && !call.is_answered {
             call.is_answered = true;
             let reply = std::mem::take(&mut call.vote_reply);
-            self.on_vote_reply(&reply);
+            let sent_at = call.started_at;
+            self.on_vote_reply(sent_at, &reply);
         }
     }
 
--- a/crates/proxy/src/driver/site_calls/mod.rs
+++ b/crates/proxy/src/driver/site_calls/mod.rs
@@ -19,6 +19,7 @@
 use error::CallError;
 use slab::Slab;
 use violetseam::interface::Micros;
+use violetseam::release_order::{ReleaseOrder, ReleaseReport};
 
 /// The lower limit for the reconnect delay and for the idle time-out of the release service's stream.
 const MIN_STREAM_WAIT: Micros = 10_000;
@@ -48,6 +49,8 @@
     release_service_index: usize,
     /// The highest fencing number received from a release service.
     highest_fence: u64,
+    /// Decides which of the statuses on release streams and in replies to votes is in force.
+    release_order: ReleaseOrder,
 }
 
 impl SiteCalls {
@@ -62,6 +65,17 @@
         self.highest_fence
     }
 
+    /// Returns whether the status of a report is to be put in force. The fencing number is not below the
+    /// highest.
+    fn admits_release(&mut self, fence: u64, report: ReleaseReport) -> bool {
+        if fence > self.highest_fence {
+            // The number shows that the report is newer than all before it.
+            self.highest_fence = fence;
+            self.release_order = ReleaseOrder::default();
+        }
+        self.release_order.admits(report)
+    }
+
     /// Returns the call with this key, unless the key has been reused by a call of a later generation.
     fn get_mut(&mut self, id: ConnectionId) -> Option<&mut Call> {
         self.in_flight.get_mut(id.key).filter(|call| call.generation == id.generation)
@@ -80,10 +94,10 @@
     }
 
     /// Handles one line of a response. The line is not blank.
-    fn on_call_line(&mut self, purpose: CallPurpose, line: &[u8]) -> Result<(), CallError> {
+    fn on_call_line(&mut self, purpose: CallPurpose, generation: u64, line: &[u8]) -> Result<(), CallError> {
         match purpose {
             CallPurpose::WatchList | CallPurpose::FetchList => self.on_list_line(line),
-            CallPurpose::WatchRelease => self.on_release_line(line),
+            CallPurpose::WatchRelease => self.on_release_line(generation, line),
             CallPurpose::Vote => Ok(()),
         }
     }
--- a/crates/proxy/src/driver/site_calls/release_status.rs
+++ b/crates/proxy/src/driver/site_calls/release_status.rs
@@ -6,7 +6,8 @@
 use super::call::CallRequest;
 use super::{CallError, CallPurpose, MIN_STREAM_WAIT};
 use std::net::SocketAddr;
-use violetseam::interface::ReleaseStatus;
+use violetseam::interface::{Micros, ReleaseStatus};
+use violetseam::release_order::ReleaseReport;
 use violetseam_site_protocol::release_service::FencedRelease;
 
 impl Proxy {
@@ -47,23 +48,39 @@
         self.timers.set(self.now() + delay, TimerKind::ReleaseStream);
     }
 
-    /// Passes a release status to the engine, unless it comes from a superseded release service.
-    pub(super) fn on_release_line(&mut self, line: &[u8]) -> Result<(), CallError> {
-        let FencedRelease { status: release, fence } =
-            FencedRelease::parse(line).map_err(CallError::malformed)?;
+    /// Passes a release status to the engine, unless it comes from a superseded release service or may be
+    /// older than the one that a reply to a vote has brought.
+    pub(super) fn on_release_line(&mut self, stream: u64, line: &[u8]) -> Result<(), CallError> {
+        let release = FencedRelease::parse(line).map_err(CallError::malformed)?;
+        let FencedRelease { status, fence, .. } = release;
         let highest = self.site_calls.highest_fence;
         if fence < highest {
             // The status comes from a controller that was superseded while it was suspended. The status is
             // ignored, and the stream from this controller ends.
             return Err(CallError::Superseded { fence, highest });
         }
-        self.site_calls.highest_fence = fence;
-        if self.engine.release() != Some(release) {
-            let ReleaseStatus { build, stage, phase, cap } = release;
+        let now = self.now();
+        let report = release.report(|status| ReleaseReport::on_stream(status, stream, now));
+        if !self.admits_release(now, fence, report) {
+            return Ok(());
+        }
+        if self.engine.release() != Some(status) {
+            let ReleaseStatus { build, stage, phase, cap } = status;
             tracing::info!(target: "verdict", build, stage, ?phase, cap, "stage news");
         }
-        let now = self.now();
-        self.engine.on_release_status(now, release);
+        self.engine.on_release_status(now, status);
         Ok(())
     }
+
+    /// Returns whether the status of a report with this fencing number, which is not below the highest, is to
+    /// be put in force.
+    pub(super) fn admits_release(&mut self, now: Micros, fence: u64, report: ReleaseReport) -> bool {
+        let is_admitted = self.site_calls.admits_release(fence, report);
+        if !is_admitted && self.log_limit.allows(now) {
+            let ReleaseStatus { build, stage, phase, cap } = report.status();
+            let source = report.source();
+            tracing::info!(target: "verdict", build, stage, ?phase, cap, %source, "late stage news ignored");
+        }
+        is_admitted
+    }
 }
--- a/crates/proxy/src/driver/site_calls/votes.rs
+++ b/crates/proxy/src/driver/site_calls/votes.rs
@@ -4,12 +4,19 @@
 use super::super::http_request::HttpRequest;
 use super::call::CallRequest;
 use super::{CallError, CallPurpose};
-use violetseam::interface::{Build, Outcome, Verdict};
+use violetseam::interface::{Build, Micros, Outcome, Verdict};
+use violetseam::release_order::ReleaseReport;
 use violetseam_site_protocol::release_service::{FencedRelease, Vote, VoteResult};
 
 /// The path on which the release service receives votes.
 const VOTE_PATH: &str = "/v1/vote";
 
+/// The release status in the reply to a vote, and when the vote was sent.
+struct SentReply {
+    sent_at: Micros,
+    release: FencedRelease,
+}
+
 impl Proxy {
     /// Sends a vote to the release service.
     pub(in super::super) fn send_vote(&mut self, build: Build, stage: u8, verdict: Verdict) {
@@ -27,14 +34,14 @@
     }
 
     /// Handles the complete reply to a vote.
-    pub(super) fn on_vote_reply(&mut self, reply: &[u8]) {
+    pub(super) fn on_vote_reply(&mut self, sent_at: Micros, reply: &[u8]) {
         let VoteResult { outcome, release } = VoteResult::parse(reply).unwrap_or_else(|error| {
             tracing::warn!("the reply to a vote cannot be parsed: {error}");
             // The vote was received by a process that does not follow the protocol, so it is unknown whether
             // it counts.
             VoteResult { outcome: Outcome::Timeout, release: None }
         });
-        self.on_vote_ended(outcome, release);
+        self.on_vote_ended(outcome, release.map(|release| SentReply { sent_at, release }));
     }
 
     /// Handles a vote that ended without a reply. If the vote was written, it may have been counted
@@ -46,18 +53,21 @@
     }
 
     /// Reports the end of a vote to the engine. If the reply contained a release status with its fencing
-    /// number, that status is passed on too, unless its sender has been superseded.
-    fn on_vote_ended(&mut self, outcome: Outcome, release: Option<FencedRelease>) {
+    /// number, that status is passed on too, unless its sender has been superseded or the stream has brought
+    /// a newer one meanwhile.
+    fn on_vote_ended(&mut self, outcome: Outcome, reply: Option<SentReply>) {
         tracing::debug!(target: "verdict", ?outcome, "vote reply");
         let now = self.now();
-        let Some(FencedRelease { status, fence }) = release else {
+        let Some(SentReply { sent_at, release }) = reply else {
             return self.engine.on_vote_reply(now, outcome, None);
         };
+        let FencedRelease { status, fence, .. } = release;
         if fence < self.site_calls.highest_fence {
             // A vote that was counted by a superseded controller has no effect.
             return self.engine.on_vote_reply(now, Outcome::Error, None);
         }
-        self.site_calls.highest_fence = fence;
-        self.engine.on_vote_reply(now, outcome, Some(status));
+        let report = release.report(|status| ReleaseReport::in_reply(status, sent_at, now));
+        let is_admitted = self.admits_release(now, fence, report);
+        self.engine.on_vote_reply(now, outcome, is_admitted.then_some(status));
     }
 }
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -101,7 +101,7 @@
 }
 
 /// Writes a chunked response with one chunk for each line, until the sender of the lines is dropped.
-fn stream_lines(stream: &mut TcpStream, lines: &Receiver<String>) {
+pub fn stream_lines(stream: &mut TcpStream, lines: &Receiver<String>) {
     let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
     let mut text = head.to_owned();
     loop {
--- a/crates/scale-bench/src/lightweight_proxies/registry/server.rs
+++ b/crates/scale-bench/src/lightweight_proxies/registry/server.rs
@@ -215,8 +215,14 @@
             self.counters.received_bytes.add(connection.received_bytes);
             self.respond_with_list(key, &target);
         } else {
-            let status =
-                ReleaseUpdate { build: BUILD, stage: 0, phase: PhaseName::Released, cap: 1.0, fence: 0 };
+            let status = ReleaseUpdate {
+                build: BUILD,
+                stage: 0,
+                phase: PhaseName::Released,
+                cap: 1.0,
+                fence: 0,
+                revision: 0,
+            };
             self.start_response(key, &status.write(), ResponseBody::Stream);
         }
     }
--- a/crates/simulated-site/src/model/release_service/mod.rs
+++ b/crates/simulated-site/src/model/release_service/mod.rs
@@ -132,8 +132,14 @@
         }
         self.offered += 1;
         let build = self.plan.first_build + self.offered as u16;
-        self.status =
-            ReleaseUpdate { build, stage: 0, phase: PhaseName::Trial, cap: self.plan.caps[0], fence: 0 };
+        self.status = ReleaseUpdate {
+            build,
+            stage: 0,
+            phase: PhaseName::Trial,
+            cap: self.plan.caps[0],
+            fence: 0,
+            revision: 0,
+        };
         self.outcomes.push(BuildOutcome::offered(build, now));
         self.clock.restart(now);
         self.votes.clear();
@@ -221,5 +227,5 @@
 
 /// The release status before any build is offered: `build` is released.
 pub fn initial_status(build: u16) -> ReleaseUpdate {
-    ReleaseUpdate { build, stage: 0, phase: PhaseName::Released, cap: 1.0, fence: 0 }
+    ReleaseUpdate { build, stage: 0, phase: PhaseName::Released, cap: 1.0, fence: 0, revision: 0 }
 }
--- a/crates/site-protocol/src/release_service.rs
+++ b/crates/site-protocol/src/release_service.rs
@@ -8,6 +8,7 @@
 use crate::{MessageError, MessageType};
 use serde::{Deserialize, Serialize};
 use violetseam::interface::{Build, Outcome, Phase, ReleaseStatus, Verdict};
+use violetseam::release_order::ReleaseReport;
 
 /// The maximum length of a line, in bytes.
 pub const MAX_LINE_BYTES: usize = 4096;
@@ -52,10 +53,14 @@
     /// with a lower fence than an earlier update is ignored.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub fence: u64,
+    /// The number of the status among those with the same fence, from 1; 0 if the release service does not
+    /// number them. It orders updates that arrive on different connections.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub revision: u64,
 }
 
-fn is_zero(fence: &u64) -> bool {
-    *fence == 0
+fn is_zero(number: &u64) -> bool {
+    *number == 0
 }
 
 impl ReleaseUpdate {
@@ -73,7 +78,7 @@
         }
         let status =
             ReleaseStatus { build: self.build, stage: self.stage, phase: self.phase.into(), cap: self.cap };
-        Ok(FencedRelease { status, fence: self.fence })
+        Ok(FencedRelease { status, fence: self.fence, revision: self.revision })
     }
 
     /// Serializes the update as one line, including the line end.
@@ -89,6 +94,9 @@
     pub status: ReleaseStatus,
     /// The fence; 0 if the release service has no fences.
     pub fence: u64,
+    /// The number of the status among those with the same fence; 0 if the release service does not number
+    /// them.
+    pub revision: u64,
 }
 
 impl FencedRelease {
@@ -99,6 +107,12 @@
     pub fn parse(line: &[u8]) -> Result<FencedRelease, MessageError> {
         ReleaseUpdate::from_json(line)?.validate()
     }
+
+    /// Returns the report that `new_report` creates from the status, with the status's revision.
+    pub fn report(&self, new_report: impl FnOnce(ReleaseStatus) -> ReleaseReport) -> ReleaseReport {
+        let report = new_report(self.status);
+        if self.revision == 0 { report } else { report.with_revision(self.revision) }
+    }
 }
 
 /// A verdict, as it is written on the wire.
--- a/crates/site-protocol/tests/protocols.rs
+++ b/crates/site-protocol/tests/protocols.rs
@@ -78,7 +78,8 @@
     let desired = DesiredBuilds { fence: 3, builds: vec![(7, 2)] };
     assert_eq!(desired.write(), b"{\"fence\":3,\"wanted\":[[7,2]]}\n");
     assert_eq!(DesiredBuilds::parse(&desired.write()).unwrap(), desired);
-    let release = ReleaseUpdate { build: 2, stage: 1, phase: PhaseName::RollingBack, cap: 0.5, fence: 0 };
+    let release =
+        ReleaseUpdate { build: 2, stage: 1, phase: PhaseName::RollingBack, cap: 0.5, fence: 0, revision: 0 };
     let release_json = r#"{"build":2,"stage":1,"phase":"rolling_back","cap":0.5}"#;
     assert_eq!(release.write(), format!("{release_json}\n").into_bytes());
     let replies = [
--- a/src/release_order.rs
+++ b/src/release_order.rs
@@ -166,6 +166,7 @@
             if matches!(report.source, ReportSource::Stream(_)) {
                 latest.source = report.source;
             }
+            latest.revision = latest.revision.max(report.revision);
             return true;
         }
         let is_admitted = match report.relation_to(latest) {
--- a/tests/release_order.rs
+++ b/tests/release_order.rs
@@ -87,6 +87,9 @@
         |status, revision| ReleaseReport::in_reply(status, 99 * S, 100 * S + 1).with_revision(revision);
     assert!(!order.admits(reply(trial(1, 0.3), 2)));
     assert!(order.admits(reply(trial(2, 0.5), 4)));
+    // The same status under a later number: what came between the two is older.
+    assert!(order.admits(reply(trial(2, 0.5), 6)));
+    assert!(!order.admits(reply(trial(1, 0.3), 5)));
 }
 
 /// One change of a simulated release service.
