Gossip: a late message of an ended incarnation no longer counts evidence twice

Cause: EvidencePool::receive took any other incarnation for a later one, so that a datagram of the earlier one that was overtaken by the first of the next added both to the sum again.

Change: a peer's report remembers the last four incarnations that have ended and ignores their messages; not part of the hand-over.

Tests: the new test in tests/gossip.rs failed before and passes; all tests of violetseam and proxy pass.

--- a/src/evidence/pool.rs
+++ b/src/evidence/pool.rs
@@ -3,7 +3,11 @@
 
 use super::counters::{Arm, Evidence};
 use super::message::GossipHeader;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
+
+/// How many ended incarnations of a peer are remembered. A message that is older than that many restarts of
+/// its sender does not occur.
+const MAX_ENDED_INCARNATIONS: usize = 4;
 
 /// The latest report of a peer.
 #[derive(Clone, Debug)]
@@ -11,6 +15,25 @@
 struct PeerReport {
     incarnation: u8,
     evidence: Evidence,
+    /// The latest incarnations that ended before this one. Their messages may still arrive.
+    #[cfg_attr(feature = "serde", serde(skip))]
+    ended_incarnations: VecDeque<u8>,
+}
+
+impl PeerReport {
+    fn new(incarnation: u8, evidence: Evidence) -> Self {
+        PeerReport { incarnation, evidence, ended_incarnations: VecDeque::new() }
+    }
+
+    /// Replaces the report by the first one of another incarnation.
+    fn begin_incarnation(&mut self, incarnation: u8, evidence: Evidence) {
+        if self.ended_incarnations.len() >= MAX_ENDED_INCARNATIONS {
+            self.ended_incarnations.pop_front();
+        }
+        self.ended_incarnations.push_back(self.incarnation);
+        self.incarnation = incarnation;
+        self.evidence = evidence;
+    }
 }
 
 /// Evidence on the whole stage and on the open window.
@@ -64,9 +87,13 @@
             if header.is_total && !self.first_window {
                 self.totals_at_window_start.insert(from, evidence.clone());
             }
-            reports.insert(from, PeerReport { incarnation: header.incarnation, evidence });
+            reports.insert(from, PeerReport::new(header.incarnation, evidence));
             return;
         };
+        if previous.ended_incarnations.contains(&header.incarnation) {
+            // The message has been overtaken by those of a later incarnation.
+            return;
+        }
         if previous.incarnation == header.incarnation {
             // Counters only grow, so a report with lower counters arrived late.
             if evidence.all_attempts() >= previous.evidence.all_attempts() {
@@ -77,8 +104,7 @@
         if !header.is_total {
             self.ended.merge(&previous.evidence);
         }
-        previous.incarnation = header.incarnation;
-        previous.evidence = evidence;
+        previous.begin_incarnation(header.incarnation, evidence);
     }
 
     /// Returns the sum of the own counters and all reports.
--- a/tests/gossip.rs
+++ b/tests/gossip.rs
@@ -5,7 +5,7 @@
 use common::*;
 use std::collections::BTreeMap;
 use violetseam::balancer::Balancer;
-use violetseam::evidence::{Arm, Evidence, GossipHeader, Histogram, Sample, decode, encode};
+use violetseam::evidence::{Arm, Evidence, EvidencePool, GossipHeader, Histogram, Sample, decode, encode};
 use violetseam::interface::*;
 use violetseam::state::RandomSource;
 
@@ -391,3 +391,38 @@
     assert!((rescaled.total() - 500.0).abs() < 1e-6);
     assert_eq!(Histogram::default().quantile(0.5), None);
 }
+
+/// Guards against evidence that counts twice: a peer that has restarted has a new incarnation, and a message of
+/// its earlier one may arrive after the first of the new one.
+#[test]
+fn a_late_message_of_an_ended_incarnation_adds_no_evidence() {
+    let peer = 1;
+    let evidence = |attempts: u32| {
+        let sample =
+            Sample { class: IDEMPOTENT, server: 7, error: false, failed: false, slow: false, pace: None };
+        let mut evidence = Evidence::new(1);
+        (0..attempts).for_each(|_| evidence.add(Arm::New, &sample));
+        evidence
+    };
+    for is_total in [false, true] {
+        let mut pool = EvidencePool::default();
+        pool.restart(1);
+        let mut receive = |incarnation, attempts| {
+            let header = GossipHeader { build: 2, stage: 0, is_total, incarnation };
+            pool.receive(peer, header, evidence(attempts));
+        };
+        receive(200, 10);
+        receive(17, 4);
+        receive(200, 8);
+        receive(200, 12);
+        receive(17, 5);
+        let counted = if is_total {
+            pool.best_available(0, f64::INFINITY).stage.attempts(Arm::New)
+        } else {
+            pool.pooled_total().attempts(Arm::New)
+        };
+        // Counters of a single balancer add up over its incarnations; a total replaces the one before.
+        let expected = if is_total { 5.0 } else { 15.0 };
+        assert_eq!(counted, expected, "is_total: {is_total}");
+    }
+}
