Release controller: tests that its statuses are numbered in their order

The test of a controller that is killed at any moment compares number and change of each two statuses on its watch; it fails if the number does not grow with a change (tried).

--- a/crates/cli/tests/controller.rs
+++ b/crates/cli/tests/controller.rs
@@ -253,6 +253,15 @@
     let terms: std::collections::BTreeSet<u64> =
         statuses.iter().filter_map(|n| n["fence"].as_u64()).collect();
     assert!(before.1 == 2 && terms.len() >= 3, "received terms {terms:?} up to stage {}", before.1);
+    for pair in statuses.windows(2) {
+        let [number, next_number] = [0, 1].map(|n| {
+            let at = |field: &str| pair[n][field].as_u64().unwrap();
+            (at("fence"), at("revision"))
+        });
+        let is_change =
+            ["build", "stage", "phase", "cap"].iter().any(|field| pair[0][field] != pair[1][field]);
+        assert!(next_number > number || (next_number == number && !is_change), "{pair:?}");
+    }
     std::fs::remove_dir_all(folder).unwrap();
 }
 
--- a/crates/site-protocol/tests/protocols.rs
+++ b/crates/site-protocol/tests/protocols.rs
@@ -82,6 +82,10 @@
         ReleaseUpdate { build: 2, stage: 1, phase: PhaseName::RollingBack, cap: 0.5, fence: 0, revision: 0 };
     let release_json = r#"{"build":2,"stage":1,"phase":"rolling_back","cap":0.5}"#;
     assert_eq!(release.write(), format!("{release_json}\n").into_bytes());
+    let numbered = ReleaseUpdate { fence: 4, revision: 9, ..release };
+    let numbered_json = r#"{"build":2,"stage":1,"phase":"rolling_back","cap":0.5,"fence":4,"revision":9}"#;
+    assert_eq!(numbered.write(), format!("{numbered_json}\n").into_bytes());
+    assert_eq!(ReleaseUpdate::from_json(numbered_json.as_bytes()).unwrap(), numbered);
     let replies = [
         (VoteOutcome::Ok, Some(release), format!(r#"{{"outcome":"ok","news":{release_json}}}"#)),
         (VoteOutcome::Obsolete, None, r#"{"outcome":"moot"}"#.to_owned()),
