Platform: each end of a connection has a reason; usage is logged every 10 s

The saved logs cannot tell what a process held or why a connection ended. end_client is the one place where a client connection ends; it logs the reason, the state and each abandoned request (debug), and counts them. A line 'usage' at info has resident memory, connections, requests and the counts, every 10 s while anything happens and at the end. A client that does not read and one that does not close have different time-outs in the log.

--- a/crates/platform-proxy/src/budgets.rs
+++ b/crates/platform-proxy/src/budgets.rs
@@ -2,6 +2,7 @@
 //! connection to evict when a limit is reached.
 
 use crate::client::Client;
+use crate::metrics::CloseReason;
 use crate::proxy::Proxy;
 use crate::servers::ServerConnection;
 use violetseam::interface::Micros;
@@ -74,7 +75,7 @@
         if client.has_unread_input() {
             return false;
         }
-        self.close_client(slot);
+        self.end_client(slot, CloseReason::Evicted);
         true
     }
 
--- a/crates/platform-proxy/src/client.rs
+++ b/crates/platform-proxy/src/client.rs
@@ -1,5 +1,6 @@
 //! One client connection: its input, its pending responses and its state.
 
+use crate::metrics::CloseReason;
 use calloop::LoopHandle;
 use std::collections::VecDeque;
 use violetseam::interface::{Micros, RequestId};
@@ -56,10 +57,23 @@
 pub(super) enum ClientTimeout {
     /// The connection has sent no call, or only a part of a command.
     Command,
-    /// The responses were not read, or the client has not closed a connection that this side has ended.
+    /// The responses were not read.
+    Responses,
+    /// The client has not closed a connection that this side has ended.
     Closing,
 }
 
+impl ClientTimeout {
+    /// Returns why a connection ends on which this time-out has expired.
+    pub fn close_reason(self) -> CloseReason {
+        match self {
+            ClientTimeout::Command => CloseReason::CommandTimeout,
+            ClientTimeout::Responses => CloseReason::ResponsesUnread,
+            ClientTimeout::Closing => CloseReason::Lingered,
+        }
+    }
+}
+
 /// The state of a client connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ClientState {
@@ -84,6 +98,14 @@
 }
 
 impl PendingResponse {
+    /// Returns the request that this entry waits for, if it is not ready.
+    pub fn request(&self) -> Option<RequestId> {
+        match self {
+            PendingResponse::Request(id) => Some(*id),
+            PendingResponse::Ready(_) => None,
+        }
+    }
+
     /// Whether this entry waits for the response to the given request.
     pub fn is_for(&self, request: RequestId) -> bool {
         matches!(self, PendingResponse::Request(id) if *id == request)
@@ -175,7 +197,7 @@
             ClientState::Lingering(_) | ClientState::Ended => {
                 (idle >= LINGER_TIMEOUT, ClientTimeout::Closing)
             }
-            _ if self.socket.has_unwritten_bytes() => (idle >= WRITE_STALL_TIMEOUT, ClientTimeout::Closing),
+            _ if self.socket.has_unwritten_bytes() => (idle >= WRITE_STALL_TIMEOUT, ClientTimeout::Responses),
             _ if !self.pending_responses.is_empty() => return None,
             _ => (now >= self.command_deadline()?, ClientTimeout::Command),
         };
--- a/crates/platform-proxy/src/clients.rs
+++ b/crates/platform-proxy/src/clients.rs
@@ -7,6 +7,7 @@
     Client, ClientState, ClientTimeout, MAX_LINGER_BYTES, MAX_PIPELINED_COMMANDS, PendingResponse,
 };
 use crate::event_loop::ConnectionId;
+use crate::metrics::CloseReason;
 use crate::proxy::Proxy;
 use calloop::Readiness;
 use violetseam::interface::Micros;
@@ -56,23 +57,21 @@
 }
 
 impl Proxy {
-    /// Removes a connection from the event loop without informing the engine.
-    pub(super) fn close_client(&mut self, slot: usize) {
-        if let Some(client) = self.clients.try_remove(slot) {
-            self.closed_while_pending += u64::from(!client.is_fully_answered());
-            client.socket.remove(&self.loop_handle);
-        }
-    }
-
-    /// Removes a connection that failed or that its client closed. Its requests need no response any more.
-    fn disconnect_client(&mut self, slot: usize) {
+    /// Removes a connection. This is the only place where a client connection ends: its client has left, or
+    /// this side gives it up. The requests on it that have no final response need none any more.
+    pub(super) fn end_client(&mut self, slot: usize, reason: CloseReason) {
         let Some(client) = self.clients.try_remove(slot) else { return };
         client.socket.remove(&self.loop_handle);
+        self.metrics.count_close(reason);
+        let is_own_decision = matches!(reason, CloseReason::Evicted | CloseReason::Lingered);
+        self.closed_while_pending += u64::from(is_own_decision && !client.is_fully_answered());
+        let pending = client.pending_responses.len();
+        tracing::debug!(client = slot, ?reason, state = ?client.state, pending, "connection closed");
         let now = self.now();
-        for pending in client.pending_responses {
-            if let PendingResponse::Request(id) = pending {
-                self.engine.on_client_disconnected(now, id);
-            }
+        for request in client.pending_responses.iter().filter_map(PendingResponse::request) {
+            tracing::debug!(request, client = slot, "abandoned by its client");
+            self.metrics.abandoned_requests += 1;
+            self.engine.on_client_disconnected(now, request);
         }
     }
 
@@ -81,7 +80,7 @@
         if self.clients.get(slot).is_some_and(|client| client.state == ClientState::Ended) {
             // In this state the connection is registered for no events, so any event means that the client
             // has closed it as well.
-            return self.close_client(slot);
+            return self.end_client(slot, CloseReason::Lingered);
         }
         if readiness.writable {
             self.flush_client(slot);
@@ -109,9 +108,13 @@
                 {
                     client.state = ClientState::Lingering(dropped + length);
                 }
-                (ReadOutcome::Bytes(_), ClientState::Lingering(_)) => self.close_client(slot),
+                (ReadOutcome::Bytes(_), ClientState::Lingering(_)) => {
+                    self.end_client(slot, CloseReason::Lingered);
+                }
                 (ReadOutcome::Bytes(_) | ReadOutcome::WouldBlock, _) => {}
-                (ReadOutcome::Closed | ReadOutcome::Failed, _) => self.disconnect_client(slot),
+                (ReadOutcome::Closed | ReadOutcome::Failed, _) => {
+                    self.end_client(slot, CloseReason::ClientLeft);
+                }
             }
         }
         self.read_buffer = read_buffer;
@@ -178,6 +181,7 @@
     /// Sends an error in response to a command that cannot be accepted. The connection is closed after that.
     pub(super) fn reject_malformed(&mut self, slot: usize, reason: &str) {
         tracing::debug!(client = slot, "command rejected, closing the connection: {reason}");
+        self.metrics.malformed += 1;
         if let Some(client) = self.clients.get_mut(slot) {
             let mut bytes = Vec::new();
             response::write_malformed(&mut bytes, reason);
@@ -195,7 +199,7 @@
             client.idle_since = now;
         }
         if client.socket.flush().is_err() {
-            return self.disconnect_client(slot);
+            return self.end_client(slot, CloseReason::ClientLeft);
         }
         if client.state == ClientState::Closing
             && client.pending_responses.is_empty()
@@ -272,9 +276,7 @@
             if timeout == ClientTimeout::Command && self.read_late_input(slot) {
                 continue;
             }
-            let state = self.clients.get(slot).map(|client| (client.state, client.pending_responses.len()));
-            tracing::debug!(client = slot, ?timeout, ?state, "closed: time-out expired");
-            self.disconnect_client(slot);
+            self.end_client(slot, timeout.close_reason());
         }
     }
 
--- a/crates/platform-proxy/src/event_loop.rs
+++ b/crates/platform-proxy/src/event_loop.rs
@@ -127,5 +127,6 @@
         self.timers.set(now + MAINTENANCE_INTERVAL, TimerKind::Maintenance);
         self.close_timed_out_clients(now);
         self.close_idle_server_connections(now);
+        self.log_usage_if_due(now);
     }
 }
--- a/crates/platform-proxy/src/lib.rs
+++ b/crates/platform-proxy/src/lib.rs
@@ -18,6 +18,7 @@
 //! - `budgets`: divides the resource limits and evicts idle connections when a limit is reached
 //! - `configuration`: reads the configuration file at the start and on a reload
 //! - `shutdown`: implements the phases of a shutdown
+//! - `metrics`: counts why connections end, and logs the totals
 //! - `transient_errors`: retries system calls that fail with a transient error at the start
 
 mod budgets;
@@ -28,6 +29,7 @@
 mod error;
 mod event_loop;
 mod listener;
+mod metrics;
 mod peers;
 mod proxy;
 mod release_watch;
@@ -71,6 +73,7 @@
     run(&mut event_loop, &mut proxy)?;
     let summary =
         Summary { counts: proxy.engine.counts(), unanswered_requests: proxy.engine.pending_responses() };
+    proxy.log_usage();
     proxy.log_counts("stopped");
     // Dropping the event loop would unblock its signals, and a signal that has arrived in the meantime would
     // kill the process before it exits normally.
--- a/crates/platform-proxy/src/proxy.rs
+++ b/crates/platform-proxy/src/proxy.rs
@@ -5,6 +5,7 @@
 use crate::discovery::{self, Discovery};
 use crate::event_loop::{ConnectionId, MAINTENANCE_INTERVAL, TimerKind};
 use crate::listener::ClientListener;
+use crate::metrics::Metrics;
 use crate::release_watch::ReleaseService;
 use crate::requests::InFlightRequest;
 use crate::servers::ServerConnection;
@@ -89,6 +90,7 @@
     /// How many client connections this side closed although a request on them had no response. Any value
     /// above 0 indicates a bug.
     pub closed_while_pending: u64,
+    pub metrics: Metrics,
 }
 
 impl Proxy {
@@ -138,6 +140,7 @@
             log_rate_limit: LogRateLimit::default(),
             reload_generation: 0,
             closed_while_pending: 0,
+            metrics: Metrics::default(),
             config,
         }
     }
--- a/crates/platform-proxy/src/requests.rs
+++ b/crates/platform-proxy/src/requests.rs
@@ -27,6 +27,8 @@
         client.has_sent_call = true;
         let connection = ConnectionId { slot, generation: client.generation };
         if !self.has_room_for(&call) {
+            tracing::debug!(client = slot, requests = self.in_flight.len(), "call refused: over a limit");
+            self.metrics.over_limits += 1;
             // The limit belongs to this process and not to the service: the call is never executed.
             return self.respond_immediately(slot, b"-BUSY\r\n");
         }
