--- /dev/null
+++ b/crates/cli/tests/platform_departures.rs
@@ -0,0 +1,108 @@
+//! A client that closes its connection has gone, whatever else it has sent before: nothing more is sent to a
+//! server for it, and nobody else can have its request run again.
+
+mod common;
+
+use common::platform::{
+    Proxy, Say, Server, config, discovery, encode_command, look, pipeline, server, start,
+};
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// How long a server takes to turn an attempt away. The clients leave before that.
+const TURNED_AWAY_AFTER: Duration = Duration::from_millis(500);
+/// How long a client stays after it has sent its calls.
+const STAY: Duration = Duration::from_millis(60);
+/// Attempts may begin for this long after a close (0.1 s on the protocol page, and some for this machine).
+const CLOSE_DETECTION: Duration = Duration::from_millis(150);
+/// More than clients may have waiting on one connection.
+const LONG_BURST: usize = 100;
+const PING: &[u8] = b"*1\r\n$4\r\nPING\r\n";
+
+/// What a client sends besides its calls before it leaves.
+struct Leftover {
+    name: &'static str,
+    /// Sent in one write with the calls.
+    with_calls: Vec<u8>,
+    /// Sent a moment later.
+    later: Vec<u8>,
+}
+
+impl Leftover {
+    fn with_calls(name: &'static str, bytes: Vec<u8>) -> Leftover {
+        Leftover { name, with_calls: bytes, later: Vec::new() }
+    }
+
+    fn later(name: &'static str, bytes: Vec<u8>) -> Leftover {
+        Leftover { name, with_calls: Vec::new(), later: bytes }
+    }
+}
+
+fn start_proxy(name: &str, servers: &[Server]) -> Proxy {
+    let addrs: Vec<SocketAddr> = servers.iter().map(|server| server.addr).collect();
+    start(name, &config(discovery(&addrs), pipeline().0, &addrs, 1024))
+}
+
+fn received(servers: &[Server]) -> usize {
+    servers.iter().map(|server| server.received.lock().unwrap().len()).sum()
+}
+
+/// Sends two calls and the leftover and leaves. Returns how long after that each further attempt began.
+fn attempts_after_leaving(leftover: &Leftover) -> Vec<Duration> {
+    let arrivals: Arc<Mutex<Vec<Instant>>> = Arc::default();
+    let refuser = || {
+        let arrivals = arrivals.clone();
+        server(move |_, _| {
+            arrivals.lock().unwrap().push(Instant::now());
+            Say::Later(TURNED_AWAY_AFTER, b"-BUSY\r\n".to_vec())
+        })
+    };
+    let servers: Vec<Server> = (0..4).map(|_| refuser()).collect();
+    let proxy = start_proxy(&format!("left-{}", leftover.name), &servers);
+    let mut stream = TcpStream::connect(proxy.addr).unwrap();
+    let calls = [look("left-a", 2_000), look("left-b", 2_000), leftover.with_calls.clone()].concat();
+    // The proxy does not have to take all that a client sends.
+    stream.set_nonblocking(true).unwrap();
+    stream.write_all(&calls).unwrap();
+    std::thread::sleep(STAY / 2);
+    let _ = stream.write(&leftover.later);
+    std::thread::sleep(STAY / 2);
+    assert!(received(&servers) >= 2, "{}: the calls were not sent before their client left", leftover.name);
+    drop(stream);
+    let left_at = Instant::now();
+    std::thread::sleep(2 * TURNED_AWAY_AFTER);
+    proxy.end();
+    let arrivals = arrivals.lock().unwrap();
+    arrivals.iter().filter_map(|at| at.checked_duration_since(left_at + CLOSE_DETECTION)).collect()
+}
+
+#[test]
+fn nothing_is_sent_for_a_client_that_has_left_whatever_it_sent_before() {
+    let half_call = ["CALL.POST", "key", "half", "c=book,t=one,d=3000,k=1", &"x".repeat(60_000)];
+    let half_call = encode_command(&half_call)[..50_000].to_vec();
+    let huge_value = [&b"*5\r\n$9\r\nCALL.POST\r\n$70000000\r\n"[..], &vec![b'x'; 8_000_000]].concat();
+    let leftovers = [
+        Leftover::with_calls("nothing", Vec::new()),
+        Leftover::with_calls("unknown", encode_command(&["HELO"])),
+        Leftover::with_calls("same-id", look("left-a", 2_000)),
+        Leftover::with_calls("pings", PING.repeat(25)),
+        Leftover::later("noise", b"hello\r\n".to_vec()),
+        Leftover::later("burst", PING.repeat(LONG_BURST)),
+        Leftover::later("half-call", half_call),
+        Leftover::later("huge-value", huge_value),
+        Leftover::later("many-calls", look("more", 2_000).repeat(20_000)),
+        Leftover {
+            name: "queue-and-burst",
+            with_calls: PING.repeat(30),
+            later: look("more", 2_000).repeat(20_000),
+        },
+    ];
+    let sent_on = |leftover: &Leftover| {
+        let late = attempts_after_leaving(leftover);
+        (!late.is_empty()).then(|| format!("{}: {late:?}", leftover.name))
+    };
+    let violations: Vec<String> = leftovers.iter().filter_map(sent_on).collect();
+    assert!(violations.is_empty(), "attempts after the client had left: {violations:?}");
+}
