Platform: a connection that is about to close is read, so that its client's leaving is seen

Cause: client.rs read no connection in the state Closing (a malformed command, a burst, an id that is open, too long a value behind accepted calls) and none whose queue and input were full; the end of the connection was seen only once all its answers were written. Change: a connection is read in every state in which a request may be pending. Input behind a malformed command is dropped as it comes, at most 8 reads a turn; input that waits and exceeds one command is rejected as a burst, as one that comes in one piece already was. end_client is the one place that knows that a client has left.

--- a/crates/cli/tests/platform_departures.rs
+++ b/crates/cli/tests/platform_departures.rs
@@ -103,6 +103,9 @@
         let late = attempts_after_leaving(leftover);
         (!late.is_empty()).then(|| format!("{}: {late:?}", leftover.name))
     };
-    let violations: Vec<String> = leftovers.iter().filter_map(sent_on).collect();
+    let violations: Vec<String> = std::thread::scope(|scope| {
+        let runs: Vec<_> = leftovers.iter().map(|leftover| scope.spawn(|| sent_on(leftover))).collect();
+        runs.into_iter().filter_map(|run| run.join().unwrap()).collect()
+    });
     assert!(violations.is_empty(), "attempts after the client had left: {violations:?}");
 }
--- a/crates/platform-proxy/src/client.rs
+++ b/crates/platform-proxy/src/client.rs
@@ -79,7 +79,7 @@
 pub(super) enum ClientState {
     /// Commands are read and answered.
     Open,
-    /// Nothing more is read. The connection is closed after its pending responses.
+    /// Input is read and dropped. The connection is closed after its pending responses.
     Closing,
     /// The last response was an error, and the write side is closed. The value is how many bytes of input
     /// have been dropped since.
@@ -166,16 +166,10 @@
         any_queued
     }
 
-    /// Sets which events the event loop reports for the connection.
-    pub fn update_interest<D>(&self, loop_handle: &LoopHandle<'static, D>, max_command_bytes: usize) {
-        let wants_read = match self.state {
-            // Input is read even while commands wait, up to the maximum size of one command, because nothing
-            // else shows that the client has disconnected.
-            ClientState::Open => !self.has_response_backlog() || self.input.len() < max_command_bytes,
-            // In these states nothing is read. Input is dropped once the write side is closed.
-            ClientState::Closing | ClientState::Ended => false,
-            ClientState::Lingering(_) => true,
-        };
+    /// Sets which events the event loop reports for the connection. It is read in every state in which a
+    /// request may be pending, because nothing else shows that the client has left.
+    pub fn update_interest<D>(&self, loop_handle: &LoopHandle<'static, D>) {
+        let wants_read = self.state != ClientState::Ended;
         self.socket.set_read_interest(loop_handle, wants_read);
     }
 
--- a/crates/platform-proxy/src/clients.rs
+++ b/crates/platform-proxy/src/clients.rs
@@ -19,6 +19,8 @@
 /// The error that a client gets for a burst of more commands than may wait on one connection.
 const TOO_MANY_COMMANDS: &str = "too many commands at once";
 
+/// How often a connection is read in one turn of the event loop while what it sends is dropped.
+const MAX_READS_PER_TURN: usize = 8;
 /// How often a connection whose command is late is read before it is closed. These reads hold the longest
 /// command.
 const MAX_READS_AT_TIMEOUT: usize = 4;
@@ -91,35 +93,57 @@
         self.run_engine_actions();
     }
 
-    /// Reads from the connection once and returns whether there was anything to read, including the end of
-    /// the connection.
+    /// Reads from the connection and returns whether there was anything to read, including the end of the
+    /// connection.
     fn read_client(&mut self, slot: usize) -> bool {
         let mut read_buffer = std::mem::take(&mut self.read_buffer);
-        let mut outcome = ReadOutcome::WouldBlock;
-        if let Some(client) = self.clients.get_mut(slot) {
-            outcome = client.socket.read(&mut read_buffer);
-            match (outcome, client.state) {
-                (ReadOutcome::Bytes(length), ClientState::Open) => {
-                    client.input.extend_from_slice(&read_buffer[..length]);
-                    self.handle_input(slot);
-                }
-                (ReadOutcome::Bytes(length), ClientState::Lingering(dropped))
-                    if dropped + length < MAX_LINGER_BYTES =>
-                {
-                    client.state = ClientState::Lingering(dropped + length);
-                }
-                (ReadOutcome::Bytes(_), ClientState::Lingering(_)) => {
-                    self.end_client(slot, CloseReason::Lingered);
-                }
-                (ReadOutcome::Bytes(_) | ReadOutcome::WouldBlock, _) => {}
-                (ReadOutcome::Closed | ReadOutcome::Failed, _) => {
-                    self.end_client(slot, CloseReason::ClientLeft);
-                }
+        let mut any_read = false;
+        for _ in 0..MAX_READS_PER_TURN {
+            let Some(client) = self.clients.get_mut(slot) else { break };
+            let outcome = client.socket.read(&mut read_buffer);
+            any_read |= outcome != ReadOutcome::WouldBlock;
+            match outcome {
+                ReadOutcome::WouldBlock => break,
+                ReadOutcome::Closed | ReadOutcome::Failed => self.end_client(slot, CloseReason::ClientLeft),
+                ReadOutcome::Bytes(length) => self.on_client_bytes(slot, &read_buffer[..length]),
+            }
+            // An open connection is read once: its input must be handled, or waits.
+            if self.is_client_open(slot) {
+                break;
             }
         }
         self.read_buffer = read_buffer;
         self.update_client_interest(slot);
-        outcome != ReadOutcome::WouldBlock
+        any_read
+    }
+
+    /// Handles bytes that were read.
+    fn on_client_bytes(&mut self, slot: usize, bytes: &[u8]) {
+        let Some(client) = self.clients.get_mut(slot) else { return };
+        match client.state {
+            ClientState::Open => {
+                client.input.extend_from_slice(bytes);
+                self.handle_input(slot);
+                self.reject_excess_input(slot);
+            }
+            ClientState::Closing | ClientState::Ended => {}
+            ClientState::Lingering(dropped) if dropped + bytes.len() < MAX_LINGER_BYTES => {
+                client.state = ClientState::Lingering(dropped + bytes.len());
+            }
+            ClientState::Lingering(_) => self.end_client(slot, CloseReason::Lingered),
+        }
+    }
+
+    /// Rejects the input of a connection on which commands wait if it is longer than one command may be. The
+    /// connection has to be read on, and what is read cannot be kept.
+    fn reject_excess_input(&mut self, slot: usize) {
+        let max_input_bytes = self.bounds.max_message_bytes;
+        let Some(client) = self.clients.get_mut(slot) else { return };
+        if client.state == ClientState::Open && client.input.len() > max_input_bytes {
+            client.input = Vec::new();
+            self.reject_malformed(slot, TOO_MANY_COMMANDS);
+            self.flush_client(slot);
+        }
     }
 
     /// Handles the commands in the input. All commands are parsed before the first one is handled: an
@@ -261,7 +285,7 @@
     /// Sets which events the event loop reports for the connection.
     pub(super) fn update_client_interest(&mut self, slot: usize) {
         if let Some(client) = self.clients.get(slot) {
-            client.update_interest(&self.loop_handle, self.bounds.max_message_bytes);
+            client.update_interest(&self.loop_handle);
         }
     }
 
