Platform: the id of a call that was sent is not run again after its client has left

Cause: requests.rs knew an id only while its request was in flight; a client's leaving ends its attempts and forgets the request, and what the server has may still run. Change: sent_calls.rs keeps a hash of each id that was written whole to a server, for 60 s and within a 32nd of the memory; such a call gets the error that an open id gets. Calls that were never sent may come again. Result: an_id_does_not_run_again_after_its_client_has_left passes (8 cases); platform and platform_departures pass (10 tests).

--- a/crates/cli/tests/platform_departures.rs
+++ b/crates/cli/tests/platform_departures.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::platform::{
-    Proxy, Say, Server, config, discovery, encode_command, look, pipeline, server, start,
+    Heard, Proxy, Say, Server, config, discovery, encode_command, look, pipeline, server, start,
 };
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
@@ -109,3 +109,36 @@
     });
     assert!(violations.is_empty(), "attempts after the client had left: {violations:?}");
 }
+
+fn book(id: &str) -> Vec<u8> {
+    encode_command(&["CALL.POST", &format!("key-{id}"), id, &format!("c=book,t=one,d=3000,k={id}"), "BODY"])
+}
+
+/// Sends a call whose server does not answer, leaves, and sends the same bytes again after a while.
+fn send_again_after_leaving(proxy: &Proxy, call: &[u8], pause: Duration) -> Heard {
+    let mut first = proxy.open();
+    first.send(call);
+    std::thread::sleep(STAY);
+    drop(first);
+    std::thread::sleep(pause);
+    let mut second = proxy.open();
+    second.stream.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+    second.ask(call)
+}
+
+#[test]
+fn an_id_does_not_run_again_after_its_client_has_left() {
+    let servers = [server(|_, _| Say::Nothing)];
+    let proxy = start_proxy("again", &servers);
+    let pauses = [5, 50, 400, 3_500].map(Duration::from_millis);
+    for (n, pause) in pauses.into_iter().enumerate() {
+        for (kind, call) in [look(&format!("look-{n}"), 2_000), book(&format!("book-{n}"))].iter().enumerate()
+        {
+            let before = received(&servers);
+            let answer = send_again_after_leaving(&proxy, call, pause);
+            assert_eq!(received(&servers), before + 1, "the call ran again: {kind} after {pause:?}");
+            assert!(matches!(&answer, Heard::Line(text) if text.starts_with("-ERR")), "{answer:?}");
+        }
+    }
+    proxy.end();
+}
--- a/crates/platform-proxy/src/budgets.rs
+++ b/crates/platform-proxy/src/budgets.rs
@@ -4,6 +4,7 @@
 use crate::client::Client;
 use crate::metrics::CloseReason;
 use crate::proxy::Proxy;
+use crate::sent_calls::BYTES_PER_ID;
 use crate::servers::ServerConnection;
 use violetseam::interface::Micros;
 use violetseam_platform_protocol::config::Limits;
@@ -19,6 +20,8 @@
 const MIN_IDLE_BEFORE_EVICTION_WITHOUT_CALL: Micros = 100_000;
 /// The maximum number of requests in flight, whatever the settings say.
 const MAX_REQUESTS_IN_FLIGHT: usize = 4096;
+/// The maximum number of remembered ids, whatever the memory is.
+const MAX_SENT_CALLS: usize = 65_536;
 
 /// How the resource limits are divided.
 #[derive(Clone, Copy, Debug)]
@@ -31,6 +34,8 @@
     pub requests_in_flight: usize,
     /// How many bytes requests in flight may hold in memory.
     pub request_bytes: usize,
+    /// How many ids of sent calls are remembered.
+    pub sent_calls: usize,
 }
 
 impl Budgets {
@@ -40,12 +45,13 @@
         // Client connections that carry requests need a third of all descriptors. The rest of the client
         // share is for connections that never send a request.
         let client_connections = available * 11 / 20;
-        let request_bytes = (limits.memory_mb.clamp(8.0, 65_536.0) * 1024.0 * 1024.0 / 8.0) as usize;
+        let memory_bytes = (limits.memory_mb.clamp(8.0, 65_536.0) * 1024.0 * 1024.0) as usize;
         Budgets {
             client_connections,
             server_connections: available - client_connections,
             requests_in_flight: open_cap.min(MAX_REQUESTS_IN_FLIGHT),
-            request_bytes,
+            request_bytes: memory_bytes / 8,
+            sent_calls: (memory_bytes / 32 / BYTES_PER_ID).min(MAX_SENT_CALLS),
         }
     }
 }
--- a/crates/platform-proxy/src/lib.rs
+++ b/crates/platform-proxy/src/lib.rs
@@ -10,6 +10,7 @@
 //! - `client`: the state of one client connection
 //! - `clients`: reads commands from client connections and writes responses to them
 //! - `requests`: tracks requests in flight, from a client's call to its final response
+//! - `sent_calls`: remembers the ids of calls that may have run
 //! - `servers`: manages connections to servers and the attempts on them
 //! - `discovery`: keeps the server list up to date
 //! - `release_watch`: holds the state of the release service and watches the release status
@@ -34,6 +35,7 @@
 mod proxy;
 mod release_watch;
 mod requests;
+mod sent_calls;
 mod servers;
 mod shutdown;
 mod transient_errors;
--- a/crates/platform-proxy/src/proxy.rs
+++ b/crates/platform-proxy/src/proxy.rs
@@ -8,6 +8,7 @@
 use crate::metrics::Metrics;
 use crate::release_watch::ReleaseService;
 use crate::requests::InFlightRequest;
+use crate::sent_calls::SentCalls;
 use crate::servers::ServerConnection;
 use crate::shutdown::ShutdownPhase;
 use calloop::LoopHandle;
@@ -51,6 +52,8 @@
     pub in_flight: HashMap<RequestId, InFlightRequest>,
     /// Requests in flight, by the ids that clients gave to their calls.
     pub requests_by_call_id: HashMap<Box<[u8]>, RequestId>,
+    /// The ids of calls that were sent and are not in flight any more.
+    pub sent_calls: SentCalls,
     /// The number of bytes that requests in flight hold in memory.
     pub in_flight_bytes: usize,
     /// All connections to servers, idle or with an attempt.
@@ -119,6 +122,7 @@
             clients: Slab::new(),
             in_flight: HashMap::new(),
             requests_by_call_id: HashMap::new(),
+            sent_calls: SentCalls::new(budgets.sent_calls),
             in_flight_bytes: 0,
             server_connections: Slab::new(),
             idle_server_connections: IdleConnections::default(),
--- a/crates/platform-proxy/src/requests.rs
+++ b/crates/platform-proxy/src/requests.rs
@@ -15,6 +15,8 @@
     pub call: Call,
     /// The slot of each attempt's server connection, by the number of the attempt.
     pub attempt_connections: Vec<Option<usize>>,
+    /// Whether an attempt has been written whole to a server, which may have run it.
+    pub was_sent: bool,
 }
 
 impl Proxy {
@@ -23,6 +25,10 @@
         if self.requests_by_call_id.contains_key(&call.id) {
             return self.reject_malformed(slot, "a request with this id is open");
         }
+        let now = self.now();
+        if self.sent_calls.contains(now, &call.id) {
+            return self.reject_malformed(slot, "a request with this id has been sent before");
+        }
         let Some(client) = self.clients.get_mut(slot) else { return };
         client.has_sent_call = true;
         let connection = ConnectionId { slot, generation: client.generation };
@@ -32,7 +38,6 @@
             // The limit belongs to this process and not to the service: the call is never executed.
             return self.respond_immediately(slot, b"-BUSY\r\n");
         }
-        let now = self.now();
         // The client's wait began when it sent the call. The call may have been unread for as long as the
         // event loop is late.
         let unread_time = self.timers.lateness(now, self.engine.next_deadline());
@@ -49,8 +54,9 @@
             "request"
         );
         self.requests_by_call_id.insert(call.id.clone(), request);
-        self.in_flight
-            .insert(request, InFlightRequest { client: connection, call, attempt_connections: Vec::new() });
+        let in_flight =
+            InFlightRequest { client: connection, call, attempt_connections: Vec::new(), was_sent: false };
+        self.in_flight.insert(request, in_flight);
         if let Some(client) = self.clients.get_mut(slot) {
             client.pending_responses.push_back(PendingResponse::Request(request));
         }
@@ -95,6 +101,9 @@
         if let Some(in_flight) = self.in_flight.remove(&request) {
             self.in_flight_bytes -= in_flight.call.size();
             self.requests_by_call_id.remove(&in_flight.call.id);
+            if in_flight.was_sent {
+                self.sent_calls.insert(self.now(), &in_flight.call.id);
+            }
         }
     }
 }
--- a/crates/platform-proxy/src/servers.rs
+++ b/crates/platform-proxy/src/servers.rs
@@ -210,9 +210,15 @@
 
     fn flush_server_connection(&mut self, slot: usize) {
         let Some(connection) = self.server_connections.get_mut(slot) else { return };
-        match connection.socket.flush() {
-            Ok(_) => connection.socket.set_read_interest(&self.loop_handle, true),
-            Err(_) => self.on_server_connection_lost(slot),
+        if connection.socket.flush().is_err() {
+            return self.on_server_connection_lost(slot);
+        }
+        connection.socket.set_read_interest(&self.loop_handle, true);
+        if !connection.socket.has_unwritten_bytes()
+            && let Some(attempt) = connection.attempt()
+            && let Some(in_flight) = self.in_flight.get_mut(&attempt.request)
+        {
+            in_flight.was_sent = true;
         }
     }
 
