HTTP driver: a client that pipelines takes no more of a turn than eight requests

Cause: process_client_events handled all requests of a read of 64 KiB, and what waited, in one turn of the event loop, some 2,000 small ones. Evidence: a_client_that_pipelines_as_fast_as_it_can_does_not_delay_others (debug build, loopback): half of 60 answers within 445 ms, all within 548 ms; a sleeping server or a full machine would not show as four equal steps of 110 ms. Change: TurnUsage, which the platform's driver has, moves to event-io and serves both; what is left is handled in the next turn. A client that does not read its responses has no further request handled until it does.

--- a/crates/event-io/src/lib.rs
+++ b/crates/event-io/src/lib.rs
@@ -6,6 +6,7 @@
 //! - `listener`: a listener that can stop accepting for a while, and accepting connections from it
 //! - `idle_connections`: tracks the idle connections of a pool
 //! - `timers`: the timers of a driver
+//! - `turn`: bounds what one client may take of one turn of the event loop
 //! - `log_rate_limit`: limits the rate of log lines
 
 mod idle_connections;
@@ -14,8 +15,10 @@
 mod socket;
 mod tcp;
 pub mod timers;
+mod turn;
 
 pub use idle_connections::IdleConnections;
 pub use listener::{AcceptOutcome, Listener, accept};
 pub use socket::{ReadOutcome, Socket, WRITE_BUFFER_HIGH_WATERMARK};
 pub use tcp::{connect, listen};
+pub use turn::TurnUsage;
--- a/crates/platform-proxy/src/client.rs
+++ b/crates/platform-proxy/src/client.rs
@@ -2,11 +2,10 @@
 
 use crate::client_input::ClientInput;
 use crate::metrics::CloseReason;
-use crate::turn::TurnUsage;
 use calloop::LoopHandle;
 use std::collections::VecDeque;
 use violetseam::interface::{Micros, RequestId};
-use violetseam_event_io::Socket;
+use violetseam_event_io::{Socket, TurnUsage};
 use violetseam_platform_protocol::response;
 
 /// How many commands of one connection may wait for responses at once, and how many one read may bring.
--- a/crates/platform-proxy/src/clients.rs
+++ b/crates/platform-proxy/src/clients.rs
@@ -181,7 +181,7 @@
             else {
                 return HandledInput::UpToDate;
             };
-            if client.has_response_backlog() || !client.turn_usage.take_command(turn) {
+            if client.has_response_backlog() || !client.turn_usage.take_request(turn) {
                 return HandledInput::Waiting;
             }
             client.has_sent_command = true;
--- a/crates/platform-proxy/src/lib.rs
+++ b/crates/platform-proxy/src/lib.rs
@@ -20,7 +20,6 @@
 //! - `budgets`: divides the resource limits
 //! - `memory`: the account of the memory that connections and requests hold
 //! - `eviction`: chooses what gives way when a limit is reached
-//! - `turn`: bounds what one client may take of one turn of the event loop
 //! - `configuration`: reads the configuration file at the start and on a reload
 //! - `shutdown`: implements the phases of a shutdown
 //! - `metrics`: counts why connections end, and logs the totals
@@ -46,7 +45,6 @@
 mod servers;
 mod shutdown;
 mod transient_errors;
-mod turn;
 mod votes;
 
 pub use configuration::read_config;
--- a/crates/proxy/src/driver/clients/connections.rs
+++ b/crates/proxy/src/driver/clients/connections.rs
@@ -121,9 +121,23 @@
         }
     }
 
-    /// Handles the events that a client's input contains, until more input is needed for the next one.
+    /// Handles the events that a client's input contains, until more input is needed for the next one or the
+    /// client has had its part of this turn of the event loop.
     pub(super) fn process_client_events(&mut self, key: usize) {
+        let turn = self.turn;
         while let Some(client) = self.clients.get_mut(key) {
+            let awaits_head = matches!(client.state, ClientState::Idle);
+            // The next request is handled once the client has read enough.
+            if awaits_head && client.has_write_backlog() {
+                return;
+            }
+            if awaits_head && client.turn_usage.has_no_requests_left(turn) {
+                if client.http.buffered_bytes() > 0 {
+                    let id = ConnectionId { key, generation: client.generation };
+                    self.clients_for_next_turn.push(id);
+                }
+                return;
+            }
             let Some(event) = client.http.next_event() else { return };
             match event {
                 ServerEvent::Head(head) => self.on_request_head(key, *head),
@@ -142,6 +156,17 @@
         }
     }
 
+    /// Handles input that had to wait for this turn of the event loop.
+    pub(in super::super) fn resume_clients_of_last_turn(&mut self) {
+        let mut connections = std::mem::take(&mut self.clients_for_next_turn);
+        connections.sort_unstable();
+        connections.dedup();
+        for connection in connections {
+            self.resume_client(connection);
+            self.run_engine_actions();
+        }
+    }
+
     /// Handles input that had to wait for the response to the request before it.
     pub(in super::super) fn resume_client(&mut self, id: ConnectionId) {
         if self.clients.get(id.key).is_some_and(|client| client.generation == id.generation) {
--- a/crates/proxy/src/driver/clients/listeners.rs
+++ b/crates/proxy/src/driver/clients/listeners.rs
@@ -7,7 +7,7 @@
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 use violetseam::interface::Micros;
-use violetseam_event_io::{AcceptOutcome, Listener, Socket, accept, listen};
+use violetseam_event_io::{AcceptOutcome, Listener, Socket, TurnUsage, accept, listen};
 use violetseam_http1::server::ServerConnection;
 
 /// How many connections may wait in a listener's queue.
@@ -150,6 +150,7 @@
             http,
             state: ClientState::Idle,
             has_received_request: false,
+            turn_usage: TurnUsage::default(),
             is_half_closed: false,
             timeout: StateTimeout::start(timeout_at, &mut self.timers, kind),
             timed_phase: Some(ClientPhase::AwaitingFirstRequest),
--- a/crates/proxy/src/driver/clients/mod.rs
+++ b/crates/proxy/src/driver/clients/mod.rs
@@ -16,7 +16,7 @@
 use super::timers::StateTimeout;
 use http::StatusCode;
 use violetseam::interface::{Micros, RequestId};
-use violetseam_event_io::{Socket, WRITE_BUFFER_HIGH_WATERMARK};
+use violetseam_event_io::{Socket, TurnUsage, WRITE_BUFFER_HIGH_WATERMARK};
 use violetseam_http1::RequestHead;
 use violetseam_http1::server::ServerConnection;
 
@@ -32,6 +32,8 @@
     state: ClientState,
     /// Whether a request's head has arrived on this connection.
     has_received_request: bool,
+    /// What the client has taken of the turn of the event loop.
+    turn_usage: TurnUsage,
     /// Whether the client has closed its sending side. It may still read.
     is_half_closed: bool,
     timeout: StateTimeout,
--- a/crates/proxy/src/driver/clients/requests.rs
+++ b/crates/proxy/src/driver/clients/requests.rs
@@ -16,6 +16,7 @@
 impl Proxy {
     /// Handles a request's head that has arrived.
     pub(super) fn on_request_head(&mut self, key: usize, head: RequestHead) {
+        let turn = self.turn;
         let purpose = self.request_purpose(&head);
         // The request's deadline counts from the time when the client sent it. For as long as this event loop
         // is late, the head may have been waiting unread, so the time of arrival is set back by that
@@ -24,6 +25,7 @@
         let arrived_at = now - self.timers.lateness(now, self.engine.next_deadline());
         let Some(client) = self.clients.get_mut(key) else { return };
         client.has_received_request = true;
+        client.turn_usage.take_request(turn);
         // The phases of this request begin anew, even if the one before it ended in the same phase.
         client.timed_phase = None;
         let expects_continue = head.expects_continue;
--- a/crates/proxy/src/driver/event_loop.rs
+++ b/crates/proxy/src/driver/event_loop.rs
@@ -140,11 +140,13 @@
     ) -> std::io::Result<()> {
         let timeout = self.poll_timeout(options, stop_at);
         self.had_socket_events = false;
+        self.turn += 1;
         let poll_started_at = self.now();
         event_loop.dispatch(timeout, self).map_err(Error::other)?;
         // If no socket was ready, the sockets were last polled when the wait ended. Otherwise it is only
         // certain that they were polled after the wait began.
         let polled_at = if self.had_socket_events { poll_started_at } else { self.now() };
+        self.resume_clients_of_last_turn();
         self.run_due_deadlines_and_timers(polled_at);
         Ok(())
     }
@@ -165,7 +167,7 @@
                 self.shut_down();
             }
         }
-        timeout
+        if self.clients_for_next_turn.is_empty() { timeout } else { Duration::ZERO }
     }
 
     /// Runs the deadlines and timers that were due when the sockets were last polled, at `polled_at`.
--- a/crates/proxy/src/driver/mod.rs
+++ b/crates/proxy/src/driver/mod.rs
@@ -119,6 +119,10 @@
     log_limit: LogRateLimit,
     /// Client connections with unprocessed input, to be resumed once the engine's actions are performed.
     clients_to_resume: Vec<ConnectionId>,
+    /// Client connections that have had their part of this turn of the event loop, to be resumed in the next.
+    clients_for_next_turn: Vec<ConnectionId>,
+    /// The number of the current turn of the event loop.
+    turn: u64,
     /// Whether a caller further up the stack is already performing the engine's actions.
     is_running_actions: bool,
     /// Whether sockets were ready in this iteration of the event loop.
@@ -172,6 +176,8 @@
             listen_until: 0,
             log_limit: LogRateLimit::default(),
             clients_to_resume: Vec::new(),
+            clients_for_next_turn: Vec::new(),
+            turn: 0,
             is_running_actions: false,
             had_socket_events: false,
             last_vote: None,
