HTTP driver: requests that pile up behind a pending one do not hide that their client left

Cause: a connection was not read while more than 64 KiB of pipelined requests waited behind a pending one, so its end was not seen. Change: beyond that limit the requests behind a pending one are refused: they are discarded, and its response says 'connection: close', which tells the client that they were not processed. The connection is read on. A request that is answered at once refuses none.

--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -74,6 +74,8 @@
     is_head_request: bool,
     /// Whether the connection can carry another request after the current one.
     keep_alive: bool,
+    /// Whether what follows the current request is discarded.
+    refuses_requests: bool,
     /// How the body of the current response is framed; none before the response has started.
     response_framing: Option<Framing>,
 }
@@ -88,18 +90,31 @@
             is_http10: false,
             is_head_request: false,
             keep_alive: true,
+            refuses_requests: false,
             response_framing: None,
         }
     }
 
-    /// Adds bytes that were received from the client. They are discarded after an error or the last response.
+    /// Adds bytes that were received from the client. They are discarded after an error or the last response,
+    /// and after [`ServerConnection::refuse_further_requests`].
     pub fn feed(&mut self, bytes: &[u8]) {
         self.input.remove_consumed();
-        if !matches!(self.state, State::Closed) {
+        if !matches!(self.state, State::Closed) && !self.refuses_requests {
             self.input.append(bytes);
         }
     }
 
+    /// Discards what has arrived behind a complete request and what still arrives. The connection closes after
+    /// the response, which tells the client that the requests behind this one were not processed (RFC 9112,
+    /// 9.6). Has no effect before the request is complete.
+    pub fn refuse_further_requests(&mut self) {
+        if matches!(self.state, State::AwaitingResponse) {
+            self.refuses_requests = true;
+            self.keep_alive = false;
+            self.input.clear();
+        }
+    }
+
     /// Returns the number of received bytes that are not part of an event yet. The driver stops reading from
     /// the client while this number is large.
     pub fn buffered_bytes(&self) -> usize {
--- a/crates/proxy/src/driver/clients/connections.rs
+++ b/crates/proxy/src/driver/clients/connections.rs
@@ -84,6 +84,7 @@
             self.read_client(key);
         }
         self.run_engine_actions();
+        self.refuse_excess_requests(key);
     }
 
     /// Reads from the connection once, and handles what was read.
@@ -104,6 +105,18 @@
         self.rearm_client(key);
     }
 
+    /// Refuses the requests behind one whose response is pending once they exceed the limit of the input. The
+    /// connection has to be read on, because nothing else shows that the client has left.
+    fn refuse_excess_requests(&mut self, key: usize) {
+        let Some(client) = self.clients.get_mut(key) else { return };
+        let is_awaiting = matches!(client.state, ClientState::AwaitingResponse(_));
+        if is_awaiting && client.http.buffered_bytes() > MAX_INPUT_BYTES {
+            tracing::debug!(client = key, "further requests refused: too many wait behind one");
+            client.http.refuse_further_requests();
+            self.rearm_client(key);
+        }
+    }
+
     /// Handles that the client has closed its sending side.
     fn on_client_half_closed(&mut self, key: usize) {
         let Some(client) = self.clients.get_mut(key) else { return };
--- a/crates/proxy/tests/departures.rs
+++ b/crates/proxy/tests/departures.rs
@@ -49,6 +49,14 @@
     begun.iter().filter_map(|at| at.checked_duration_since(left_at + CLOSE_DETECTION)).collect()
 }
 
+#[test]
+fn nothing_is_sent_for_a_client_that_has_left_requests_unread() {
+    let request = format!("{READ}\r\nhost: t\r\n\r\n").into_bytes();
+    assert_eq!(attempts_after_leaving(&request, b""), NONE, "nothing behind the request");
+    assert_eq!(attempts_after_leaving(&request, &request.repeat(100)), NONE, "a few requests behind it");
+    assert_eq!(attempts_after_leaving(&request, &request.repeat(40_000)), NONE, "many requests behind it");
+}
+
 #[test]
 fn nothing_is_sent_for_a_client_that_has_left_a_body_unread() {
     let head = b"POST /read/1 HTTP/1.1\r\nhost: t\r\ncontent-length: 4000000\r\n\r\n";
