Soak: connections kept open through shutdowns, signals in series, replayed ids, and a crowd

Checked besides: memory against the limit, and that a replayed id is not sent twice by one process. What arrives after a replay is judged by that check; before it was counted as the first sender's.

--- a/crates/cli/tests/soak/clients.rs
+++ b/crates/cli/tests/soak/clients.rs
@@ -1,5 +1,6 @@
 //! The clients of the soak test. Each sends one request after another to one proxy, disconnects early now and
-//! then, and records the outcome of each request.
+//! then, and records the outcome of each request. Some use a connection for as long as it stays open, also
+//! while the proxy shuts down. Some send a request again, under its id, after they have disconnected.
 
 use super::common::platform::{encode_command, value};
 use super::draw::Rng;
@@ -74,6 +75,22 @@
 /// The most requests on one connection.
 const MAX_REQUESTS_PER_CONNECTION: u64 = 12;
 
+/// A request that was sent once more, under the same id, after its client had disconnected.
+#[derive(Clone, Debug)]
+pub struct Replay {
+    pub proxy: usize,
+    pub id: String,
+    pub first_sent: Instant,
+    pub sent: Instant,
+}
+
+/// What all clients have recorded.
+#[derive(Default)]
+pub struct ClientLog {
+    pub requests: Mutex<Vec<RequestRecord>>,
+    pub replays: Mutex<Vec<Replay>>,
+}
+
 /// Sends requests to one proxy until told to stop.
 pub fn run_client(
     proxy: usize,
@@ -81,7 +98,7 @@
     addr: SocketAddr,
     seed: u64,
     stop: &AtomicBool,
-    requests: &Mutex<Vec<RequestRecord>>,
+    client_log: &ClientLog,
 ) {
     let mut rng = Rng::new(seed, 1_000 + proxy as u64 * 16 + number);
     let mut n = 0;
@@ -92,13 +109,21 @@
             continue;
         }
         let mut reader = BufReader::new(stream.try_clone().unwrap());
-        for _ in 0..1 + rng.below(MAX_REQUESTS_PER_CONNECTION) {
+        let is_kept_open = rng.one_in(3);
+        let requests = if is_kept_open { u64::MAX } else { 1 + rng.below(MAX_REQUESTS_PER_CONNECTION) };
+        for _ in 0..requests {
             n += 1;
             let id = format!("{proxy}-{number}-{n}");
-            let Some(record) = send_request(proxy, id, &stream, &mut reader, &mut rng) else { break };
+            let Some((record, call)) = send_request(proxy, id, &stream, &mut reader, &mut rng) else { break };
             let keep_connection = matches!(record.outcome, Outcome::Served | Outcome::Declined);
-            requests.lock().unwrap().push(record);
-            if !keep_connection {
+            client_log.requests.lock().unwrap().push(record.clone());
+            if matches!(record.outcome, Outcome::Disconnected(_)) && rng.one_in(2) {
+                drop(reader);
+                drop(stream);
+                client_log.replays.lock().unwrap().extend(send_again(&record, &call, addr, &mut rng));
+                break;
+            }
+            if !keep_connection || stop.load(Ordering::Relaxed) {
                 break;
             }
             std::thread::sleep(rng.ms(1, 60));
@@ -114,14 +139,27 @@
         && answer == *b"+PONG\r\n"
 }
 
-/// Sends one request and waits for its outcome, or returns `None` where the connection no longer took it.
+/// Sends a request again on a new connection some time after its client has disconnected, and waits for what
+/// comes. By then no attempt of the first one may begin any more.
+fn send_again(record: &RequestRecord, call: &[u8], addr: SocketAddr, rng: &mut Rng) -> Option<Replay> {
+    std::thread::sleep(rng.ms(300, 900));
+    let mut stream = TcpStream::connect(addr).ok()?;
+    stream.set_read_timeout(Some(record.wait + ANSWER_SLACK)).unwrap();
+    let sent = Instant::now();
+    stream.write_all(call).ok()?;
+    let _ = read_reply_line(&mut BufReader::new(stream));
+    Some(Replay { proxy: record.proxy, id: record.id.clone(), first_sent: record.sent, sent })
+}
+
+/// Sends one request and waits for its outcome, which it returns with the bytes of the call. Returns `None`
+/// where the connection no longer took it.
 fn send_request(
     proxy: usize,
     id: String,
     mut stream: &TcpStream,
     reader: &mut BufReader<TcpStream>,
     rng: &mut Rng,
-) -> Option<RequestRecord> {
+) -> Option<(RequestRecord, Vec<u8>)> {
     let class = *rng.pick(&[Class::Look, Class::Look, Class::Once, Class::Book]);
     let wait = Duration::from_millis(*rng.pick(&[40, 300, 900, class.deadline_ms()]));
     let (key, attributes) = (format!("key-{id}"), format!("c={},t=one,d={}", class.name(), wait.as_millis()));
@@ -147,7 +185,7 @@
         Err(_) if disconnects_early => Outcome::Disconnected(Instant::now()),
         Err(_) => Outcome::TimedOut,
     };
-    Some(RequestRecord { proxy, id, class, sent, wait, ended: Instant::now(), outcome })
+    Some((RequestRecord { proxy, id, class, sent, wait, ended: Instant::now(), outcome }, bytes))
 }
 
 /// Reads one line: `None` at the end of the connection, an error where no line came in time.
--- a/crates/cli/tests/soak/fleet.rs
+++ b/crates/cli/tests/soak/fleet.rs
@@ -14,11 +14,14 @@
 /// The platform kills a process this long after SIGTERM: the longest deadline of its settings, of which at
 /// most three seconds count, and 700 ms.
 const KILL_DELAY: Duration = Duration::from_millis(3_700);
+/// The memory that the configuration grants.
+const MEMORY_LIMIT_KB: usize = 32 * 1024;
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 /// The address and configuration of one proxy, and the process that runs there now.
 pub struct ProxySlot {
     number: usize,
+    seed: u64,
     pub addr: SocketAddr,
     discovery_addrs: [SocketAddr; 2],
     config: Mutex<Value>,
@@ -53,6 +56,7 @@
         settings["Contract"]["DrainGrace"] = json!(bounds.drain_grace.as_micros() as u64);
         let slot = ProxySlot {
             number,
+            seed,
             addr: free_address(),
             discovery_addrs,
             config: Mutex::new(config),
@@ -62,22 +66,31 @@
         slot
     }
 
+    /// Returns the number of the proxy.
+    pub fn number(&self) -> usize {
+        self.number
+    }
+
     fn start(&self) {
         let config = self.config.lock().unwrap().to_string();
-        let name = format!("soak-{}", self.number);
+        let name = format!("soak-{}-{}", self.seed, self.number);
         *self.running.lock().unwrap() = Some(launch_at(&name, &config, self.addr));
     }
 
-    /// Restarts the process by SIGTERM. `known` is the server list that the next process starts with. Returns
-    /// what went wrong.
-    pub fn restart(&self, known: &str) -> Option<String> {
+    /// Restarts the process by SIGTERM, which `further_signals` follow. `known` is the server list that the
+    /// next process starts with. Returns what went wrong.
+    pub fn restart(&self, known: &str, further_signals: &[Signal]) -> Option<String> {
         let mut proxy = self.running.lock().unwrap().take()?;
         proxy.signal(Signal::TERM);
         let killed_at = Instant::now() + KILL_DELAY;
+        let mut further_signals = further_signals.iter();
         let mut status = None;
         while status.is_none() && Instant::now() < killed_at {
             std::thread::sleep(POLL_INTERVAL);
             status = proxy.child.try_wait().unwrap();
+            if let (None, Some(signal)) = (status, further_signals.next()) {
+                proxy.signal(*signal);
+            }
         }
         let failure = match status {
             None => Some(format!("proxy {} had not exited {KILL_DELAY:?} after SIGTERM", self.number)),
@@ -106,6 +119,26 @@
         Some(crash)
     }
 
+    /// Kills one process after another, each a moment after its start.
+    pub fn crash_in_series(&self, times: u64, interval: Duration) -> Vec<Crash> {
+        let crash = |_| {
+            std::thread::sleep(interval);
+            self.crash(Duration::ZERO)
+        };
+        (0..times).filter_map(crash).collect()
+    }
+
+    /// Returns what is wrong with the memory that the process has taken so far, if anything is.
+    pub fn check_memory(&self) -> Option<String> {
+        let running = self.running.lock().unwrap();
+        let process = running.as_ref()?.child.id();
+        let status = std::fs::read_to_string(format!("/proc/{process}/status")).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+        let peak_kb: usize = line.split_whitespace().next()?.parse().ok()?;
+        (peak_kb > MEMORY_LIMIT_KB)
+            .then(|| format!("memory: proxy {} took {peak_kb} kB of {MEMORY_LIMIT_KB} kB", self.number))
+    }
+
     /// Stops the process for a moment, as on a busy machine.
     pub fn pause(&self, span: Duration) {
         if let Some(proxy) = &*self.running.lock().unwrap() {
--- a/crates/cli/tests/soak/judge.rs
+++ b/crates/cli/tests/soak/judge.rs
@@ -1,6 +1,6 @@
 //! The invariants of the soak test, checked after its end on what clients, servers and discovery recorded.
 
-use super::clients::{Class, Outcome, RequestRecord};
+use super::clients::{Class, Outcome, Replay, RequestRecord};
 use super::discovery::OutOfService;
 use super::servers::Arrival;
 use std::collections::HashMap;
@@ -20,6 +20,8 @@
     pub at: Instant,
 }
 
+/// A process may serve for this long after it was told to shut down.
+const MAX_SHUTDOWN: Duration = Duration::from_secs(4);
 /// Allowance for late threads on this machine.
 const SCHEDULING_SLACK: Duration = Duration::from_millis(100);
 /// Allowance between the close of a client and the last attempt that may begin.
@@ -30,9 +32,12 @@
 /// Everything that the test recorded.
 pub struct Observations {
     pub requests: Vec<RequestRecord>,
+    pub replays: Vec<Replay>,
     pub arrivals: Vec<Arrival>,
     pub out_of_service: Vec<OutOfService>,
     pub crashes: Vec<Crash>,
+    /// When processes were told to shut down. A new process knows nothing of the requests before it.
+    pub shutdowns: Vec<Crash>,
 }
 
 /// A description of each violated invariant.
@@ -42,11 +47,21 @@
         by_id.entry(&arrival.id).or_default().push(arrival);
     }
     let mut violations = Vec::new();
+    let replayed_at: HashMap<&str, Instant> =
+        observations.replays.iter().map(|replay| (replay.id.as_str(), replay.sent)).collect();
     for request in &observations.requests {
-        let arrivals = by_id.get(request.id.as_str()).map_or(&[][..], Vec::as_slice);
-        violations.extend(check_answered(request, arrivals, &observations.crashes));
-        violations.extend(check_not_repeated(request, arrivals));
-        violations.extend(check_stated_deadline(request, arrivals));
+        let mut arrivals = by_id.get(request.id.as_str()).cloned().unwrap_or_default();
+        // What arrives from then on belongs to the replay, which has a check of its own.
+        if let Some(replayed_at) = replayed_at.get(request.id.as_str()) {
+            arrivals.retain(|arrival| arrival.at < *replayed_at);
+        }
+        violations.extend(check_answered(request, &arrivals, &observations.crashes));
+        violations.extend(check_not_repeated(request, &arrivals));
+        violations.extend(check_stated_deadline(request, &arrivals));
+    }
+    for replay in &observations.replays {
+        let arrivals = by_id.get(replay.id.as_str()).map_or(&[][..], Vec::as_slice);
+        violations.extend(check_replay(replay, arrivals, observations));
     }
     violations.extend(
         observations
@@ -95,6 +110,20 @@
     (request.class == Class::Once && ran > 1).then(|| format!("duplicate: {} ran {ran} times", request.id))
 }
 
+/// A request that was sent to a server is not sent again for a client that uses its id once more, unless
+/// another process has taken its place.
+fn check_replay(replay: &Replay, arrivals: &[&Arrival], observations: &Observations) -> Option<String> {
+    let ends = observations.crashes.iter().chain(&observations.shutdowns);
+    let is_other_process = ends
+        .filter(|end| end.proxy == replay.proxy)
+        .any(|end| end.at + MAX_SHUTDOWN >= replay.first_sent && end.at <= replay.sent + SCHEDULING_SLACK);
+    let was_sent_before = arrivals.iter().any(|arrival| arrival.at < replay.sent);
+    let is_sent_again = arrivals.iter().any(|arrival| arrival.at >= replay.sent);
+    (was_sent_before && is_sent_again && !is_other_process).then(|| {
+        format!("duplicate: {} was sent again {:?} later", replay.id, replay.sent - replay.first_sent)
+    })
+}
+
 /// The deadline that an attempt states to its server is at most the time left to the client.
 fn check_stated_deadline(request: &RequestRecord, arrivals: &[&Arrival]) -> Option<String> {
     let left = |arrival: &&&Arrival| (request.sent + request.wait).saturating_duration_since(arrival.at);
--- a/crates/cli/tests/soak/main.rs
+++ b/crates/cli/tests/soak/main.rs
@@ -1,24 +1,29 @@
 //! A soak test: 24 proxy processes run under random, overlapping faults, and the invariants are checked on
 //! what their clients, servers and discovery service recorded.
 //!
+//! Every third seed has a crowd of bad clients at some proxies.
+//!
 //! `VIOLETSEAM_SOAK_SEEDS="1 2 3"` and `VIOLETSEAM_SOAK_SECONDS=60` choose other seeds and a longer run.
 
 #[path = "../common/mod.rs"]
 mod common;
 
 mod clients;
+mod crowd;
 mod discovery;
 mod draw;
 mod fleet;
 mod judge;
 mod servers;
 
-use clients::{Outcome, RequestRecord, run_client};
+use clients::{ClientLog, Outcome, RequestRecord, run_client};
 use common::services::{pipeline, release_status};
+use crowd::run_crowd;
 use discovery::{Behaviour, Discovery, FAULTY_BEHAVIOURS, Phase};
 use draw::Rng;
 use fleet::ProxySlot;
 use judge::{Crash, DrainBounds, Observations, check_invariants};
+use rustix::process::Signal;
 use servers::{FAULTY_SERVER_BEHAVIOURS, ServerBehaviour, Servers};
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -30,6 +35,19 @@
 /// The lowest number of servers that are up at any time while faults are injected.
 const MIN_SERVERS_UP: usize = 3;
 const DEFAULT_SECONDS: u64 = 12;
+const DEFAULT_SEEDS: &str = "1 2 3";
+/// Every run whose seed is a multiple of this has a crowd, at the first proxies.
+const CROWD_SEEDS: u64 = 3;
+const CROWDED_PROXIES: usize = 2;
+/// How many threads of bad clients there are at each of them.
+const CROWD_MEMBERS: u64 = 2;
+/// Signals that may follow SIGTERM in a series.
+const FURTHER_SIGNALS: [&[Signal]; 4] = [
+    &[],
+    &[Signal::TERM],
+    &[Signal::HUP, Signal::TERM],
+    &[Signal::HUP, Signal::HUP, Signal::TERM, Signal::INT],
+];
 const DRAIN_BOUNDS: DrainBounds =
     DrainBounds { ask_within: Duration::from_millis(1_500), drain_grace: Duration::from_millis(700) };
 /// Every proxy must serve again within this time after the last fault.
@@ -37,7 +55,7 @@
 
 #[test]
 fn overlapping_faults_violate_no_invariant() {
-    let seeds = std::env::var("VIOLETSEAM_SOAK_SEEDS").unwrap_or_else(|_| "1".into());
+    let seeds = std::env::var("VIOLETSEAM_SOAK_SEEDS").unwrap_or_else(|_| DEFAULT_SEEDS.into());
     let seconds =
         std::env::var("VIOLETSEAM_SOAK_SECONDS").map_or(DEFAULT_SECONDS, |text| text.parse().unwrap());
     let mut violations = Vec::new();
@@ -56,11 +74,22 @@
 /// Records made while the test runs.
 #[derive(Default)]
 struct RunLog {
-    requests: Mutex<Vec<RequestRecord>>,
+    clients: ClientLog,
     crashes: Mutex<Vec<Crash>>,
+    shutdowns: Mutex<Vec<Crash>>,
     failures: Mutex<Vec<String>>,
 }
 
+impl RunLog {
+    /// Restarts a process and records when, and what went wrong.
+    fn restart(&self, slot: &ProxySlot, known: &str, further_signals: &[Signal]) {
+        let shutdown = Crash { proxy: slot.number(), at: Instant::now() };
+        self.shutdowns.lock().unwrap().push(shutdown);
+        let failure = slot.restart(known, further_signals);
+        self.failures.lock().unwrap().extend(failure);
+    }
+}
+
 fn run_seed(seed: u64, span: Duration) -> Vec<String> {
     let servers = Servers::new(SERVERS);
     let addresses = (0..SERVERS).map(|server| servers.address(server)).collect();
@@ -69,14 +98,25 @@
     let slot = |number| ProxySlot::new(number, &discovery, release_service.addr, DRAIN_BOUNDS, seed);
     let slots: Vec<ProxySlot> = (0..PROXIES).map(slot).collect();
     let (run_log, stop) = (RunLog::default(), AtomicBool::new(false));
+    let crowd_stop = AtomicBool::new(false);
     std::thread::scope(|scope| {
         for (proxy, slot) in slots.iter().enumerate() {
             for number in 0..CLIENTS {
-                let (stop, requests) = (&stop, &run_log.requests);
-                scope.spawn(move || run_client(proxy, number, slot.addr, seed, stop, requests));
+                let (stop, client_log) = (&stop, &run_log.clients);
+                scope.spawn(move || run_client(proxy, number, slot.addr, seed, stop, client_log));
+            }
+        }
+        if seed.is_multiple_of(CROWD_SEEDS) {
+            for (proxy, slot) in slots[..CROWDED_PROXIES].iter().enumerate() {
+                for member in 0..CROWD_MEMBERS {
+                    let crowd_stop = &crowd_stop;
+                    scope.spawn(move || run_crowd(proxy, member, slot.addr, seed, crowd_stop));
+                }
             }
         }
         std::thread::scope(|scope| inject_faults(scope, seed, span, &slots, &servers, &discovery, &run_log));
+        crowd_stop.store(true, Ordering::Relaxed);
+        run_log.failures.lock().unwrap().extend(slots.iter().filter_map(ProxySlot::check_memory));
         end_faults_and_await_recovery(&slots, &servers, &discovery, &run_log);
         stop.store(true, Ordering::Relaxed);
     });
@@ -84,11 +124,13 @@
         let ends: Vec<_> = slots.iter().map(|slot| scope.spawn(|| slot.end())).collect();
         ends.into_iter().filter_map(|end| end.join().unwrap()).collect()
     });
-    let requests = run_log.requests.into_inner().unwrap();
+    let requests = run_log.clients.requests.into_inner().unwrap();
     report(seed, &requests);
     let crashes = run_log.crashes.into_inner().unwrap();
     let observations = Observations {
         requests,
+        replays: run_log.clients.replays.into_inner().unwrap(),
+        shutdowns: run_log.shutdowns.into_inner().unwrap(),
         arrivals: servers.arrivals(),
         out_of_service: discovery.out_of_service(),
         crashes,
@@ -118,14 +160,19 @@
             0..=2 => {
                 // The list that a process starts with may be up to a second old.
                 let (known, wait) = (discovery.list_json(), rng.ms(0, 1_000));
+                let further_signals = *rng.pick(&FURTHER_SIGNALS);
                 scope.spawn(move || {
                     std::thread::sleep(wait);
-                    run_log.failures.lock().unwrap().extend(slot.restart(&known));
+                    run_log.restart(slot, &known, further_signals);
                 });
             }
             3 => {
-                let downtime = rng.ms(0, 600);
-                scope.spawn(move || run_log.crashes.lock().unwrap().extend(slot.crash(downtime)));
+                let (downtime, times, interval) = (rng.ms(0, 600), rng.below(4), rng.ms(100, 700));
+                scope.spawn(move || {
+                    run_log.crashes.lock().unwrap().extend(slot.crash(downtime));
+                    let series = slot.crash_in_series(times, interval);
+                    run_log.crashes.lock().unwrap().extend(series);
+                });
             }
             4..=6 => {
                 let pause = rng.ms(20, 150);
@@ -179,7 +226,7 @@
     let (began, mut waiting) = (Instant::now(), (0..PROXIES).collect::<Vec<_>>());
     while !waiting.is_empty() && began.elapsed() < RECOVERY {
         std::thread::sleep(Duration::from_millis(20));
-        let requests = run_log.requests.lock().unwrap();
+        let requests = run_log.clients.requests.lock().unwrap();
         let serves = |proxy: usize| {
             requests.iter().rev().any(|request| {
                 request.proxy == proxy && request.sent > began && request.outcome == Outcome::Served
