--- a/crates/cli/tests/common/platform.rs
+++ b/crates/cli/tests/common/platform.rs
@@ -296,6 +296,13 @@
         Some(answer.into_bytes())
     }
 
+    /// The highest resident memory of the process so far, in kB, unless it has ended.
+    pub fn peak_memory_kb(&self) -> Option<usize> {
+        let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
+        let line = text.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+        line.split_whitespace().next()?.parse().ok()
+    }
+
     /// Returns once the proxy has read all input that was written to it before this call. Input that is there
     /// when the proxy reads the first `PING` is read in the same turn of its event loop; the second `PING`
     /// belongs to a later turn.
--- a/crates/cli/tests/platform_floods.rs
+++ b/crates/cli/tests/platform_floods.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::platform::{
-    Client, Heard, Proxy, Say, config, discovery, encode_command, good, look, pipeline, server, start, value,
+    Client, Heard, Say, config, discovery, encode_command, good, look, pipeline, server, start, value,
 };
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -19,13 +19,6 @@
 /// The longest time that a client may say it waits, in milliseconds.
 const LONGEST_WAIT_MS: usize = 86_400_000;
 
-/// The highest resident memory of a process so far, in kB.
-fn peak_memory_kb(proxy: &Proxy) -> usize {
-    let text = std::fs::read_to_string(format!("/proc/{}/status", proxy.child.id())).unwrap();
-    let line = text.lines().find(|line| line.starts_with("VmHWM")).unwrap();
-    line.split_whitespace().nth(1).unwrap().parse().unwrap()
-}
-
 /// A call whose key, id, tenant and idempotency key have not been seen before.
 fn call_with_new_names(n: usize) -> Vec<u8> {
     let options = format!("c=book,t=tenant{n},d={LONGEST_WAIT_MS},k={n:x}");
@@ -49,9 +42,9 @@
     let server = server(|words, _| Say::Bytes(good(words)));
     let servers = [server.addr];
     let proxy = start("new-names", &config(discovery(&servers), pipeline().0, &servers, DESCRIPTORS));
-    let before = peak_memory_kb(&proxy);
+    let before = proxy.peak_memory_kb().unwrap();
     flood(proxy.addr, call_with_new_names);
-    let peak = peak_memory_kb(&proxy);
+    let peak = proxy.peak_memory_kb().unwrap();
     println!("{before} kB before, {peak} kB at the most after {FLOOD_CALLS} calls");
     assert!(peak <= MEMORY_LIMIT_KB, "the proxy took {peak} kB of {MEMORY_LIMIT_KB} kB");
     proxy.end();
@@ -160,7 +153,7 @@
             stop.store(true, Ordering::Relaxed);
             (seen, flooding.join().unwrap())
         });
-        let peak = peak_memory_kb(&proxy);
+        let peak = proxy.peak_memory_kb().unwrap();
         println!("{name}: {sent} sent; {served} of {calls} served, the longest after {longest:?}; {peak} kB");
         assert!(longest <= Duration::from_millis(WAIT_MS) + ANSWER_SLACK, "{name}: {longest:?}");
         assert!(served * 2 > calls, "{name}: {served} of {calls} calls served");
--- a/crates/cli/tests/platform_memory.rs
+++ b/crates/cli/tests/platform_memory.rs
@@ -4,8 +4,7 @@
 mod common;
 
 use common::platform::{
-    Client, Heard, Proxy, Say, Server, config, discovery, encode_command, good, look, pipeline, server,
-    start, value,
+    Client, Heard, Say, Server, config, discovery, encode_command, good, look, pipeline, server, start, value,
 };
 use socket2::SockRef;
 use std::io::{ErrorKind, Read, Write};
@@ -14,8 +13,9 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-/// The descriptors that the settings of these tests grant; `config` grants 32 MB.
+/// The most and the fewest descriptors that the platform hands out; `config` grants 32 MB.
 const DESCRIPTORS: usize = 1024;
+const FEWEST_DESCRIPTORS: usize = 256;
 const MEMORY_LIMIT_KB: usize = 32 * 1024;
 /// More clients than the proxy has places for.
 const CLIENTS: usize = 700;
@@ -30,13 +30,6 @@
 /// The loads of these tests take most of a machine.
 static ONE_LOAD_AT_A_TIME: Mutex<()> = Mutex::new(());
 
-/// The highest resident memory of a process so far, in kB.
-fn peak_memory_kb(proxy: &Proxy) -> usize {
-    let text = std::fs::read_to_string(format!("/proc/{}/status", proxy.child.id())).unwrap();
-    let line = text.lines().find(|line| line.starts_with("VmHWM")).unwrap();
-    line.split_whitespace().nth(1).unwrap().parse().unwrap()
-}
-
 fn large_call(id: &str) -> Vec<u8> {
     let options = format!("c=book,t=one,d=3000,k={id}");
     encode_command(&["CALL.POST", &format!("key-{id}"), id, &options, &"x".repeat(LARGE_BODY_BYTES)])
@@ -124,12 +117,13 @@
 /// and that each call had an answer in time. Returns what the ordinary client saw.
 fn check_load(
     name: &str,
+    descriptors: usize,
     server: &Server,
     load: impl FnOnce(SocketAddr, &AtomicBool) + Send,
 ) -> OrdinaryClient {
     let _alone = ONE_LOAD_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
     let servers = [server.addr];
-    let proxy = start(name, &config(discovery(&servers), pipeline().0, &servers, DESCRIPTORS));
+    let proxy = start(name, &config(discovery(&servers), pipeline().0, &servers, descriptors));
     let stop = AtomicBool::new(false);
     let addr = proxy.addr;
     let seen = std::thread::scope(|scope| {
@@ -138,7 +132,7 @@
         stop.store(true, Ordering::Relaxed);
         seen
     });
-    let peak = peak_memory_kb(&proxy);
+    let peak = proxy.peak_memory_kb().unwrap();
     println!("{name}: {peak} kB at the most, {seen:?}");
     assert!(peak <= MEMORY_LIMIT_KB, "{name}: the proxy took {peak} kB of {MEMORY_LIMIT_KB} kB");
     assert_eq!(seen.late, 0, "{name}: {seen:?}");
@@ -148,7 +142,7 @@
 
 /// Like [`check_load`], where nothing keeps the proxy from serving ordinary clients.
 fn check_load_and_service(name: &str, server: &Server, load: impl FnOnce(SocketAddr, &AtomicBool) + Send) {
-    let seen = check_load(name, server, load);
+    let seen = check_load(name, DESCRIPTORS, server, load);
     assert!(seen.served * 2 > seen.calls, "{name}: {seen:?}");
 }
 
@@ -156,17 +150,30 @@
     server(|words, _| Say::Bytes(good(words)))
 }
 
+fn half_of_a_large_call(n: usize) -> Vec<u8> {
+    let call = large_call(&format!("half-{n}"));
+    call[..call.len() - 100].to_vec()
+}
+
 #[test]
 fn clients_that_stop_inside_a_large_command_stay_within_the_memory_limit() {
-    let message = |n: usize| {
-        let call = large_call(&format!("half-{n}"));
-        call[..call.len() - 100].to_vec()
-    };
     check_load_and_service("stopped-commands", &healthy_server(), |addr, stop| {
-        run_writers(addr, stop, usize::MAX, &message);
+        run_writers(addr, stop, usize::MAX, &half_of_a_large_call);
     });
 }
 
+/// Here the clients are five times as many as the places for them.
+#[test]
+fn clients_that_stop_inside_a_command_do_not_keep_others_from_their_answers() {
+    let server = healthy_server();
+    for descriptors in [FEWEST_DESCRIPTORS, 2 * FEWEST_DESCRIPTORS] {
+        let seen = check_load(&format!("places-{descriptors}"), descriptors, &server, |addr, stop| {
+            run_writers(addr, stop, usize::MAX, &half_of_a_large_call);
+        });
+        assert!(seen.served * 2 > seen.calls, "{descriptors} descriptors: {seen:?}");
+    }
+}
+
 #[test]
 fn clients_that_write_slowly_stay_within_the_memory_limit() {
     let message = |n: usize| large_call(&format!("slow-{n}"));
@@ -206,7 +213,7 @@
 
 #[test]
 fn large_answers_that_servers_do_not_finish_stay_within_the_memory_limit() {
-    check_load("unfinished-answers", &server_of_large_values(10), run_silent_readers);
+    check_load("unfinished-answers", DESCRIPTORS, &server_of_large_values(10), run_silent_readers);
 }
 
 #[test]
@@ -235,5 +242,7 @@
         false => Say::Nothing,
     });
     let message = |n: usize| (0..40).flat_map(|m| look(&format!("waiting-{n}-{m}"), 3_000)).collect();
-    check_load("waiting-commands", &server, |addr, stop| run_writers(addr, stop, 1_500, &message));
+    check_load("waiting-commands", DESCRIPTORS, &server, |addr, stop| {
+        run_writers(addr, stop, 1_500, &message);
+    });
 }
--- a/crates/cli/tests/soak/fleet.rs
+++ b/crates/cli/tests/soak/fleet.rs
@@ -131,10 +131,7 @@
     /// Returns what is wrong with the memory that the process has taken so far, if anything is.
     pub fn check_memory(&self) -> Option<String> {
         let running = self.running.lock().unwrap();
-        let process = running.as_ref()?.child.id();
-        let status = std::fs::read_to_string(format!("/proc/{process}/status")).ok()?;
-        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
-        let peak_kb: usize = line.split_whitespace().next()?.parse().ok()?;
+        let peak_kb = running.as_ref()?.peak_memory_kb()?;
         (peak_kb > MEMORY_LIMIT_KB)
             .then(|| format!("memory: proxy {} took {peak_kb} kB of {MEMORY_LIMIT_KB} kB", self.number))
     }
