--- a/crates/cli/tests/soak/fleet.rs
+++ b/crates/cli/tests/soak/fleet.rs
@@ -36,10 +36,11 @@
         release_service: SocketAddr,
         bounds: DrainBounds,
         seed: u64,
+        descriptors: usize,
     ) -> ProxySlot {
         let discovery_addrs = [discovery.address(number), discovery.address(number)];
         let mut config: Value =
-            serde_json::from_str(&config(discovery_addrs[0], release_service, &[], 256)).unwrap();
+            serde_json::from_str(&config(discovery_addrs[0], release_service, &[], descriptors)).unwrap();
         config["known"] = serde_json::from_str(&discovery.list_json()).unwrap();
         config["seed"] = json!(format!("{:x}", seed * 1_000 + number as u64));
         let class = |name: &str, effect: &str, class: Class| {
--- a/crates/cli/tests/soak/main.rs
+++ b/crates/cli/tests/soak/main.rs
@@ -40,7 +40,10 @@
 const CROWD_SEEDS: u64 = 3;
 const CROWDED_PROXIES: usize = 2;
 /// How many threads of bad clients there are at each of them.
-const CROWD_MEMBERS: u64 = 2;
+const CROWD_MEMBERS: u64 = 4;
+/// The descriptors of these proxies and of all others.
+const MOST_DESCRIPTORS: usize = 1024;
+const FEWEST_DESCRIPTORS: usize = 256;
 /// Signals that may follow SIGTERM in a series.
 const FURTHER_SIGNALS: [&[Signal]; 4] = [
     &[],
@@ -95,7 +98,10 @@
     let addresses = (0..SERVERS).map(|server| servers.address(server)).collect();
     let discovery = Discovery::new(addresses, PROXIES);
     let release_service = pipeline(release_status(7, 2, "stable", 1.0));
-    let slot = |number| ProxySlot::new(number, &discovery, release_service.addr, DRAIN_BOUNDS, seed);
+    let slot = |number| {
+        let descriptors = if number < CROWDED_PROXIES { MOST_DESCRIPTORS } else { FEWEST_DESCRIPTORS };
+        ProxySlot::new(number, &discovery, release_service.addr, DRAIN_BOUNDS, seed, descriptors)
+    };
     let slots: Vec<ProxySlot> = (0..PROXIES).map(slot).collect();
     let (run_log, stop) = (RunLog::default(), AtomicBool::new(false));
     let crowd_stop = AtomicBool::new(false);
