--- a/crates/platform-proxy/src/release_watch.rs
+++ b/crates/platform-proxy/src/release_watch.rs
@@ -7,14 +7,11 @@
 use slab::Slab;
 use std::net::SocketAddr;
 use violetseam::interface::{Micros, ReleaseStatus};
-use violetseam::release_order::{ReleaseOrder, ReleaseReport};
+use violetseam::release_order::{MAX_STREAM_DELAY, ReleaseOrder, ReleaseReport};
 use violetseam_event_io::{ReadOutcome, Socket, connect};
 use violetseam_platform_protocol::release_service::{self, AgedStatus, MAX_LINE_BYTES, Message};
 use violetseam_site_protocol::line_reader::LineReader;
 
-/// The watch is opened again if nothing has arrived on it for this long. The service sends a heartbeat each
-/// second.
-const SILENCE_TIMEOUT: Micros = 3_000_000;
 /// The interval between two attempts to open the watch, before jitter is applied.
 const RETRY_INTERVAL: Micros = 300_000;
 /// The JSON-RPC id of the first call on each watch. Votes have higher ids.
@@ -79,7 +76,7 @@
                 let line_reader = LineReader::new(MAX_LINE_BYTES);
                 self.release_service.watch =
                     Some(Watch { generation, socket, line_reader, last_received_at: now });
-                self.timers.set(now + SILENCE_TIMEOUT, TimerKind::ReleaseWatchSilence(generation));
+                self.timers.set(now + MAX_STREAM_DELAY, TimerKind::ReleaseWatchSilence(generation));
             }
             Err(e) => self.on_release_watch_lost(&e.to_string()),
         }
@@ -104,7 +101,7 @@
     pub(super) fn check_release_watch(&mut self, generation: u64) {
         let now = self.now();
         let Some(watch) = self.release_service.watch(generation) else { return };
-        let timeout_at = watch.last_received_at + SILENCE_TIMEOUT;
+        let timeout_at = watch.last_received_at + MAX_STREAM_DELAY;
         if now >= timeout_at {
             self.on_release_watch_lost("watch silent for too long");
         } else {
--- a/crates/proxy/src/driver/site_calls/call.rs
+++ b/crates/proxy/src/driver/site_calls/call.rs
@@ -41,10 +41,16 @@
 }
 
 impl Call {
-    fn new(generation: u64, purpose: CallPurpose, socket: Socket, http: ClientConnection) -> Self {
+    fn new(
+        generation: u64,
+        started_at: Micros,
+        purpose: CallPurpose,
+        socket: Socket,
+        http: ClientConnection,
+    ) -> Self {
         Call {
             generation,
-            started_at: 0,
+            started_at,
             purpose,
             socket,
             http,
@@ -99,7 +105,7 @@
         let on_ready = move |readiness: Readiness, proxy: &mut Proxy| proxy.on_call_ready(key, readiness);
         let mut socket = Socket::register(&self.loop_handle, stream, Interest::BOTH, on_ready).ok()?;
         let http = request.write_to(&mut socket);
-        entry.insert(Call { started_at, ..Call::new(generation, *purpose, socket, http) });
+        entry.insert(Call::new(generation, started_at, *purpose, socket, http));
         if let Some(timeout) = timeout {
             self.timers.set(started_at + timeout, TimerKind::SiteCall(ConnectionId { key, generation }));
         }
--- a/src/release_order.rs
+++ b/src/release_order.rs
@@ -16,7 +16,7 @@
 
 /// How long a report may be on its way on a stream. A stream on which nothing has arrived for this long, not
 /// even a heartbeat, is replaced.
-const MAX_STREAM_DELAY: Micros = 3 * SECOND;
+pub const MAX_STREAM_DELAY: Micros = 3 * SECOND;
 
 /// A report of the release status, with what is known about when it was written.
 #[derive(Clone, Copy, Debug, PartialEq)]
