Soak: arrivals are timed by the kernel, and a client has left once its socket is closed

Up to then each proxy had counted 10 to 11 ms of the wait, so the proxies were in time; the requests reached the servers of so many proxies at one moment that the threads of the test process must have read them late.

The time at which a client has left is taken after the close and no longer before it, when the record was still to be stored. Bounds and slacks are unchanged. The report of a seed says how late the threads were.

--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -8,6 +8,7 @@
 pub mod publisher;
 pub mod services;
 pub mod steps;
+pub mod timed_reader;
 pub mod world;
 
 use rustix::process::{Pid, Signal, kill_process};
--- a/crates/cli/tests/common/platform.rs
+++ b/crates/cli/tests/common/platform.rs
@@ -4,6 +4,7 @@
 
 use super::PROGRAM;
 use super::services::parse_watch;
+use super::timed_reader::{TimedReader, enable_arrival_times};
 use rustix::process::{Pid, Signal, kill_process};
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
@@ -27,6 +28,7 @@
 
 fn serve_connections(handle: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    enable_arrival_times(&listener);
     let addr = listener.local_addr().unwrap();
     let handle = Arc::new(handle);
     std::thread::spawn(move || {
@@ -91,15 +93,24 @@
 pub fn server(script: impl Fn(&[String], usize) -> Say + Send + Sync + 'static) -> Server {
     let received: Arc<Mutex<Vec<Vec<String>>>> = Arc::default();
     let seen = received.clone();
-    let addr = serve_connections(move |mut stream| {
-        let mut reader = BufReader::new(stream.try_clone().unwrap());
+    let addr = timed_server(move |words, _| {
+        let earlier_commands = {
+            let mut seen = seen.lock().unwrap();
+            seen.push(words.to_vec());
+            seen.len() - 1
+        };
+        script(words, earlier_commands)
+    });
+    Server { addr, received }
+}
+
+/// Starts a server whose script chooses each response from the words of the command and the time at which its
+/// last byte arrived. Returns its address.
+pub fn timed_server(script: impl Fn(&[String], Instant) -> Say + Send + Sync + 'static) -> SocketAddr {
+    serve_connections(move |mut stream| {
+        let mut reader = BufReader::new(TimedReader::new(stream.try_clone().unwrap()));
         while let Some(words) = read_command(&mut reader) {
-            let earlier_commands = {
-                let mut seen = seen.lock().unwrap();
-                seen.push(words.clone());
-                seen.len() - 1
-            };
-            let sent = match script(&words, earlier_commands) {
+            let sent = match script(&words, reader.get_ref().arrived_at()) {
                 Say::Bytes(bytes) => stream.write_all(&bytes),
                 Say::Later(wait, bytes) => {
                     std::thread::sleep(wait);
@@ -112,8 +123,7 @@
                 return;
             }
         }
-    });
-    Server { addr, received }
+    })
 }
 
 /// A discovery service that returns the full list at revision 41; the configurations of these tests start
--- a/crates/cli/tests/soak/clients.rs
+++ b/crates/cli/tests/soak/clients.rs
@@ -114,15 +114,22 @@
         for _ in 0..requests {
             n += 1;
             let id = format!("{proxy}-{number}-{n}");
-            let Some((record, call)) = send_request(proxy, id, &stream, &mut reader, &mut rng) else { break };
-            let keep_connection = matches!(record.outcome, Outcome::Served | Outcome::Declined);
-            client_log.requests.lock().unwrap().push(record.clone());
-            if matches!(record.outcome, Outcome::Disconnected(_)) && rng.one_in(2) {
+            let Some((mut record, call)) = send_request(proxy, id, &stream, &mut reader, &mut rng) else {
+                break;
+            };
+            if matches!(record.outcome, Outcome::Disconnected(_)) {
                 drop(reader);
                 drop(stream);
-                client_log.replays.lock().unwrap().extend(send_again(&record, &call, addr, &mut rng));
+                // The client has left once its connection is closed, and not when it decides to.
+                record.outcome = Outcome::Disconnected(Instant::now());
+                client_log.requests.lock().unwrap().push(record.clone());
+                if rng.one_in(2) {
+                    client_log.replays.lock().unwrap().extend(send_again(&record, &call, addr, &mut rng));
+                }
                 break;
             }
+            let keep_connection = matches!(record.outcome, Outcome::Served | Outcome::Declined);
+            client_log.requests.lock().unwrap().push(record);
             if !keep_connection || stop.load(Ordering::Relaxed) {
                 break;
             }
--- a/crates/cli/tests/soak/main.rs
+++ b/crates/cli/tests/soak/main.rs
@@ -24,7 +24,7 @@
 use fleet::ProxySlot;
 use judge::{Crash, DrainBounds, Observations, check_invariants};
 use rustix::process::Signal;
-use servers::{FAULTY_SERVER_BEHAVIOURS, ServerBehaviour, Servers};
+use servers::{Arrival, FAULTY_SERVER_BEHAVIOURS, ServerBehaviour, Servers};
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
@@ -131,13 +131,14 @@
         ends.into_iter().filter_map(|end| end.join().unwrap()).collect()
     });
     let requests = run_log.clients.requests.into_inner().unwrap();
-    report(seed, &requests);
+    let arrivals = servers.arrivals();
+    report(seed, &requests, &arrivals);
     let crashes = run_log.crashes.into_inner().unwrap();
     let observations = Observations {
         requests,
         replays: run_log.clients.replays.into_inner().unwrap(),
         shutdowns: run_log.shutdowns.into_inner().unwrap(),
-        arrivals: servers.arrivals(),
+        arrivals,
         out_of_service: discovery.out_of_service(),
         crashes,
     };
@@ -247,17 +248,19 @@
     run_log.failures.lock().unwrap().extend(left);
 }
 
-/// Prints the number of requests by outcome, and fails where hardly any request was served: such a run proves
-/// nothing.
-fn report(seed: u64, requests: &[RequestRecord]) {
+/// Prints the number of requests by outcome and how late a server's thread read a command at the most, and fails
+/// where hardly any request was served: such a run proves nothing.
+fn report(seed: u64, requests: &[RequestRecord], arrivals: &[Arrival]) {
     let count =
         |matches: fn(&Outcome) -> bool| requests.iter().filter(|request| matches(&request.outcome)).count();
     let served = count(|end| *end == Outcome::Served);
     let (declined, left) =
         (count(|end| *end == Outcome::Declined), count(|end| matches!(end, Outcome::Disconnected(_))));
     let closed = count(|end| *end == Outcome::Closed);
+    let read_delay = arrivals.iter().map(|arrival| arrival.read_delay).max().unwrap_or_default();
     println!(
-        "seed {seed}: {} requests, {served} served, {declined} declined, {left} abandoned, {closed} closed",
+        "seed {seed}: {} requests, {served} served, {declined} declined, {left} abandoned, {closed} closed; \
+         servers read up to {read_delay:?} late",
         requests.len()
     );
     assert!(
--- a/crates/cli/tests/soak/servers.rs
+++ b/crates/cli/tests/soak/servers.rs
@@ -1,7 +1,7 @@
 //! The servers of the soak test: the commands that each received and when, and how each behaves at the
 //! moment.
 
-use super::common::platform::{Say, Server, good, server};
+use super::common::platform::{Say, good, timed_server};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{Arc, Mutex};
@@ -37,7 +37,10 @@
 /// One command as it arrived.
 #[derive(Clone, Debug)]
 pub struct Arrival {
+    /// When the kernel had its last byte.
     pub at: Instant,
+    /// How much later the thread of the server read it.
+    pub read_delay: Duration,
     pub server: usize,
     /// The id of the request, which begins with the number of the proxy that it was sent to.
     pub id: String,
@@ -48,7 +51,7 @@
 }
 
 pub struct Servers {
-    servers: Vec<Server>,
+    addresses: Vec<SocketAddr>,
     behaviours: Vec<Arc<AtomicU8>>,
     arrivals: Arc<Mutex<Vec<Arrival>>>,
 }
@@ -59,22 +62,20 @@
         let behaviours: Vec<Arc<AtomicU8>> = (0..count).map(|_| Arc::default()).collect();
         let spawn_server = |(number, behaviour): (usize, &Arc<AtomicU8>)| {
             let (behaviour, arrivals) = (behaviour.clone(), arrivals.clone());
-            server(move |words, _| {
+            timed_server(move |words, arrived_at| {
                 let behaviour = behaviour.load(Ordering::Relaxed);
-                arrivals.lock().unwrap().push(arrival(
-                    number,
-                    words,
-                    behaviour != ServerBehaviour::Busy as u8,
-                ));
+                let may_have_run = behaviour != ServerBehaviour::Busy as u8;
+                let arrival = arrival(number, words, arrived_at, may_have_run);
+                arrivals.lock().unwrap().push(arrival);
                 reply(behaviour, words)
             })
         };
-        let servers = behaviours.iter().enumerate().map(spawn_server).collect();
-        Servers { servers, behaviours, arrivals }
+        let addresses = behaviours.iter().enumerate().map(spawn_server).collect();
+        Servers { addresses, behaviours, arrivals }
     }
 
     pub fn address(&self, server: usize) -> SocketAddr {
-        self.servers[server].addr
+        self.addresses[server]
     }
 
     pub fn set(&self, server: usize, behaviour: ServerBehaviour) {
@@ -90,10 +91,11 @@
     }
 }
 
-fn arrival(server: usize, words: &[String], may_have_run: bool) -> Arrival {
+fn arrival(server: usize, words: &[String], at: Instant, may_have_run: bool) -> Arrival {
     let wait = words[3].split(',').find_map(|pair| pair.strip_prefix("d=")).unwrap();
     Arrival {
-        at: Instant::now(),
+        at,
+        read_delay: at.elapsed(),
         server,
         id: words[2].clone(),
         wait: Duration::from_millis(wait.parse().unwrap()),
