Platform: a client is looked for before each attempt, so one that has left gets none

What callers saw: attempts that began more than 0.1 s after their client's close (rule on lost requests).

Cause: the end of a connection was known only once its own event was handled and all input before it was read. A server's refusal that was handled before it in the same turn, or a call in front of the end, started an attempt at once on an idle connection to a server. While the event loop is held up (0.15 s are allowed), the close may be that old.

Change: the driver asks the client's socket just before an attempt is written, also one whose connection had to be established first (`is_client_present`, `Socket::peer_state`): the end, an error, or the end behind unread bytes. `end_client` stays the one place that ends a connection. This works for whatever causes the attempt, because the question is put where the attempt begins.

An attempt costs one more system call; that was not measured.

--- a/crates/event-io/src/lib.rs
+++ b/crates/event-io/src/lib.rs
@@ -19,6 +19,6 @@
 
 pub use idle_connections::IdleConnections;
 pub use listener::{AcceptOutcome, Listener, accept};
-pub use socket::{ReadOutcome, Socket, WRITE_BUFFER_HIGH_WATERMARK};
+pub use socket::{PeerState, ReadOutcome, Socket, WRITE_BUFFER_HIGH_WATERMARK};
 pub use tcp::{connect, listen};
 pub use turn::TurnUsage;
--- a/crates/event-io/src/socket.rs
+++ b/crates/event-io/src/socket.rs
@@ -5,6 +5,7 @@
     EventSource, Interest, LoopHandle, Mode, Poll, PostAction, Readiness, RegistrationToken, Token,
     TokenFactory,
 };
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use std::cell::Cell;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, TcpStream};
@@ -75,6 +76,17 @@
     Failed,
 }
 
+/// What the peer has done with its side of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PeerState {
+    /// The peer may still send.
+    Open,
+    /// The peer has closed its write side. Bytes that it sent before may still be unread.
+    Closed,
+    /// The connection has failed, for example after a reset by the peer.
+    Failed,
+}
+
 /// A connection: its stream, its registration on the event loop and its write buffer.
 pub struct Socket<S = TcpStream> {
     stream: Rc<S>,
@@ -243,6 +255,33 @@
         self.stream.take_error().unwrap_or_else(Some)
     }
 
+    /// Returns what the peer has done with its side by now, whether or not the event loop has reported it yet
+    /// and whether or not bytes are unread before it. Reads nothing.
+    pub fn peer_state(&self) -> PeerState {
+        let mut byte = [0];
+        match self.stream.peek(&mut byte) {
+            Ok(0) => PeerState::Closed,
+            Ok(_) => self.peer_state_behind_unread_bytes(),
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => PeerState::Open,
+            Err(_) => PeerState::Failed,
+        }
+    }
+
+    fn peer_state_behind_unread_bytes(&self) -> PeerState {
+        let mut descriptors = [PollFd::new(&*self.stream, PollFlags::RDHUP)];
+        if poll(&mut descriptors, Some(&Timespec::default())).is_err() {
+            return PeerState::Open;
+        }
+        let events = descriptors[0].revents();
+        if events.intersects(PollFlags::ERR | PollFlags::HUP) {
+            PeerState::Failed
+        } else if events.contains(PollFlags::RDHUP) {
+            PeerState::Closed
+        } else {
+            PeerState::Open
+        }
+    }
+
     /// Returns whether an idle connection must not be used again, because the peer has closed it or has sent
     /// bytes that were not requested.
     pub fn is_stale(&self) -> bool {
--- a/crates/platform-proxy/src/requests.rs
+++ b/crates/platform-proxy/src/requests.rs
@@ -3,8 +3,10 @@
 use crate::client::PendingResponse;
 use crate::event_loop::ConnectionId;
 use crate::memory::MemoryUse;
+use crate::metrics::CloseReason;
 use crate::proxy::Proxy;
 use violetseam::interface::{Micros, Request, RequestId};
+use violetseam_event_io::PeerState;
 use violetseam_platform_protocol::call::Call;
 use violetseam_platform_protocol::response;
 use violetseam_proxy::engine::LocalResponse;
@@ -74,6 +76,22 @@
         self.run_engine_actions();
     }
 
+    /// Whether the client of a request is still connected. Ends its connection if it is not. This is asked
+    /// before an attempt is written: while the event loop was late, the client may have left after the event
+    /// that causes the attempt, and its end may be unread behind other input.
+    pub(super) fn is_client_present(&mut self, request: RequestId) -> bool {
+        let Some(in_flight) = self.in_flight.get(&request) else { return false };
+        let ConnectionId { slot, generation } = in_flight.client;
+        let client = self.clients.get(slot).filter(|client| client.generation == generation);
+        let Some(client) = client else { return false };
+        if client.socket.peer_state() == PeerState::Open {
+            return true;
+        }
+        tracing::debug!(request, client = slot, "its client has left before an attempt");
+        self.end_client(slot, CloseReason::ClientLeft);
+        false
+    }
+
     /// Whether the resource limits of this process leave room for another request.
     fn has_room_for(&self, call: &Call) -> bool {
         self.in_flight.len() < self.budgets.requests_in_flight
--- a/crates/platform-proxy/src/servers.rs
+++ b/crates/platform-proxy/src/servers.rs
@@ -104,7 +104,7 @@
     /// Starts an attempt on an idle connection, or on a new one.
     pub(super) fn start_attempt(&mut self, request: RequestId, attempt: usize, server: ServerId) {
         // If the batch of actions that started the attempt has cancelled it as well, nothing is sent.
-        if !self.engine.is_attempt_pending(request, attempt) {
+        if !self.engine.is_attempt_pending(request, attempt) || !self.is_client_present(request) {
             return;
         }
         let Some(in_flight) = self.in_flight.get_mut(&request) else { return };
@@ -189,6 +189,9 @@
 
     /// Whether an attempt that could not be sent when it started may be sent now.
     fn may_send(&mut self, attempt: AttemptId) -> bool {
+        if !self.is_client_present(attempt.request) {
+            return false;
+        }
         let now = self.now();
         let may_send = self.engine.may_send(now, attempt.request, attempt.number);
         if !may_send {
