HTTP driver: a client that left a body unread gets no attempt that begins later

What callers saw: while a proxy connected to a server that did not answer, a client with a body over 64 KiB left, and the next attempt for it was still begun, 0.12 s after the close.

Cause: as in the platform driver, the end of a connection was known only after all input before it was read, and a body is not read while there is no server to take it. Until now this was known by reading only.

Change: the same question to the client's socket just before an attempt is begun, or is sent on a connection that had to be established first. Where settings have half-closed clients served, only a failed connection counts.

--- a/crates/proxy/src/driver/clients/connections.rs
+++ b/crates/proxy/src/driver/clients/connections.rs
@@ -6,8 +6,8 @@
 use calloop::Readiness;
 use http::StatusCode;
 use std::net::TcpStream;
-use violetseam::interface::Micros;
-use violetseam_event_io::{ReadOutcome, WRITE_BUFFER_HIGH_WATERMARK};
+use violetseam::interface::{Micros, RequestId};
+use violetseam_event_io::{PeerState, ReadOutcome, WRITE_BUFFER_HIGH_WATERMARK};
 use violetseam_http1::server::ServerEvent;
 use violetseam_settings::HalfClose;
 
@@ -75,6 +75,25 @@
         }
     }
 
+    /// Whether the client of a request is still connected. Ends its connection if it is not. This is asked
+    /// before an attempt is written: while the event loop was late, the client may have left after the event
+    /// that causes the attempt, and its end may be unread behind the body of its request.
+    pub(in super::super) fn is_client_present(&mut self, request: RequestId) -> bool {
+        let Some(in_flight) = self.in_flight.get(&request) else { return false };
+        let ConnectionId { key, generation } = in_flight.client;
+        let client = self.clients.get(key).filter(|client| client.generation == generation);
+        let Some(client) = client else { return false };
+        let is_present = match client.socket.peer_state() {
+            PeerState::Open => true,
+            PeerState::Closed => self.settings.connections.half_close == HalfClose::Serve,
+            PeerState::Failed => false,
+        };
+        if !is_present {
+            self.on_client_lost(key);
+        }
+        is_present
+    }
+
     /// Handles a connection that is ready to be read or written.
     pub(super) fn on_client_ready(&mut self, key: usize, readiness: Readiness) {
         if readiness.writable {
--- a/crates/proxy/src/driver/servers/attempts.rs
+++ b/crates/proxy/src/driver/servers/attempts.rs
@@ -15,7 +15,7 @@
     /// Starts an attempt on an idle connection, or on a new one if none is idle.
     pub(in super::super) fn start_attempt(&mut self, request: RequestId, attempt: usize, server: ServerId) {
         // An attempt that was cancelled by the same round of actions that started it is not sent at all.
-        if !self.engine.is_attempt_pending(request, attempt) {
+        if !self.engine.is_attempt_pending(request, attempt) || !self.is_client_present(request) {
             return;
         }
         self.count_attempt(server);
--- a/crates/proxy/src/driver/servers/connections.rs
+++ b/crates/proxy/src/driver/servers/connections.rs
@@ -116,9 +116,10 @@
     fn on_server_connected(&mut self, key: usize) {
         let now = self.now();
         let Some(active) = self.servers.get(key).and_then(Server::active) else { return };
+        let id = active.id;
         // The attempt was started before the connection was established. The engine is asked again before the
         // first byte is written, because the server may run the request from then on.
-        if !self.engine.may_send(now, active.id.request, active.id.attempt) {
+        if !self.is_client_present(id.request) || !self.engine.may_send(now, id.request, id.attempt) {
             return;
         }
         let Some(server) = self.servers.get_mut(key) else { return };
--- a/crates/proxy/tests/departures.rs
+++ b/crates/proxy/tests/departures.rs
@@ -3,8 +3,9 @@
 mod common;
 
 use common::*;
+use socket2::{Domain, Socket, Type};
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -14,8 +15,12 @@
 const GIVES_UP_AFTER: Duration = Duration::from_millis(200);
 /// How long a client stays after it has sent its request.
 const STAY: Duration = Duration::from_millis(40);
+/// The same for a client whose request takes a while until it is sent again.
+const SHORT_STAY: Duration = Duration::from_millis(5);
 /// Attempts may begin for this long after a client has left.
 const CLOSE_DETECTION: Duration = Duration::from_millis(100);
+/// More than the proxy keeps of a body, and little enough that the rest of it and the end of the connection arrive.
+const BODY_PART_BYTES: usize = 120_000;
 const NONE: [Duration; 0] = [];
 
 /// A server that closes each connection some time after a request, and the times at which requests began.
@@ -64,6 +69,64 @@
     assert_eq!(attempts_after_leaving(&request, &[b'x'; 300_000]), NONE);
 }
 
+/// A server to which no connection is ever established: its queue is full.
+struct UnreachableServer {
+    listener: Socket,
+    _waiting: Vec<Socket>,
+}
+
+impl UnreachableServer {
+    fn start() -> UnreachableServer {
+        let listener = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        listener.bind(&SocketAddr::from((Ipv4Addr::LOCALHOST, 0)).into()).unwrap();
+        listener.listen(0).unwrap();
+        let address = listener.local_addr().unwrap();
+        let connect = |_| {
+            let waiting = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+            waiting.set_nonblocking(true).unwrap();
+            // The queue takes the first of these; the others only begin to connect.
+            let _ = waiting.connect(&address);
+            waiting
+        };
+        let _waiting = (0..3).map(connect).collect();
+        UnreachableServer { listener, _waiting }
+    }
+
+    fn addr(&self) -> SocketAddr {
+        self.listener.local_addr().unwrap().as_socket().unwrap()
+    }
+}
+
+/// Sends a request with a body that is longer than the proxy keeps, and leaves while the proxy tries to connect
+/// to a server that does not answer. Returns when the client left.
+fn leave_while_connecting(proxy: &Proxy) -> Instant {
+    let head = b"POST /read/1 HTTP/1.1\r\nhost: t\r\ncontent-length: 4000000\r\n\r\n";
+    let mut stream = proxy.connect();
+    stream.set_nonblocking(true).unwrap();
+    stream.write_all(head).unwrap();
+    let _ = stream.write(&[b'x'; BODY_PART_BYTES]);
+    std::thread::sleep(SHORT_STAY);
+    drop(stream);
+    Instant::now()
+}
+
+#[test]
+fn nothing_is_sent_for_a_client_that_has_left_a_body_unread_before_a_server_took_it() {
+    let begun: Arc<Mutex<Vec<Instant>>> = Arc::default();
+    let unreachable = [UnreachableServer::start(), UnreachableServer::start()];
+    let failing = failing_server(&begun);
+    let proxy = Proxy::with_servers(&[unreachable[0].addr(), unreachable[1].addr(), failing.addr], "");
+    let left_at = std::thread::scope(|scope| {
+        let clients: Vec<_> = (0..12).map(|_| scope.spawn(|| leave_while_connecting(&proxy))).collect();
+        clients.into_iter().map(|client| client.join().unwrap()).max().unwrap()
+    });
+    std::thread::sleep(3 * GIVES_UP_AFTER);
+    proxy.drain();
+    let begun = begun.lock().unwrap();
+    let late = begun.iter().filter_map(|at| at.checked_duration_since(left_at + CLOSE_DETECTION));
+    assert_eq!(late.collect::<Vec<_>>(), NONE);
+}
+
 /// Writes requests without a route until told to stop, and drops the responses.
 fn flood(addr: SocketAddr, stop: &AtomicBool) {
     let requests = b"GET /nowhere HTTP/1.1\r\nhost: t\r\n\r\n".repeat(10_000);
