Soak: a close allows 0.1 s and no more, and every process's memory is checked

Cause: the check on attempts after a close allowed 0.2 s, 0.1 s of them for late threads of the test; the fault that mends (0.15 s) could not be seen. Memory was read from the last process of each slot only.

Memory is read from each process until it ends, also through its shutdown.

--- a/crates/cli/tests/platform_memory.rs
+++ b/crates/cli/tests/platform_memory.rs
@@ -162,7 +162,7 @@
     });
 }
 
-/// Here the clients are five times as many as the places for them.
+/// Here the clients are more than twice as many as the places for them.
 #[test]
 fn clients_that_stop_inside_a_command_do_not_keep_others_from_their_answers() {
     let server = healthy_server();
--- a/crates/cli/tests/soak/fleet.rs
+++ b/crates/cli/tests/soak/fleet.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 use std::os::unix::process::ExitStatusExt;
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 /// The platform kills a process this long after SIGTERM: the longest deadline of its settings, of which at
@@ -27,6 +28,8 @@
     config: Mutex<Value>,
     /// The lock is held by whoever acts on the process, so that nobody else does at the same time.
     running: Mutex<Option<Proxy>>,
+    /// The most memory that any process of this slot has taken, in kB.
+    peak_memory_kb: AtomicUsize,
 }
 
 impl ProxySlot {
@@ -62,6 +65,7 @@
             discovery_addrs,
             config: Mutex::new(config),
             running: Mutex::default(),
+            peak_memory_kb: AtomicUsize::new(0),
         };
         slot.start();
         slot
@@ -87,6 +91,7 @@
         let mut further_signals = further_signals.iter();
         let mut status = None;
         while status.is_none() && Instant::now() < killed_at {
+            self.record_memory(&proxy);
             std::thread::sleep(POLL_INTERVAL);
             status = proxy.child.try_wait().unwrap();
             if let (None, Some(signal)) = (status, further_signals.next()) {
@@ -114,6 +119,7 @@
     pub fn crash(&self, downtime: Duration) -> Option<Crash> {
         let proxy = self.running.lock().unwrap().take()?;
         let crash = Crash { proxy: self.number, at: Instant::now() };
+        self.record_memory(&proxy);
         drop(proxy);
         std::thread::sleep(downtime);
         self.start();
@@ -129,10 +135,18 @@
         (0..times).filter_map(crash).collect()
     }
 
-    /// Returns what is wrong with the memory that the process has taken so far, if anything is.
+    fn record_memory(&self, proxy: &Proxy) {
+        if let Some(peak_kb) = proxy.peak_memory_kb() {
+            self.peak_memory_kb.fetch_max(peak_kb, Ordering::Relaxed);
+        }
+    }
+
+    /// Returns what is wrong with the memory that the processes have taken so far, if anything is.
     pub fn check_memory(&self) -> Option<String> {
-        let running = self.running.lock().unwrap();
-        let peak_kb = running.as_ref()?.peak_memory_kb()?;
+        if let Some(proxy) = &*self.running.lock().unwrap() {
+            self.record_memory(proxy);
+        }
+        let peak_kb = self.peak_memory_kb.load(Ordering::Relaxed);
         (peak_kb > MEMORY_LIMIT_KB)
             .then(|| format!("memory: proxy {} took {peak_kb} kB of {MEMORY_LIMIT_KB} kB", self.number))
     }
--- a/crates/cli/tests/soak/judge.rs
+++ b/crates/cli/tests/soak/judge.rs
@@ -90,9 +90,8 @@
             arrivals.len()
         )),
         Outcome::Disconnected(at) => {
-            let late = arrivals
-                .iter()
-                .find(|arrival| arrival.at > *at + CLOSE_DETECTION_SLACK + SCHEDULING_SLACK)?;
+            // The kernel timed the arrival, and the client took the time once it had closed its connection.
+            let late = arrivals.iter().find(|arrival| arrival.at > *at + CLOSE_DETECTION_SLACK)?;
             Some(format!(
                 "lost: {} was sent {:?} after its client had disconnected",
                 request.id,
