Memory shares are one type for both drivers; connections ended are counted by reason

Need: the account of memory had two matches over the same four uses and could not serve the HTTP driver; the counts of ended connections were a field for each reason, a match and a sum.

Change: `event-io/src/memory.rs` has the share (limit, held, restate) and the weight; the platform's account has four of them. `Metrics` has an array by `CloseReason`. What is decided and logged stays as it is.

--- a/crates/event-io/src/lib.rs
+++ b/crates/event-io/src/lib.rs
@@ -4,6 +4,7 @@
 //!   while it is registered
 //! - `tcp`: opens listeners and connections
 //! - `listener`: a listener that can stop accepting for a while, and accepting connections from it
+//! - `memory`: accounts for the memory that connections hold
 //! - `idle_connections`: tracks the idle connections of a pool
 //! - `timers`: the timers of a driver
 //! - `turn`: bounds what one client may take of one turn of the event loop
@@ -12,6 +13,7 @@
 mod idle_connections;
 mod listener;
 pub mod log_rate_limit;
+pub mod memory;
 mod socket;
 mod tcp;
 pub mod timers;
--- a/crates/platform-proxy/src/clients.rs
+++ b/crates/platform-proxy/src/clients.rs
@@ -8,7 +8,6 @@
 };
 use crate::client_input::ClientInput;
 use crate::event_loop::ConnectionId;
-use crate::memory::MemoryUse;
 use crate::metrics::CloseReason;
 use crate::proxy::Proxy;
 use calloop::Readiness;
@@ -53,8 +52,8 @@
     pub(super) fn end_client(&mut self, slot: usize, reason: CloseReason) {
         let Some(mut client) = self.clients.try_remove(slot) else { return };
         client.socket.remove(&self.loop_handle);
-        self.memory.restate(MemoryUse::Input, &mut client.stated_input_bytes, 0);
-        self.memory.restate(MemoryUse::Responses, &mut client.stated_response_bytes, 0);
+        self.memory.input.restate(&mut client.stated_input_bytes, 0);
+        self.memory.responses.restate(&mut client.stated_response_bytes, 0);
         self.metrics.count_close(reason);
         let is_own_decision = matches!(reason, CloseReason::Evicted | CloseReason::Lingered);
         self.closed_while_pending += u64::from(is_own_decision && !client.is_fully_answered());
@@ -282,8 +281,8 @@
         let Some(client) = self.clients.get_mut(slot) else { return };
         let input_bytes = client.input.held_bytes();
         let response_bytes = client.response_bytes();
-        self.memory.restate(MemoryUse::Input, &mut client.stated_input_bytes, input_bytes);
-        self.memory.restate(MemoryUse::Responses, &mut client.stated_response_bytes, response_bytes);
+        self.memory.input.restate(&mut client.stated_input_bytes, input_bytes);
+        self.memory.responses.restate(&mut client.stated_response_bytes, response_bytes);
     }
 
     /// Processes connections on which commands were waiting for room, or that a shutdown may close.
--- a/crates/platform-proxy/src/eviction.rs
+++ b/crates/platform-proxy/src/eviction.rs
@@ -4,11 +4,11 @@
 //! is never dropped.
 
 use crate::client::{Client, ClientState};
-use crate::memory::MemoryUse;
 use crate::metrics::CloseReason;
 use crate::proxy::Proxy;
 use crate::servers::ServerConnection;
 use violetseam::interface::{Micros, Outcome};
+use violetseam_event_io::memory::weight;
 
 /// The memory that a connection takes besides its buffers, in bytes.
 const CONNECTION_BYTES: usize = 1024;
@@ -56,12 +56,6 @@
     (now >= since + min_age).then_some((class, since))
 }
 
-/// The weight of what a holder takes: its bytes, times for how long it has had them. The heaviest gives way
-/// first.
-fn weight(bytes: usize, since: Micros, now: Micros) -> u128 {
-    bytes as u128 * u128::from(now.saturating_sub(since) + 1)
-}
-
 fn input_weight(client: &Client, now: Micros) -> u128 {
     weight(client.input.held_bytes(), client.input.oldest_at().unwrap_or(now), now)
 }
@@ -116,7 +110,7 @@
 
     /// Refuses input until its share of the memory is kept.
     pub(super) fn relieve_input(&mut self) {
-        while self.memory.is_exceeded(MemoryUse::Input) {
+        while self.memory.input.is_exceeded() {
             let now = self.now();
             let holders = self.clients.iter().filter(|(_, client)| !client.input.is_empty());
             let heaviest = holders.max_by_key(|(_, client)| input_weight(client, now));
@@ -128,7 +122,7 @@
     /// Drops responses that clients do not take until their share of the memory is kept. Responses that have
     /// not begun become failures first; then the connection ends, as it would some time later in any case.
     pub(super) fn relieve_responses(&mut self) {
-        while self.memory.is_exceeded(MemoryUse::Responses) {
+        while self.memory.responses.is_exceeded() {
             let now = self.now();
             let holders = self.clients.iter().filter(|(_, client)| client.response_bytes() > 0);
             let heaviest = holders.max_by_key(|(_, client)| responses_weight(client, now));
@@ -149,7 +143,7 @@
 
     /// Ends attempts until the data of servers keep their share of the memory.
     pub(super) fn relieve_server_data(&mut self) {
-        while self.memory.is_exceeded(MemoryUse::ServerData) {
+        while self.memory.server_data.is_exceeded() {
             let now = self.now();
             let holders = self.server_connections.iter().filter(|(_, connection)| connection.is_busy());
             let heaviest = holders.max_by_key(|(_, connection)| server_data_weight(connection, now));
--- a/crates/platform-proxy/src/metrics.rs
+++ b/crates/platform-proxy/src/metrics.rs
@@ -1,7 +1,6 @@
 //! Counts why client connections end and why calls are not accepted, and logs the totals regularly together
 //! with what the process holds.
 
-use crate::memory::MemoryUse;
 use crate::proxy::Proxy;
 use violetseam::interface::Micros;
 
@@ -26,19 +25,16 @@
     Evicted,
 }
 
+impl CloseReason {
+    /// How many reasons there are; `Evicted` is the last.
+    const COUNT: usize = CloseReason::Evicted as usize + 1;
+}
+
 /// Totals since the process started.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Metrics {
-    /// Connections that their clients closed or reset.
-    client_left: u64,
-    /// Connections that ended over a time-out of a command.
-    command_timeouts: u64,
-    /// Connections whose clients did not read.
-    responses_unread: u64,
-    /// Connections that ended a while after this side had closed them.
-    lingered: u64,
-    /// Connections that gave way to others.
-    evicted: u64,
+    /// Connections that have ended, by reason.
+    closes: [u64; CloseReason::COUNT],
     /// Requests whose client left before their final response.
     pub abandoned_requests: u64,
     /// Commands that could not be accepted and were answered with an error.
@@ -60,18 +56,12 @@
 impl Metrics {
     /// Counts the end of a connection.
     pub fn count_close(&mut self, reason: CloseReason) {
-        match reason {
-            CloseReason::ClientLeft => self.client_left += 1,
-            CloseReason::CommandTimeout => self.command_timeouts += 1,
-            CloseReason::ResponsesUnread => self.responses_unread += 1,
-            CloseReason::Lingered => self.lingered += 1,
-            CloseReason::Evicted => self.evicted += 1,
-        }
+        self.closes[reason as usize] += 1;
     }
 
-    /// The number of connections that have ended.
-    fn closes(&self) -> u64 {
-        self.client_left + self.command_timeouts + self.responses_unread + self.lingered + self.evicted
+    /// Returns how many connections have ended for this reason.
+    fn closes(&self, reason: CloseReason) -> u64 {
+        self.closes[reason as usize]
     }
 }
 
@@ -81,7 +71,7 @@
         if now < self.metrics.logged_at + USAGE_LOG_INTERVAL {
             return;
         }
-        let activity = self.metrics.closes() + self.engine.counts().received;
+        let activity = self.metrics.closes.iter().sum::<u64>() + self.engine.counts().received;
         if activity != self.metrics.logged_activity {
             self.log_usage();
         }
@@ -97,15 +87,15 @@
             clients = self.clients.len(),
             servers = self.server_connections.len(),
             requests = self.in_flight.len(),
-            request_bytes = self.memory.held(MemoryUse::Requests),
-            input_bytes = self.memory.held(MemoryUse::Input),
-            response_bytes = self.memory.held(MemoryUse::Responses),
-            server_bytes = self.memory.held(MemoryUse::ServerData),
-            client_left = metrics.client_left,
-            command_timeouts = metrics.command_timeouts,
-            responses_unread = metrics.responses_unread,
-            lingered = metrics.lingered,
-            evicted = metrics.evicted,
+            request_bytes = self.memory.requests.held(),
+            input_bytes = self.memory.input.held(),
+            response_bytes = self.memory.responses.held(),
+            server_bytes = self.memory.server_data.held(),
+            client_left = metrics.closes(CloseReason::ClientLeft),
+            command_timeouts = metrics.closes(CloseReason::CommandTimeout),
+            responses_unread = metrics.closes(CloseReason::ResponsesUnread),
+            lingered = metrics.closes(CloseReason::Lingered),
+            evicted = metrics.closes(CloseReason::Evicted),
             abandoned_requests = metrics.abandoned_requests,
             malformed = metrics.malformed,
             over_limits = metrics.over_limits,
--- a/crates/platform-proxy/src/requests.rs
+++ b/crates/platform-proxy/src/requests.rs
@@ -2,7 +2,6 @@
 
 use crate::client::PendingResponse;
 use crate::event_loop::ConnectionId;
-use crate::memory::MemoryUse;
 use crate::metrics::CloseReason;
 use crate::proxy::Proxy;
 use violetseam::interface::{Micros, Request, RequestId};
@@ -49,7 +48,7 @@
         let waiting_time = now.saturating_sub(arrived_at.unwrap_or(now));
         let unread_time = self.timers.lateness(now, self.engine.next_deadline()).max(waiting_time);
         let mut held_bytes = 0;
-        self.memory.restate(MemoryUse::Requests, &mut held_bytes, call.size());
+        self.memory.requests.restate(&mut held_bytes, call.size());
         let request = self.engine.on_request(now, to_engine_request(&call, now, unread_time), true);
         tracing::debug!(
             request,
@@ -94,8 +93,7 @@
 
     /// Whether the resource limits of this process leave room for another request.
     fn has_room_for(&self, call: &Call) -> bool {
-        self.in_flight.len() < self.budgets.requests_in_flight
-            && self.memory.fits(MemoryUse::Requests, call.size())
+        self.in_flight.len() < self.budgets.requests_in_flight && self.memory.requests.fits(call.size())
     }
 
     /// Sends a final response that the proxy generates itself.
@@ -128,7 +126,7 @@
     /// Removes a request that is finished and has no attempt left.
     pub(super) fn forget_request(&mut self, request: RequestId) {
         if let Some(mut in_flight) = self.in_flight.remove(&request) {
-            self.memory.restate(MemoryUse::Requests, &mut in_flight.held_bytes, 0);
+            self.memory.requests.restate(&mut in_flight.held_bytes, 0);
             self.requests_by_call_id.remove(&in_flight.call.id);
             if in_flight.was_sent {
                 self.sent_calls.insert(self.now(), &in_flight.call.id);
--- a/crates/platform-proxy/src/servers.rs
+++ b/crates/platform-proxy/src/servers.rs
@@ -10,7 +10,7 @@
 //! why.
 
 use crate::event_loop::{ConnectionId, TimerKind};
-use crate::memory::{MemoryUse, append_tightly};
+use crate::memory::append_tightly;
 use crate::proxy::Proxy;
 use calloop::{Interest, Readiness};
 use violetseam::interface::{Micros, Outcome, RequestId, ServerId};
@@ -324,7 +324,7 @@
     fn restate_server_connection(&mut self, slot: usize) {
         let Some(connection) = self.server_connections.get_mut(slot) else { return };
         let held = connection.held_bytes();
-        self.memory.restate(MemoryUse::ServerData, &mut connection.stated_bytes, held);
+        self.memory.server_data.restate(&mut connection.stated_bytes, held);
     }
 
     /// Reads into the connection's input while it carries an attempt. Returns the outcome of the last read.
@@ -414,7 +414,7 @@
     /// would otherwise overlap with this one.
     pub(super) fn close_server_connection(&mut self, slot: usize) {
         let Some(mut connection) = self.server_connections.try_remove(slot) else { return };
-        self.memory.restate(MemoryUse::ServerData, &mut connection.stated_bytes, 0);
+        self.memory.server_data.restate(&mut connection.stated_bytes, 0);
         connection.socket.close_now(&self.loop_handle);
         self.idle_server_connections.remove(&connection.server, slot);
     }
