HTTP driver: one account of what clients make it hold, and one place that says what gives way

What callers saw: a proxy whose memory grew with the number of its clients, each within its own limits.

Cause: as on the platform, what a client may hold was bounded for its connection (input, a body that is kept, 256 KiB of an unread response) and by the number of clients (200,000), and not for the process. An empty input buffer kept the capacity of the largest read. Until now this was known by reading only.

Change: `client_memory`, a setting of `connections` (256 MiB unless set), limits the sum. Every connection states what it holds whenever its interest is updated; over the limit the heaviest by bytes times age gives way (`clients/memory.rs`): 503 for a request that has not arrived whole, a disconnect for a client that does not read its response. A request that has arrived whole is kept. The share is the type that the platform's account uses.

--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -20,6 +20,11 @@
 
 pub const PROGRAM: &str = env!("CARGO_BIN_EXE_violetseam");
 
+/// Requests with this path are answered with a large body.
+pub const LARGE_PATH: &str = "/large";
+/// More than the kernel buffers on a connection.
+const LARGE_BODY_BYTES: usize = 8 << 20;
+
 /// Starts a site whose server, discovery service and release service share one address: the path of a request
 /// selects the response, and watches stay open.
 pub fn world() -> SocketAddr {
@@ -58,7 +63,9 @@
             r#"{"build":2,"stage":1,"phase":"trial","cap":0.5}"#.to_owned()
         } else {
             std::thread::sleep(Duration::from_millis(5));
-            if stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok").is_err() {
+            let body = if path.starts_with(LARGE_PATH) { &[b'x'; LARGE_BODY_BYTES][..] } else { b"ok" };
+            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+            if stream.write_all(head.as_bytes()).is_err() || stream.write_all(body).is_err() {
                 return;
             }
             continue;
@@ -70,6 +77,13 @@
     }
 }
 
+/// The highest resident memory of a process so far, in kB, unless it has ended.
+pub fn peak_memory_kb(process: u32) -> Option<usize> {
+    let text = std::fs::read_to_string(format!("/proc/{process}/status")).ok()?;
+    let line = text.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+    line.split_whitespace().next()?.parse().ok()
+}
+
 /// A running proxy and the address at which it accepts clients.
 pub struct Proxy {
     pub child: Child,
@@ -129,6 +143,11 @@
         Pid::from_raw(self.child.id() as i32).unwrap()
     }
 
+    /// The highest resident memory of the process so far, in kB.
+    pub fn peak_memory_kb(&self) -> usize {
+        peak_memory_kb(self.child.id()).unwrap()
+    }
+
     pub fn open(&self) -> TcpStream {
         let stream = TcpStream::connect(self.addr).unwrap();
         stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
--- a/crates/cli/tests/common/platform.rs
+++ b/crates/cli/tests/common/platform.rs
@@ -2,9 +2,9 @@
 //! proxy started by the `run` line of deploy/balancer.toml. The scripted services share no code with the
 //! proxy that they test.
 
-use super::PROGRAM;
 use super::services::parse_watch;
 use super::timed_reader::{TimedReader, enable_arrival_times};
+use super::{PROGRAM, peak_memory_kb};
 use rustix::process::{Pid, Signal, kill_process};
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
@@ -308,9 +308,7 @@
 
     /// The highest resident memory of the process so far, in kB, unless it has ended.
     pub fn peak_memory_kb(&self) -> Option<usize> {
-        let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
-        let line = text.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
-        line.split_whitespace().next()?.parse().ok()
+        peak_memory_kb(self.child.id())
     }
 
     /// Returns once the proxy has read all input that was written to it before this call. Input that is there
--- a/crates/http1/src/input.rs
+++ b/crates/http1/src/input.rs
@@ -1,5 +1,9 @@
 //! The buffer for received bytes that have not been parsed yet.
 
+/// A buffer of at most this capacity, in bytes, is kept while it is empty: a process has many connections, most
+/// of them idle.
+const RETAINED_BYTES: usize = 4 * 1024;
+
 /// A byte buffer that is filled at its end and consumed from its start.
 #[derive(Debug, Default)]
 pub(crate) struct InputBuffer {
@@ -38,9 +42,17 @@
         self.len() == 0
     }
 
+    /// Returns how many bytes of memory the buffer takes.
+    pub fn capacity(&self) -> usize {
+        self.bytes.capacity()
+    }
+
     /// Marks this number of bytes at the start as consumed.
     pub fn consume(&mut self, count: usize) {
         self.consumed += count;
+        if self.is_empty() && self.bytes.capacity() > RETAINED_BYTES {
+            self.clear();
+        }
     }
 
     /// Drops all bytes and frees the memory.
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -121,6 +121,11 @@
         self.input.len()
     }
 
+    /// Returns how many bytes of memory the received bytes take.
+    pub fn held_bytes(&self) -> usize {
+        self.input.capacity()
+    }
+
     /// Whether the connection is between requests and nothing of the next request has been received.
     pub fn is_idle(&self) -> bool {
         matches!(self.state, State::Head { .. }) && self.input.is_empty()
--- a/crates/proxy/src/driver/clients/connections.rs
+++ b/crates/proxy/src/driver/clients/connections.rs
@@ -59,8 +59,9 @@
 
     /// Closes a connection without reporting it to the engine.
     pub(in super::super) fn close_client(&mut self, key: usize) {
-        if let Some(client) = self.clients.try_remove(key) {
+        if let Some(mut client) = self.clients.try_remove(key) {
             client.socket.remove(&self.loop_handle);
+            self.client_memory.restate(&mut client.stated_bytes, 0);
         }
     }
 
@@ -122,6 +123,7 @@
         }
         self.read_buffer = read_buffer;
         self.rearm_client(key);
+        self.relieve_client_memory();
     }
 
     /// Refuses the requests behind one whose response is pending once they exceed the limit of the input. The
@@ -207,9 +209,10 @@
         }
     }
 
-    /// Updates the events that the connection is polled for, and its time-out.
+    /// Updates the events that the connection is polled for, its time-out, and what it is known to hold.
     pub(in super::super) fn rearm_client(&mut self, key: usize) {
         self.set_client_timeout(key);
+        self.restate_client_memory(key);
         let is_body_backpressured = self.is_body_backpressured(key);
         let is_handing_over = self.is_handing_over();
         let Some(client) = self.clients.get(key) else { return };
@@ -240,6 +243,9 @@
         // head byte by byte could postpone it with each byte. A new phase has its whole time.
         let running = client.timeout.expires_at().filter(|_| client.timed_phase == phase);
         client.timeout.set(timeout_at.map(|at| running.map_or(at, |running| running.min(at))));
+        if client.timed_phase != phase {
+            client.phase_since = now;
+        }
         client.timed_phase = phase;
         let id = ConnectionId { key, generation: client.generation };
         client.timeout.arm(&mut self.timers, TimerKind::Client(id));
--- a/crates/proxy/src/driver/clients/listeners.rs
+++ b/crates/proxy/src/driver/clients/listeners.rs
@@ -137,7 +137,8 @@
         stream.set_nonblocking(true)?;
         stream.set_nodelay(true)?;
         let generation = self.next_generation();
-        let timeout_at = self.now() + self.first_request_timeout();
+        let now = self.now();
+        let timeout_at = now + self.first_request_timeout();
         let http = ServerConnection::new(self.head_limits);
         let entry = self.clients.vacant_entry();
         let key = entry.key();
@@ -154,6 +155,8 @@
             is_half_closed: false,
             timeout: StateTimeout::start(timeout_at, &mut self.timers, kind),
             timed_phase: Some(ClientPhase::AwaitingFirstRequest),
+            phase_since: now,
+            stated_bytes: 0,
         });
         Ok(())
     }
--- a/crates/proxy/src/driver/clients/mod.rs
+++ b/crates/proxy/src/driver/clients/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! - `listeners`: listening for connections and accepting them
 //! - `connections`: readiness, time-outs and the end of a connection
+//! - `memory`: the memory that clients make the process hold
 //! - `requests`: request heads, routes, and passing requests to the engine
 //! - `bodies`: the bodies of requests
 //! - `responses`: responses that the proxy itself generates, and responses of servers
@@ -9,6 +10,7 @@
 mod bodies;
 mod connections;
 mod listeners;
+mod memory;
 mod requests;
 mod responses;
 
@@ -39,6 +41,10 @@
     timeout: StateTimeout,
     /// The phase that the running time-out is for, if one is running.
     timed_phase: Option<ClientPhase>,
+    /// Since when the connection has been in its present phase.
+    phase_since: Micros,
+    /// What the account of clients' memory has been told, in bytes.
+    stated_bytes: usize,
 }
 
 /// What a client connection's time-out limits. Each phase has its own time-out, which counts from the
--- a/crates/proxy/src/driver/clients/requests.rs
+++ b/crates/proxy/src/driver/clients/requests.rs
@@ -114,7 +114,9 @@
 
     /// Drops a request that is finished.
     pub(in super::super) fn forget_request(&mut self, id: RequestId) {
-        self.in_flight.remove(&id);
+        if let Some(request) = self.in_flight.remove(&id) {
+            self.restate_client_memory(request.client.key);
+        }
     }
 }
 
--- a/crates/proxy/src/driver/mod.rs
+++ b/crates/proxy/src/driver/mod.rs
@@ -64,6 +64,7 @@
 use timers::Timers;
 use violetseam::interface::{Micros, RequestId, ServerId};
 use violetseam_event_io::log_rate_limit::LogRateLimit;
+use violetseam_event_io::memory::MemoryShare;
 use violetseam_event_io::{IdleConnections, Listener};
 use violetseam_http1::Limits as HeadLimits;
 use violetseam_recorder::Recorder;
@@ -91,6 +92,8 @@
     hand_over: HandOver,
     listeners: Vec<Listener>,
     clients: Slab<Client>,
+    /// The memory that clients make this process hold.
+    client_memory: MemoryShare,
     servers: Slab<Server>,
     site_calls: SiteCalls,
     /// Requests that have been passed to the engine and still have an attempt or a response pending.
@@ -159,6 +162,7 @@
             hand_over: HandOver::default(),
             listeners: Vec::new(),
             clients: Slab::new(),
+            client_memory: MemoryShare::new(settings.connections.max_client_memory_bytes),
             servers: Slab::new(),
             site_calls: SiteCalls::new(inherited.map_or(0, Inherited::release_fence)),
             in_flight: HashMap::new(),
--- a/crates/settings/src/check/connections.rs
+++ b/crates/settings/src/check/connections.rs
@@ -82,6 +82,9 @@
     if limits.keep_body as u64 > limits.max_body {
         return section.reject("connections: keep_body is over max_body");
     }
+    if limits.client_memory < limits.max_head + limits.keep_body {
+        return section.reject("connections: client_memory holds at least one max_head and one keep_body");
+    }
     if limits.max_clients == 0 || !limits.flag_path.starts_with('/') {
         return section.reject("connections: max_clients is 1 or more, flag_path starts with /");
     }
@@ -103,6 +106,7 @@
         connect_timeout: section.connect_timeout.as_micros(),
         max_idle_per_server: section.idle_per_server,
         max_clients: section.max_clients,
+        max_client_memory_bytes: section.client_memory,
         half_close: section.half_close,
         wrong_answer_path: section.flag_path,
     }
--- a/crates/settings/src/sections/connections.rs
+++ b/crates/settings/src/sections/connections.rs
@@ -65,6 +65,8 @@
     pub connect_timeout: ScriptDuration,
     pub idle_per_server: usize,
     pub max_clients: usize,
+    /// Maximum memory that all clients together make the proxy hold.
+    pub client_memory: usize,
     pub half_close: HalfClose,
     /// Request path at which clients report wrong responses.
     pub flag_path: String,
@@ -86,6 +88,7 @@
             connect_timeout: ScriptDuration::from_millis(250),
             idle_per_server: 64,
             max_clients: 200_000,
+            client_memory: 256 << 20,
             half_close: HalfClose::Cancel,
             flag_path: "/.well-known/wrong-answer".into(),
         }
--- a/crates/settings/src/settings.rs
+++ b/crates/settings/src/settings.rs
@@ -68,6 +68,9 @@
     pub max_idle_per_server: usize,
     /// Maximum number of client connections that are open at the same time.
     pub max_clients: usize,
+    /// Maximum memory that all clients together make the proxy hold: input, bodies that are retained, and
+    /// responses that are not read. Beyond it, requests that have not arrived whole are answered with 503.
+    pub max_client_memory_bytes: usize,
     /// How to treat a client that has closed its sending side.
     pub half_close: HalfClose,
     /// Request path at which clients report wrong responses.
