--- a/crates/cli/tests/platform_crossings.rs
+++ b/crates/cli/tests/platform_crossings.rs
@@ -258,6 +258,22 @@
     drop((not_reading, silent));
 }
 
+#[test]
+fn half_a_command_is_refused_before_the_end_of_a_shutdown() {
+    let (server_a, proxy, _discovery_conn) = start_with_one_server("half-at-end", |_| ());
+    let mut waiting = proxy.open();
+    waiting.send(&get_within("waits", 60_000));
+    let (_silent, words) = server_a.accept_command();
+    assert_eq!(words[2], "waits");
+    let mut half = proxy.open();
+    proxy.signal(Signal::TERM);
+    half.send(&get("half")[..20]);
+    assert!(matches!(waiting.read_reply(), Heard::Line(text) if text.starts_with('-')));
+    assert_eq!(half.read_reply(), Heard::Line("-BUSY".into()));
+    assert_eq!(half.read_reply(), Heard::Closed);
+    assert!(proxy.wait_for_exit().success());
+}
+
 fn get_within(id: &str, wait_ms: u64) -> Vec<u8> {
     encode_command(&["CALL.GET", "key", id, &format!("c=look,t=one,d={wait_ms}")])
 }
