Soak: several proxies are held up at once, and more clients leave

Change: eight proxies are held up at once, for longer on average (0.15 s at most, as before) and each with 0.1 s between two; one request in four is not waited for, half of them for 40 ms at most.

--- a/crates/cli/tests/soak/clients.rs
+++ b/crates/cli/tests/soak/clients.rs
@@ -72,6 +72,8 @@
 const ANSWER_SLACK: Duration = Duration::from_millis(500);
 const SCHEDULING_SLACK: Duration = Duration::from_millis(1_000);
 const RECONNECT_PAUSE: Duration = Duration::from_millis(20);
+/// One request in this many is not waited for.
+const EARLY_DISCONNECT_ODDS: u64 = 4;
 /// The most requests on one connection.
 const MAX_REQUESTS_PER_CONNECTION: u64 = 12;
 
@@ -175,9 +177,10 @@
         Class::Once => encode_command(&["CALL.POST", &key, &id, &attributes, "BODY"]),
         Class::Book => encode_command(&["CALL.POST", &key, &id, &format!("{attributes},k=5c0f"), "BODY"]),
     };
-    let disconnects_early = rng.one_in(15);
+    let longest_stay_ms = *rng.pick(&[40, 200]);
+    let disconnects_early = rng.one_in(EARLY_DISCONNECT_ODDS);
     let read_timeout =
-        if disconnects_early { rng.ms(1, 200) } else { wait + ANSWER_SLACK + SCHEDULING_SLACK };
+        if disconnects_early { rng.ms(1, longest_stay_ms) } else { wait + ANSWER_SLACK + SCHEDULING_SLACK };
     stream.set_read_timeout(Some(read_timeout)).unwrap();
     stream.write_all(&bytes).ok()?;
     let sent = Instant::now();
--- a/crates/cli/tests/soak/fleet.rs
+++ b/crates/cli/tests/soak/fleet.rs
@@ -17,6 +17,8 @@
 const KILL_DELAY: Duration = Duration::from_millis(3_700);
 /// The memory that the configuration grants.
 const MEMORY_LIMIT_KB: usize = 32 * 1024;
+/// The shortest time between two pauses of one process.
+const PAUSE_INTERVAL: Duration = Duration::from_millis(100);
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 /// The address and configuration of one proxy, and the process that runs there now.
@@ -151,12 +153,13 @@
             .then(|| format!("memory: proxy {} took {peak_kb} kB of {MEMORY_LIMIT_KB} kB", self.number))
     }
 
-    /// Stops the process for a moment, as on a busy machine.
+    /// Stops the process for a moment, as on a busy machine. It runs for a while before the next pause.
     pub fn pause(&self, span: Duration) {
         if let Some(proxy) = &*self.running.lock().unwrap() {
             proxy.signal(Signal::STOP);
             std::thread::sleep(span);
             proxy.signal(Signal::CONT);
+            std::thread::sleep(PAUSE_INTERVAL);
         }
     }
 
--- a/crates/cli/tests/soak/main.rs
+++ b/crates/cli/tests/soak/main.rs
@@ -36,6 +36,8 @@
 const MIN_SERVERS_UP: usize = 3;
 const DEFAULT_SECONDS: u64 = 12;
 const DEFAULT_SEEDS: &str = "1 2 3";
+/// How many proxies are held up at once, as on a machine that they share.
+const PAUSED_AT_ONCE: usize = 8;
 /// Every run whose seed is a multiple of this has a crowd, at the first proxies.
 const CROWD_SEEDS: u64 = 3;
 const CROWDED_PROXIES: usize = 2;
@@ -182,8 +184,11 @@
                 });
             }
             4..=6 => {
-                let pause = rng.ms(20, 150);
-                scope.spawn(move || slot.pause(pause));
+                let first = rng.below(PROXIES as u64) as usize;
+                for number in first..first + PAUSED_AT_ONCE {
+                    let (slot, pause) = (&slots[number % PROXIES], rng.ms(20, 150).max(rng.ms(20, 150)));
+                    scope.spawn(move || slot.pause(pause));
+                }
             }
             7 => {
                 let (times, interval) = (1 + rng.below(3), rng.ms(5, 400));
