Soak: discovery tells nothing on a connection that its proxy has closed; failures say more

The trace: proxy 8 is told twice by SIGHUP to move to the other address of discovery and back, and closes its watch; 0.09 s later a server begins to drain, and the stand-in writes the change to the closed watch and counts the proxy as told.

Change: the stand-in looks whether the proxy has closed the connection before it answers, and then neither writes nor counts. The bounds of the check are the same. A violation of the drain says when the server began to drain, when the proxy was told, and what was done to its process; a proxy that does not serve again is reported with its last requests; the log of the process before the present one is kept. The fault of several hold-ups is a function.

--- a/crates/cli/tests/common/platform.rs
+++ b/crates/cli/tests/common/platform.rs
@@ -274,6 +274,8 @@
     let config_file = directory.join("config.json");
     std::fs::write(&config_file, config).unwrap();
     let text: serde_json::Value = serde_json::from_str(config).unwrap();
+    // The log of the process before this one is kept beside it.
+    let _ = std::fs::rename(directory.join("log"), directory.join("log.previous"));
     let child = Command::new("/bin/sh")
         .args(["-c", &run_line()])
         .env("PROXY_NAME", "n0")
--- a/crates/cli/tests/soak/clients.rs
+++ b/crates/cli/tests/soak/clients.rs
@@ -68,6 +68,14 @@
     pub outcome: Outcome,
 }
 
+impl RequestRecord {
+    /// Describes the request for the report.
+    pub fn describe(&self) -> String {
+        let (sent, ended) = (self.sent.elapsed(), self.ended.elapsed());
+        format!("{} {:?} sent {sent:?} ago, ended {ended:?} ago: {:?}", self.id, self.class, self.outcome)
+    }
+}
+
 /// An answer that comes later than the deadline by more than this and `SCHEDULING_SLACK` counts as lost.
 const ANSWER_SLACK: Duration = Duration::from_millis(500);
 const SCHEDULING_SLACK: Duration = Duration::from_millis(1_000);
--- a/crates/cli/tests/soak/discovery.rs
+++ b/crates/cli/tests/soak/discovery.rs
@@ -4,6 +4,8 @@
 
 use super::common::platform::read_line;
 use super::common::services::{DECLINED_RESPONSE, parse_watch, set_reset_on_close};
+use rustix::io::Errno;
+use rustix::net::{RecvFlags, recv};
 use std::io::{BufReader, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
@@ -146,7 +148,11 @@
 
     /// Responds to a call. Returns whether the connection stays open.
     fn answer(&self, proxy: usize, request: &str, stream: &mut TcpStream) -> bool {
-        self.wait(request);
+        self.wait(request, stream);
+        // Nobody is told anything on a connection that the proxy has closed, as it does when it moves.
+        if is_closed_by_peer(stream) {
+            return false;
+        }
         match self.behaviour() {
             Behaviour::Healthy => stream.write_all(&self.response(proxy, request)).is_ok(),
             Behaviour::Declines => stream.write_all(DECLINED_RESPONSE).is_ok(),
@@ -175,16 +181,16 @@
         }
     }
 
-    /// Keeps a watch waiting until the list is newer, its wait has passed, or the service no longer behaves
-    /// normally.
-    fn wait(&self, request: &str) {
+    /// Keeps a watch waiting until the list is newer, its wait has passed, its proxy has closed it, or the service
+    /// no longer behaves normally.
+    fn wait(&self, request: &str, stream: &TcpStream) {
         let Some((held, wait)) = parse_watch(request) else { return };
         let until = Instant::now() + wait;
         let nothing_newer = || {
             let state = self.state.lock().unwrap();
             state.behaviour == Behaviour::Healthy && state.version <= held
         };
-        while Instant::now() < until && nothing_newer() {
+        while Instant::now() < until && nothing_newer() && !is_closed_by_peer(stream) {
             std::thread::sleep(POLL_INTERVAL);
         }
     }
@@ -207,6 +213,14 @@
     }
 }
 
+fn is_closed_by_peer(stream: &TcpStream) -> bool {
+    let flags = RecvFlags::PEEK | RecvFlags::DONTWAIT;
+    match recv(stream, &mut [0; 1], flags) {
+        Ok((count, _)) => count == 0,
+        Err(error) => !matches!(error, Errno::WOULDBLOCK | Errno::INTR),
+    }
+}
+
 fn list_json(state: &State, servers: &[SocketAddr]) -> String {
     let listed = state.phases.iter().enumerate().filter(|(_, phase)| **phase != Phase::Gone);
     let member_json = |(server, phase): (usize, &Phase)| {
--- a/crates/cli/tests/soak/fleet.rs
+++ b/crates/cli/tests/soak/fleet.rs
@@ -163,8 +163,9 @@
         }
     }
 
-    /// Reloads the configuration several times; each names the other address of discovery.
-    pub fn reload(&self, times: u64, interval: Duration) {
+    /// Reloads the configuration several times; each names the other address of discovery. Returns when.
+    pub fn reload(&self, times: u64, interval: Duration) -> Vec<Crash> {
+        let mut reloads = Vec::new();
         for _ in 0..times {
             if let Some(proxy) = &*self.running.lock().unwrap() {
                 let mut config = self.config.lock().unwrap();
@@ -174,9 +175,11 @@
                 config["discovery"] = json!(next.to_string());
                 std::fs::write(&proxy.config_file, config.to_string()).unwrap();
                 proxy.signal(Signal::HUP);
+                reloads.push(Crash { proxy: self.number, at: Instant::now() });
             }
             std::thread::sleep(interval);
         }
+        reloads
     }
 
     /// Whether the proxy reports that it serves.
--- a/crates/cli/tests/soak/judge.rs
+++ b/crates/cli/tests/soak/judge.rs
@@ -13,7 +13,8 @@
     pub drain_grace: Duration,
 }
 
-/// A time at which the test killed a process without a warning; requests that it held may be lost.
+/// A time at which the test acted on a process: killed it without a warning, in which case requests that it held
+/// may be lost, or sent it a signal.
 #[derive(Clone, Copy, Debug)]
 pub struct Crash {
     pub proxy: usize,
@@ -38,6 +39,20 @@
     pub crashes: Vec<Crash>,
     /// When processes were told to shut down. A new process knows nothing of the requests before it.
     pub shutdowns: Vec<Crash>,
+    /// When processes were told to read their configuration again.
+    pub reloads: Vec<Crash>,
+}
+
+impl Observations {
+    /// Describes what was done to a process before this time, for the report.
+    fn describe_process(&self, proxy: usize, at: Instant) -> String {
+        let ages = |events: &[Crash]| -> Vec<Duration> {
+            let events = events.iter().filter(|event| event.proxy == proxy);
+            events.filter_map(|event| at.checked_duration_since(event.at)).collect()
+        };
+        let (crashes, shutdowns, reloads) = (ages(&self.crashes), ages(&self.shutdowns), ages(&self.reloads));
+        format!("killed {crashes:?}, shut down {shutdowns:?}, reloaded {reloads:?} before")
+    }
 }
 
 /// A description of each violated invariant.
@@ -64,10 +79,7 @@
         violations.extend(check_replay(replay, arrivals, observations));
     }
     violations.extend(
-        observations
-            .arrivals
-            .iter()
-            .filter_map(|arrival| check_drain(arrival, &observations.out_of_service, bounds)),
+        observations.arrivals.iter().filter_map(|arrival| check_drain(arrival, observations, bounds)),
     );
     violations
 }
@@ -135,9 +147,9 @@
 
 /// No request goes to a server that drains or has left once the drain grace has passed since the change was
 /// told or counts as told.
-fn check_drain(arrival: &Arrival, out_of_service: &[OutOfService], bounds: DrainBounds) -> Option<String> {
+fn check_drain(arrival: &Arrival, observations: &Observations, bounds: DrainBounds) -> Option<String> {
     let proxy: usize = arrival.id.split('-').next()?.parse().ok()?;
-    let period = out_of_service.iter().find(|period| {
+    let period = observations.out_of_service.iter().find(|period| {
         period.server == arrival.server
             && arrival.at >= period.since
             && period.until.is_none_or(|until| arrival.at < until)
@@ -145,5 +157,12 @@
     let latest = period.since + bounds.ask_within;
     let told_at = period.told_at[proxy].map_or(latest, |told_at| told_at.min(latest));
     let late = arrival.at.checked_duration_since(told_at + bounds.drain_grace + SCHEDULING_SLACK)?;
-    Some(format!("drain: {} went to server {} {late:?} after the drain grace", arrival.id, arrival.server))
+    let (drains, told) =
+        (arrival.at - period.since, period.told_at[proxy].map(|told_at| arrival.at - told_at));
+    let process = observations.describe_process(proxy, arrival.at);
+    Some(format!(
+        "drain: {} went to server {} {late:?} after the drain grace: draining for {drains:?}, told {told:?} before; \
+         the process was {process}",
+        arrival.id, arrival.server
+    ))
 }
--- a/crates/cli/tests/soak/main.rs
+++ b/crates/cli/tests/soak/main.rs
@@ -55,6 +55,8 @@
 ];
 const DRAIN_BOUNDS: DrainBounds =
     DrainBounds { ask_within: Duration::from_millis(1_500), drain_grace: Duration::from_millis(700) };
+/// How many of the last requests of a proxy are reported that does not serve again.
+const REPORTED_REQUESTS: usize = 6;
 /// Every proxy must serve again within this time after the last fault.
 const RECOVERY: Duration = Duration::from_secs(20);
 
@@ -82,6 +84,7 @@
     clients: ClientLog,
     crashes: Mutex<Vec<Crash>>,
     shutdowns: Mutex<Vec<Crash>>,
+    reloads: Mutex<Vec<Crash>>,
     failures: Mutex<Vec<String>>,
 }
 
@@ -140,6 +143,7 @@
         requests,
         replays: run_log.clients.replays.into_inner().unwrap(),
         shutdowns: run_log.shutdowns.into_inner().unwrap(),
+        reloads: run_log.reloads.into_inner().unwrap(),
         arrivals,
         out_of_service: discovery.out_of_service(),
         crashes,
@@ -183,16 +187,10 @@
                     run_log.crashes.lock().unwrap().extend(series);
                 });
             }
-            4..=6 => {
-                let first = rng.below(PROXIES as u64) as usize;
-                for number in first..first + PAUSED_AT_ONCE {
-                    let (slot, pause) = (&slots[number % PROXIES], rng.ms(20, 150).max(rng.ms(20, 150)));
-                    scope.spawn(move || slot.pause(pause));
-                }
-            }
+            4..=6 => hold_up_several(scope, &mut rng, slots),
             7 => {
                 let (times, interval) = (1 + rng.below(3), rng.ms(5, 400));
-                scope.spawn(move || slot.reload(times, interval));
+                scope.spawn(move || run_log.reloads.lock().unwrap().extend(slot.reload(times, interval)));
             }
             8..=9 => {
                 let (behaviour, lasts) = (*rng.pick(&FAULTY_BEHAVIOURS), rng.ms(200, 3_000));
@@ -225,6 +223,19 @@
     }
 }
 
+/// Stops several processes for a moment each.
+fn hold_up_several<'scope, 'env>(
+    scope: &'scope std::thread::Scope<'scope, 'env>,
+    rng: &mut Rng,
+    slots: &'env [ProxySlot],
+) {
+    let first = rng.below(PROXIES as u64) as usize;
+    for number in first..first + PAUSED_AT_ONCE {
+        let (slot, pause) = (&slots[number % PROXIES], rng.ms(20, 150).max(rng.ms(20, 150)));
+        scope.spawn(move || slot.pause(pause));
+    }
+}
+
 /// Ends all faults and waits until every proxy serves again.
 fn end_faults_and_await_recovery(
     slots: &[ProxySlot],
@@ -246,9 +257,12 @@
         };
         waiting.retain(|&proxy| !serves(proxy));
     }
+    let requests = run_log.clients.requests.lock().unwrap();
     let left = waiting.into_iter().map(|proxy| {
         let ready = slots[proxy].is_ready();
-        format!("proxy {proxy} served no request within {RECOVERY:?} after the last fault, ready: {ready}")
+        let last = requests.iter().rev().filter(|request| request.proxy == proxy).take(REPORTED_REQUESTS);
+        let last: Vec<String> = last.map(RequestRecord::describe).collect();
+        format!("proxy {proxy} served no request within {RECOVERY:?} after the last fault, ready: {ready}, {last:?}")
     });
     run_log.failures.lock().unwrap().extend(left);
 }
