Soak: replays do not wait for each other, and memory is read from the proxy alone

Change: the replay is made before the lock is taken; memory is read from a process that has the program's name.

--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -19,6 +19,8 @@
 use std::time::{Duration, Instant};
 
 pub const PROGRAM: &str = env!("CARGO_BIN_EXE_violetseam");
+/// The name of a process that runs it.
+const PROGRAM_NAME: &str = "violetseam";
 
 /// Requests with this path are answered with a large body.
 pub const LARGE_PATH: &str = "/large";
@@ -77,11 +79,15 @@
     }
 }
 
-/// The highest resident memory of a process so far, in kB, unless it has ended.
+/// The highest resident memory of a process of this program so far, in kB, unless it has ended. A child that has
+/// only just been started may not run the program yet, and share the memory of its parent.
 pub fn peak_memory_kb(process: u32) -> Option<usize> {
     let text = std::fs::read_to_string(format!("/proc/{process}/status")).ok()?;
-    let line = text.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
-    line.split_whitespace().next()?.parse().ok()
+    let field = |name: &str| text.lines().find_map(|line| line.strip_prefix(name))?.split_whitespace().next();
+    if field("Name:")? != PROGRAM_NAME {
+        return None;
+    }
+    field("VmHWM:")?.parse().ok()
 }
 
 /// A running proxy and the address at which it accepts clients.
--- a/crates/cli/tests/soak/clients.rs
+++ b/crates/cli/tests/soak/clients.rs
@@ -134,7 +134,8 @@
                 record.outcome = Outcome::Disconnected(Instant::now());
                 client_log.requests.lock().unwrap().push(record.clone());
                 if rng.one_in(2) {
-                    client_log.replays.lock().unwrap().extend(send_again(&record, &call, addr, &mut rng));
+                    let replay = send_again(&record, &call, addr, &mut rng);
+                    client_log.replays.lock().unwrap().extend(replay);
                 }
                 break;
             }
