HTTP driver: what waits behind a pending request gives way too

Cause: (1) a client whose request is pending could not give way, so that up to 64 KiB of requests behind it were held for each client whatever the limit. (2) The five loads ran side by side, beside a build on all cores; each takes most of a machine, and an ordinary request waited for it.

Change: `Concession` names how a client gives way; requests behind a pending one are discarded and the connection closes after the response, as for more than 64 KiB of them. A client that has sent a part of a request which was passed on is disconnected. The loads of the test run one at a time, as those of `platform_memory` do; bounds as before.

--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -24,6 +24,8 @@
 
 /// Requests with this path are answered with a large body.
 pub const LARGE_PATH: &str = "/large";
+/// Requests with this path are answered slowly.
+pub const SLOW_PATH: &str = "/slow";
 /// More than the kernel buffers on a connection.
 const LARGE_BODY_BYTES: usize = 8 << 20;
 
@@ -64,7 +66,7 @@
         } else if path.starts_with("/v1/stage") {
             r#"{"build":2,"stage":1,"phase":"trial","cap":0.5}"#.to_owned()
         } else {
-            std::thread::sleep(Duration::from_millis(5));
+            std::thread::sleep(Duration::from_millis(if path.starts_with(SLOW_PATH) { 800 } else { 5 }));
             let body = if path.starts_with(LARGE_PATH) { &[b'x'; LARGE_BODY_BYTES][..] } else { b"ok" };
             let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
             if stream.write_all(head.as_bytes()).is_err() || stream.write_all(body).is_err() {
--- a/crates/cli/tests/http_memory.rs
+++ b/crates/cli/tests/http_memory.rs
@@ -2,10 +2,11 @@
 
 mod common;
 
-use common::{LARGE_PATH, start};
+use common::{LARGE_PATH, SLOW_PATH, start};
 use socket2::SockRef;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 /// What the settings grant to all clients together.
@@ -19,6 +20,9 @@
 /// The deadline of the request class, and half a second in which an answer is late but no loss.
 const WAIT: Duration = Duration::from_millis(1_500);
 
+/// The loads of these tests take most of a machine.
+static ONE_LOAD_AT_A_TIME: Mutex<()> = Mutex::new(());
+
 /// A client that sends one message in pieces.
 struct Writer {
     stream: TcpStream,
@@ -48,6 +52,7 @@
 /// Repeats one round of a load, with an ordinary request after each, and checks by how much the process grows and
 /// that each of these requests is answered. Returns how many there were, and how many were served.
 fn check_growth(name: &str, mut run_round: impl FnMut(SocketAddr)) -> (usize, usize) {
+    let _alone = ONE_LOAD_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
     let sections = format!(")\nconnections(client_memory = {}", CLIENT_MEMORY_KB * 1024);
     let proxy = start(name, "", &sections);
     let before = proxy.peak_memory_kb();
@@ -106,6 +111,13 @@
     assert!(served * 2 > asked, "{served} of {asked} ordinary requests served");
 }
 
+#[test]
+fn requests_that_wait_behind_a_slow_one_stay_within_the_memory_granted() {
+    let slow = format!("GET {SLOW_PATH} HTTP/1.1\r\nhost: t\r\n\r\n").into_bytes();
+    let requests = [slow, b"GET /x HTTP/1.1\r\nhost: t\r\n\r\n".repeat(2_000)].concat();
+    check_writers("http-behind-slow", &requests, usize::MAX);
+}
+
 /// These are more requests than the server can serve, so that ordinary ones may be refused.
 #[test]
 fn requests_that_wait_behind_others_stay_within_the_memory_granted() {
--- a/crates/proxy/src/driver/clients/memory.rs
+++ b/crates/proxy/src/driver/clients/memory.rs
@@ -9,6 +9,18 @@
 /// The error for a request that is refused before it has arrived, because clients hold too much memory.
 const OUT_OF_MEMORY: &str = "too much is held for clients";
 
+/// How a client gives way.
+#[derive(Clone, Copy, Debug)]
+enum Concession {
+    /// A request that has not arrived whole is answered with 503.
+    RefuseRequest,
+    /// What waits behind a pending request is discarded, and the connection closes after the response.
+    RefuseFurtherRequests,
+    /// A client that does not read its response, or that has sent only a part of a request whose first part was
+    /// passed on, is disconnected.
+    Disconnect,
+}
+
 impl Proxy {
     /// States what a connection holds to the account of clients' memory.
     pub(in super::super) fn restate_client_memory(&mut self, key: usize) {
@@ -21,40 +33,61 @@
         }
     }
 
-    /// Has the heaviest clients give way until the memory is within its limit: a request that has not arrived
-    /// whole is answered with 503, and a client that does not read its response is disconnected. A request
-    /// that has arrived whole is never dropped.
+    /// Has the heaviest clients give way until the memory is within its limit. A request that has arrived whole
+    /// and was passed to the engine is never dropped.
     pub(super) fn relieve_client_memory(&mut self) {
         while self.client_memory.is_exceeded() {
             let now = self.now();
-            let may_give_way = |client: &Client| client.is_receiving_request() || client.has_write_backlog();
-            let candidates = self.clients.iter().filter(|(_, client)| may_give_way(client));
-            let heaviest = candidates.max_by_key(|(_, client)| client.memory_weight(now));
-            let Some((key, client)) = heaviest else { return };
-            let is_receiving = client.is_receiving_request();
+            let candidates = self
+                .clients
+                .iter()
+                .filter_map(|(key, client)| Some((client.memory_weight(now), key, self.concession(client)?)));
+            let heaviest = candidates.max_by_key(|(weight, _, _)| *weight);
+            let Some((_, key, concession)) = heaviest else { return };
             if self.log_limit.allows(now) {
                 let held = self.client_memory.held();
-                tracing::warn!(client = key, held, is_receiving, "a client gives way: {OUT_OF_MEMORY}");
+                tracing::warn!(client = key, held, ?concession, "a client gives way: {OUT_OF_MEMORY}");
             }
-            if is_receiving {
-                self.respond_with_error(key, StatusCode::SERVICE_UNAVAILABLE, OUT_OF_MEMORY);
-            } else {
-                self.on_client_lost(key);
+            self.make_concession(key, concession);
+        }
+    }
+
+    /// Returns how a client can give way, if it can.
+    fn concession(&self, client: &Client) -> Option<Concession> {
+        if client.has_write_backlog() {
+            return Some(Concession::Disconnect);
+        }
+        match client.state {
+            ClientState::ReceivingBody(_) => Some(Concession::RefuseRequest),
+            ClientState::Idle => client.http.is_receiving().then_some(Concession::RefuseRequest),
+            ClientState::AwaitingResponse(id) => {
+                let request = self.in_flight.get(&id)?;
+                if !request.is_body_complete {
+                    return Some(Concession::Disconnect);
+                }
+                (client.http.buffered_bytes() > 0).then_some(Concession::RefuseFurtherRequests)
             }
+            ClientState::Closing | ClientState::Lingering => None,
         }
     }
-}
 
-impl Client {
-    /// Whether a request has arrived in part, and has not been passed to the engine.
-    fn is_receiving_request(&self) -> bool {
-        match self.state {
-            ClientState::ReceivingBody(_) => true,
-            ClientState::Idle => self.http.is_receiving(),
-            ClientState::AwaitingResponse(_) | ClientState::Closing | ClientState::Lingering => false,
+    fn make_concession(&mut self, key: usize, concession: Concession) {
+        match concession {
+            Concession::RefuseRequest => {
+                self.respond_with_error(key, StatusCode::SERVICE_UNAVAILABLE, OUT_OF_MEMORY);
+            }
+            Concession::RefuseFurtherRequests => {
+                if let Some(client) = self.clients.get_mut(key) {
+                    client.http.refuse_further_requests();
+                }
+                self.rearm_client(key);
+            }
+            Concession::Disconnect => self.on_client_lost(key),
         }
     }
+}
 
+impl Client {
     /// Returns how many bytes of memory the buffers of the connection take.
     fn held_bytes(&self) -> usize {
         let body_bytes = match &self.state {
