Emulator: outcomes by class and tenant, and an overload scenario with several loads

Cause: the emulator told only sums over all requests, so that nothing showed which callers an overload is paid by.

--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -23,5 +23,5 @@
 mod simulation;
 
 pub use error::{SimulationError, unsupported_faults};
-pub use outcome::{BuildOutcome, LatencyPercentiles, Outcome, TryCounts};
+pub use outcome::{BuildOutcome, GroupOutcome, LatencyPercentiles, Outcome, TryCounts};
 pub use simulation::simulate;
--- a/crates/emulator/src/simulation/clients.rs
+++ b/crates/emulator/src/simulation/clients.rs
@@ -3,6 +3,7 @@
 use super::{Simulation, WARM_UP};
 use crate::client_try::ClientTry;
 use crate::event_queue::SimulationEvent;
+use crate::outcome::RequestEnd;
 use rand::RngExt;
 use std::collections::HashMap;
 use violetseam::interface as decisions;
@@ -46,7 +47,8 @@
     pub(super) fn on_request_arrival(&mut self) {
         let scenario = &self.cluster.scenario;
         let Some((number, request)) = self.clients.draw(scenario.clients.retries) else { return };
-        self.collector.add_request(scenario.classes[request.class].priority_weight);
+        let priority_weight = scenario.classes[request.class].priority_weight;
+        self.collector.add_request(request.class, request.tenant, priority_weight);
         let at = WARM_UP + request.at;
         self.cluster.queue.schedule(at, SimulationEvent::ClientTry(ClientTry::first(number)));
         self.cluster.queue.schedule(at, SimulationEvent::RequestArrival);
@@ -103,7 +105,12 @@
         let now = self.cluster.now;
         let class = &self.cluster.scenario.classes[pending.request.class];
         self.collector.add_response_time(now - pending.sent_at);
-        if now <= WARM_UP + pending.request.at + class.latency_objective {
+        let first_sent_at = WARM_UP + pending.request.at;
+        let in_time = now <= first_sent_at + class.deadline;
+        let end = if in_time { RequestEnd::AnsweredInTime } else { RequestEnd::AnsweredLate };
+        let ClientRequest { class: class_index, tenant, .. } = pending.request;
+        self.collector.end_request(class_index, tenant, end, now - first_sent_at);
+        if now <= first_sent_at + class.latency_objective {
             self.collector.outcome.served_in_time += 1;
             self.collector.add_served_weight(class.priority_weight);
         } else {
@@ -118,7 +125,11 @@
         let response = FinalResponse::Rejected;
         self.cluster.observe(ObservedEvent::ResponseReceived { request, response });
         self.collector.outcome.tries.rejected += 1;
-        self.retry_or_give_up(client_try, true, retry_after);
+        if let Some(pending) = self.clients.pending.get(&client_try.request) {
+            let wait = self.cluster.now - pending.sent_at;
+            self.collector.add_refusal_wait(pending.request.class, pending.request.tenant, wait);
+        }
+        self.retry_or_give_up(client_try, RequestEnd::Refused, true, retry_after);
     }
 
     /// Handles a failed try.
@@ -131,14 +142,23 @@
         // The try may have run, so the client retries only idempotent requests.
         let class = &self.cluster.scenario.classes[pending.request.class];
         let repeat_is_harmless = class.idempotency == Idempotency::Idempotent;
-        self.retry_or_give_up(client_try, repeat_is_harmless, 0);
+        self.retry_or_give_up(client_try, RequestEnd::Failed, repeat_is_harmless, 0);
     }
 
     /// Schedules the client's next try if retries are left and a repeat is harmless. Otherwise gives the
-    /// request up.
-    fn retry_or_give_up(&mut self, client_try: ClientTry, repeat_is_harmless: bool, retry_after: u64) {
+    /// request up, which then ends as its last try did.
+    fn retry_or_give_up(
+        &mut self,
+        client_try: ClientTry,
+        end: RequestEnd,
+        repeat_is_harmless: bool,
+        retry_after: u64,
+    ) {
         let Some(pending) = self.clients.pending.get_mut(&client_try.request) else { return };
         if pending.retries_left == 0 || !repeat_is_harmless {
+            let ClientRequest { at, class, tenant, .. } = pending.request;
+            let wait = self.cluster.now - (WARM_UP + at);
+            self.collector.end_request(class, tenant, end, wait);
             self.clients.pending.remove(&client_try.request);
             return;
         }
--- a/crates/emulator/src/simulation/mod.rs
+++ b/crates/emulator/src/simulation/mod.rs
@@ -77,7 +77,7 @@
             proxies: start_proxies(&scenario, &mut stream(1))?,
             clients: ClientRequests::new(&scenario),
             release_service: ReleaseService::new(&scenario),
-            collector: OutcomeCollector::new()?,
+            collector: OutcomeCollector::new(scenario.classes.len(), scenario.tenants.len())?,
             cluster: Cluster::new(scenario, stream(2)),
         })
     }
--- a/crates/scenarios/src/lib.rs
+++ b/crates/scenarios/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod fleet_scenarios;
 pub mod measurement;
 mod outcome;
+pub mod overload_scenario;
 mod playback;
 mod process;
 mod proxies;
