Emulator: clients wait no longer than their deadline over all tries

Cause: each try got the class's whole deadline anew, while the clients over sockets, as the interface says, wait that long over all tries together (simulated-site, network/clients/requests.rs). Change: a try ends at the request's deadline or after the scenario's share of it, and no try begins later.

--- a/crates/emulator/src/simulation/clients.rs
+++ b/crates/emulator/src/simulation/clients.rs
@@ -61,7 +61,10 @@
         let Some(pending) = self.clients.pending.get_mut(&client_try.request) else { return };
         pending.sent_at = now;
         let request = pending.request;
-        let deadline = now + self.cluster.scenario.classes[request.class].deadline;
+        let scenario = &self.cluster.scenario;
+        let class_deadline = scenario.classes[request.class].deadline;
+        let try_timeout = (class_deadline as f64 * scenario.clients.attempt_timeout_share) as u64;
+        let deadline = (WARM_UP + request.at + class_deadline).min(now + try_timeout);
         self.cluster.observe(ObservedEvent::RequestSent {
             request: client_try.observed_request(),
             proxy: proxy as u32,
@@ -145,8 +148,8 @@
         self.retry_or_give_up(client_try, RequestEnd::Failed, repeat_is_harmless, 0);
     }
 
-    /// Schedules the client's next try if retries are left and a repeat is harmless. Otherwise gives the
-    /// request up, which then ends as its last try did.
+    /// Schedules the client's next try if retries are left, a repeat is harmless and the client still waits
+    /// by then. Otherwise gives the request up, which then ends as its last try did.
     fn retry_or_give_up(
         &mut self,
         client_try: ClientTry,
@@ -154,19 +157,20 @@
         repeat_is_harmless: bool,
         retry_after: u64,
     ) {
+        let clients = &self.cluster.scenario.clients;
+        let complies = self.cluster.random.random::<f64>() < clients.retry_after_compliance;
+        let backoff = clients.backoff.max(if complies { retry_after } else { 0 });
+        let at = self.cluster.now + backoff.max(1);
         let Some(pending) = self.clients.pending.get_mut(&client_try.request) else { return };
-        if pending.retries_left == 0 || !repeat_is_harmless {
-            let ClientRequest { at, class, tenant, .. } = pending.request;
-            let wait = self.cluster.now - (WARM_UP + at);
+        let ClientRequest { at: arrived, class, tenant, .. } = pending.request;
+        let still_waits = at < WARM_UP + arrived + self.cluster.scenario.classes[class].deadline;
+        if pending.retries_left == 0 || !repeat_is_harmless || !still_waits {
+            let wait = self.cluster.now - (WARM_UP + arrived);
             self.collector.end_request(class, tenant, end, wait);
             self.clients.pending.remove(&client_try.request);
             return;
         }
         pending.retries_left -= 1;
-        let clients = &self.cluster.scenario.clients;
-        let complies = self.cluster.random.random::<f64>() < clients.retry_after_compliance;
-        let backoff = clients.backoff.max(if complies { retry_after } else { 0 });
-        let at = self.cluster.now + backoff.max(1);
         self.cluster.queue.schedule(at, SimulationEvent::ClientTry(client_try.next()));
     }
 }
