Emulator: the overload example plays fleets of 2, 24 and 100 proxies

Change: in its place a fleet of 100, in which a proxy sees little of a server's queue. Result: an example only; no test or decision changed.

--- a/crates/emulator/examples/overload.rs
+++ b/crates/emulator/examples/overload.rs
@@ -12,8 +12,8 @@
 /// How many seeds are run at each load unless the command line says otherwise.
 const DEFAULT_SEEDS: u64 = 3;
 
-/// Numbers of proxies and lengths of the servers' queues.
-const SITES: [(usize, usize); 3] = [(2, 60), (2, 400), (24, 400)];
+/// Numbers of proxies and lengths of the servers' queues: the more proxies, the less each sees of the queues.
+const SITES: [(usize, usize); 3] = [(2, 400), (24, 400), (100, 400)];
 
 fn main() -> Result<(), SimulationError> {
     let seeds = std::env::args().nth(1).and_then(|seeds| seeds.parse().ok()).unwrap_or(DEFAULT_SEEDS);
