Admission: a request waits for a server as long as an answer can come in time

Callers saw: where no server could take a request, it was refused after 0.15 s of the 1.2 s that its client had left to wait, though a server that came up a moment later would have answered it; and a client whose usual answer takes 0.4 s was kept waiting by the same figure, whatever time it had left. Cause: MAX_WAIT_SHARE, half of the class's latency objective, bounded the wait (`route_request`). Change: a request waits while its time left covers the usual latency of its class, as observed, or its cost hint if that is longer, and the margin of the final response; then it is refused at once (`leaves_time_for_answer`). It can't wait longer than its client: the check uses the client's deadline alone.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -7,8 +7,6 @@
 use crate::retry::{MAX_RETRY_BUDGET, RETRY_BUDGET_PER_REQUEST};
 use crate::state::{InFlightRequest, Lane};
 
-/// How long a request waits for a server before it is rejected, as a share of its class's latency objective.
-const MAX_WAIT_SHARE: f64 = 0.5;
 /// The share of the exposure cap that each request adds to the allowance of a build on trial. It is below 1
 /// so that rounding errors cannot push the exposure over the cap.
 const EARNED_CAP_SHARE: f64 = 0.995;
@@ -79,13 +77,12 @@
         self.state.random.unit() < shed_share
     }
 
-    /// Sends a request to a server, or lets it wait for a while when no server may take it. A request whose
-    /// response would be late anyway is rejected at once, so that an overload does not make every response
-    /// late.
+    /// Sends a request to a server, or lets it wait when no server may take it, for as long as an answer can
+    /// still come in time. A request whose response would be late anyway is rejected at once, so that an
+    /// overload does not make every response late.
     pub(crate) fn route_request(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
-        let Some(in_flight_request) = self.state.requests.get(&id) else { return };
+        let Some(in_flight_request) = self.state.requests.get(&id).cloned() else { return };
         let request = in_flight_request.request;
-        let waited = now.saturating_sub(in_flight_request.arrived) as f64;
         let objective = self.settings.classes[request.class].latency_objective as f64;
         if let Some(server) = self.pick_server(now, id) {
             let first_attempt = self.state.requests[&id].attempts.is_empty();
@@ -94,15 +91,22 @@
             } else {
                 self.send(now, id, server, out);
             }
-        } else if waited >= objective * MAX_WAIT_SHARE
-            || now + self.final_response_margin() >= request.deadline
-        {
-            self.finish_unanswered(now, id, UnansweredReason::LoadShed, out);
-        } else {
+        } else if self.leaves_time_for_answer(now, &in_flight_request) {
             self.state.schedule_check(id, now + self.settings.tick);
+        } else {
+            self.finish_unanswered(now, id, UnansweredReason::LoadShed, out);
         }
     }
 
+    /// Whether an answer to a request that is sent now would come before its client stops waiting, if it
+    /// takes as long as answers of its class usually do, and no shorter than its expected service time.
+    pub(crate) fn leaves_time_for_answer(&self, now: Micros, request: &InFlightRequest) -> bool {
+        let Request { class, cost_hint, deadline, .. } = request.request;
+        let usual_latency = self.state.latencies[class].median as Micros;
+        let expected_latency = usual_latency.max(cost_hint.unwrap_or(0));
+        now + expected_latency + self.final_response_margin() < deadline
+    }
+
     /// Whether the response to one more request at this server would be late.
     ///
     /// The strictest latency objective of all classes decides, because all classes share the server's queue:
