Admission: work ahead is weighed against the client's time, for every attempt alike

Callers saw: a client with 1.2 s was refused although two answers of 0.1 s were ahead; one with 0.2 s was sent behind work that takes 0.3 s, and waited in vain; a repeat was sent where a first attempt was refused. Cause: `is_congested` compared the expected latency with 0.65 of the strictest latency objective of all classes, and `route_request` asked it for first attempts alone. Evidence: three of the new tests failed before (a_request_is_sent_if_its_client_has_the_time_for_the_work_ahead, a_request_is_refused_at_once_if_the_work_ahead_takes_longer_than_its_client_has, a_repeat_is_refused_at_once_like_a_first_attempt); two more guard what held already. All pass now. Change: an attempt, first or further, is refused at once if the own work ahead at its server and its own work (the cost hint, or what the server takes) last longer than its client has, or than the clients have who come next with the least time: servers work in the order of arrival. That time is read from the requests themselves. A server with nothing in flight is always tried. An attempt that timed out counts as work of at least that time.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -5,7 +5,7 @@
 use crate::completion::UnansweredReason;
 use crate::interface::{Action, Micros, Request, RequestId, ServerId};
 use crate::retry::{MAX_RETRY_BUDGET, RETRY_BUDGET_PER_REQUEST};
-use crate::state::{InFlightRequest, Lane};
+use crate::state::{ClientTime, InFlightRequest, Lane, smooth};
 
 /// The share of the exposure cap that each request adds to the allowance of a build on trial. It is below 1
 /// so that rounding errors cannot push the exposure over the cap.
@@ -18,9 +18,8 @@
 const SHED_GAIN: f64 = 2.0;
 /// At most this share of the requests is shed, so that some requests are always tried.
 const MAX_SHED_SHARE: f64 = 0.9;
-/// A request is rejected at once when its expected latency exceeds this share of the strictest latency
-/// objective.
-const MAX_EXPECTED_LATENCY_SHARE: f64 = 0.65;
+/// The weight of the newest request in the time that clients of a class wait.
+const CLIENT_TIME_SMOOTHING: f64 = 0.1;
 
 impl Balancer {
     pub(crate) fn on_request(&mut self, now: Micros, request: Request, out: &mut Vec<Action>) {
@@ -34,6 +33,7 @@
         {
             self.state.sticky_keys.count_arrival(key);
         }
+        self.record_client_time(now, &request);
         self.state.retry_budget = (self.state.retry_budget + RETRY_BUDGET_PER_REQUEST).min(MAX_RETRY_BUDGET);
         self.add_exposure_allowance(now, class);
         let typical_cost = self.state.latencies[class].median;
@@ -77,16 +77,40 @@
         self.state.random.unit() < shed_share
     }
 
+    /// Records how long the client of a new request waits.
+    fn record_client_time(&mut self, now: Micros, request: &Request) {
+        let given = request.deadline.saturating_sub(now) as f64;
+        let classes = self.settings.classes.len();
+        self.state.client_times.resize(classes, None);
+        match &mut self.state.client_times[request.class] {
+            Some(time) => {
+                smooth(&mut time.given, given, CLIENT_TIME_SMOOTHING);
+                time.last_arrival = now;
+            }
+            unknown => *unknown = Some(ClientTime { given, last_arrival: now }),
+        }
+    }
+
+    /// The class whose clients wait for the shortest time, among those that may come next: the last request
+    /// of such a class came within that time, and servers have answered such requests within it.
+    fn shortest_client_time(&self, now: Micros) -> Option<f64> {
+        let times = self.state.client_times.iter().zip(&self.state.latencies);
+        let counted = times.filter_map(|(time, latency)| {
+            let ClientTime { given, last_arrival } = (*time)?;
+            let came_lately = now.saturating_sub(last_arrival) as f64 <= given;
+            let can_be_served = latency.share_above(given) < 1.0;
+            (came_lately && can_be_served).then_some(given)
+        });
+        counted.min_by(f64::total_cmp)
+    }
+
     /// Sends a request to a server, or lets it wait when no server may take it, for as long as an answer can
     /// still come in time. A request whose response would be late anyway is rejected at once, so that an
     /// overload does not make every response late.
     pub(crate) fn route_request(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
         let Some(in_flight_request) = self.state.requests.get(&id).cloned() else { return };
-        let request = in_flight_request.request;
-        let objective = self.settings.classes[request.class].latency_objective as f64;
         if let Some(server) = self.pick_server(now, id) {
-            let first_attempt = self.state.requests[&id].attempts.is_empty();
-            if first_attempt && self.is_congested(server, objective) {
+            if self.is_congested(now, &in_flight_request, server) {
                 self.finish_unanswered(now, id, UnansweredReason::LoadShed, out);
             } else {
                 self.send(now, id, server, out);
@@ -107,15 +131,21 @@
         now + expected_latency + self.final_response_margin() < deadline
     }
 
-    /// Whether the response to one more request at this server would be late.
+    /// Whether the response to one more request at this server would probably come too late: for its own
+    /// client, or for the clients who come next and have the least time. Servers work in the order of arrival,
+    /// so whatever is sent now stands before those; a client with more time can come again when less does.
     ///
-    /// The strictest latency objective of all classes decides, because all classes share the server's queue:
-    /// a class with a long objective, judged by that alone, would crowd out the others.
-    fn is_congested(&self, server: ServerId, objective: f64) -> bool {
+    /// A server without own attempts in flight is always tried, because only its answer shows how long it takes.
+    fn is_congested(&self, now: Micros, request: &InFlightRequest, server: ServerId) -> bool {
         let server = &self.state.servers[&server];
-        let expected_latency = server.latency_per_attempt * f64::from(server.in_flight + 1);
-        let objectives = self.settings.classes.iter().map(|class| class.latency_objective as f64);
-        let strictest_objective = objectives.fold(objective, f64::min);
-        server.in_flight > 1 && expected_latency > strictest_objective * MAX_EXPECTED_LATENCY_SHARE
+        if server.in_flight == 0 {
+            return false;
+        }
+        let work_ahead = server.latency_per_attempt * f64::from(server.in_flight);
+        let own_work = request.request.cost_hint.map_or(server.latency_per_attempt, |hint| hint as f64);
+        let time_left = request.request.deadline.saturating_sub(now) as f64;
+        let shortest_client_time = self.shortest_client_time(now).unwrap_or(f64::INFINITY);
+        let margin = self.final_response_margin() as f64;
+        work_ahead + own_work + margin > time_left.min(shortest_client_time)
     }
 }
--- a/src/outcomes.rs
+++ b/src/outcomes.rs
@@ -95,11 +95,11 @@
         if matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Rejected) {
             server.waiting_since = now;
         }
+        let latency_per_attempt = elapsed as f64 / f64::from(concurrency.max(1));
         let slowness = (elapsed as f64 / typical_latency).min(MAX_SLOWNESS);
         match outcome {
             Outcome::Ok => {
                 smooth(&mut server.failure_share, 0.0, RECORD_SMOOTHING);
-                let latency_per_attempt = elapsed as f64 / f64::from(concurrency.max(1));
                 // With few attempts in flight the estimate is too high, and the rejections that follow would
                 // keep them few. So the estimate falls quickly and rises slowly.
                 let faster = latency_per_attempt < server.latency_per_attempt;
@@ -110,6 +110,10 @@
             Outcome::Cancelled | Outcome::NotSent | Outcome::CancelledBeforeSend => {}
             _ => smooth(&mut server.failure_share, 1.0, RECORD_SMOOTHING),
         }
+        // An attempt that timed out would have taken at least this long.
+        if outcome == Outcome::Timeout && latency_per_attempt > server.latency_per_attempt {
+            smooth(&mut server.latency_per_attempt, latency_per_attempt, RECORD_SMOOTHING);
+        }
         // A cancelled attempt would have taken at least this long.
         let slower_than_recorded = outcome == Outcome::Cancelled && slowness > server.slowness;
         if outcome == Outcome::Ok || slower_than_recorded {
--- a/src/state/latency.rs
+++ b/src/state/latency.rs
@@ -32,6 +32,12 @@
         }
     }
 
+    /// Returns the share of the recent latencies above a value, 0 if there are none.
+    pub fn share_above(&self, latency: f64) -> f64 {
+        let above = self.recent.iter().filter(|recent| **recent > latency).count();
+        above as f64 / self.recent.len().max(1) as f64
+    }
+
     /// Recalculates the median and the tail if there are enough responses.
     pub fn refresh(&mut self) {
         if self.recent.len() < MIN_RESPONSES {
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -41,6 +41,15 @@
     pub tenant: usize,
 }
 
+/// How long the clients of a class wait for a response, as their requests say.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ClientTime {
+    /// Smoothed time from a request's arrival to its deadline, in microseconds.
+    pub given: f64,
+    /// Arrival of the last request.
+    pub last_arrival: Micros,
+}
+
 /// State of the server list itself.
 #[derive(Clone, Debug, Default)]
 #[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
@@ -145,6 +154,10 @@
     /// Time from which nothing is sent because the process shuts down. It is not handed over in a takeover.
     #[cfg_attr(feature = "serde", serde(skip))]
     pub shutdown_at: Option<Micros>,
+    /// How long clients of each class wait; `None` for a class of which no request has come. It is not handed
+    /// over in a takeover, because the first requests show it again.
+    #[cfg_attr(feature = "serde", serde(skip))]
+    pub client_times: Vec<Option<ClientTime>>,
 }
 
 impl BalancerState {
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -37,3 +37,93 @@
     assert_eq!(final_responses(&harness.advance(750 * MS), id), (0, 0), "refused with 450 ms left");
     assert_eq!(final_responses(&harness.advance(60 * MS), id), (1, 0), "kept with under 400 ms left");
 }
+
+/// A server with one attempt in flight that answers each after `latency` of waiting.
+fn busy_harness(settings: Settings, latency: Micros) -> Harness {
+    let mut harness = Harness::new(settings, &server_list(1, 0), RELEASED);
+    harness.run_traffic(&[IDEMPOTENT], 60, |_, _| (Outcome::Ok, latency));
+    for _ in 0..2 {
+        assert_eq!(sends(&harness.request(IDEMPOTENT).1).len(), 1, "the server is not tried");
+    }
+    harness
+}
+
+/// Feeds a request of the idempotent class whose client waits for `time`.
+fn request_with_time(harness: &mut Harness, id: RequestId, time: Micros) -> Vec<Action> {
+    let request = Request { id, deadline: harness.now + time, ..Request::default() };
+    harness.feed(Event::Request(request))
+}
+
+/// Two attempts of 100 ms each are ahead. A client that waits for 1.2 s gets its answer in time behind them.
+#[test]
+fn a_request_is_sent_if_its_client_has_the_time_for_the_work_ahead() {
+    let mut harness = busy_harness(settings(), 100 * MS);
+    let actions = request_with_time(&mut harness, 900, 1_200 * MS);
+    assert_eq!((sends(&actions).len(), final_responses(&actions, 900)), (1, (0, 0)));
+}
+
+/// The same work is ahead, and this client waits for 0.2 s only: it is told at once.
+#[test]
+fn a_request_is_refused_at_once_if_the_work_ahead_takes_longer_than_its_client_has() {
+    let mut settings = settings();
+    for class in &mut settings.classes {
+        class.latency_objective = 900 * MS;
+    }
+    let mut harness = busy_harness(settings, 100 * MS);
+    let actions = request_with_time(&mut harness, 900, 200 * MS);
+    assert_eq!((sends(&actions).len(), final_responses(&actions, 900)), (0, (1, 0)));
+}
+
+/// A client is told as early whether its request has been sent before: the work ahead is the same.
+#[test]
+fn a_repeat_is_refused_at_once_like_a_first_attempt() {
+    let mut harness = busy_harness(settings(), 100 * MS);
+    let actions = request_with_time(&mut harness, 900, 700 * MS);
+    assert_eq!(sends(&actions).len(), 1);
+    harness.now += 500 * MS;
+    let retry = harness.end_attempt(900, 0, 10, Outcome::ConnectFailed, 500 * MS);
+    assert_eq!((sends(&retry).len(), final_responses(&retry, 900)), (0, (1, 0)));
+}
+
+/// The request with its own large amount of work takes longer than its client waits, behind any work at all.
+#[test]
+fn the_work_in_the_request_counts_against_the_time_of_its_client() {
+    let mut harness = busy_harness(settings(), 100 * MS);
+    let deadline = harness.now + 1_200 * MS;
+    let request = Request { id: 900, deadline, cost_hint: Some(1_100 * MS), ..Request::default() };
+    let actions = harness.feed(Event::Request(request));
+    assert_eq!((sends(&actions).len(), final_responses(&actions, 900)), (0, (1, 0)));
+}
+
+/// Servers work in the order of arrival. While clients who wait for 5 s send more than the server can do, those
+/// who wait for 0.3 s and ask for as much get at least half of their fair share in time.
+#[test]
+fn clients_with_more_time_leave_the_server_to_those_with_less() {
+    const SERVICE_TIME: Micros = 20 * MS;
+    const STEPS: u64 = 400;
+    let mut harness = Harness::new(settings(), &server_list(1, 0), RELEASED);
+    harness.run_traffic(&[IDEMPOTENT, KEYED], 60, |_, _| (Outcome::Ok, SERVICE_TIME));
+    let mut queue = std::collections::VecDeque::new();
+    let mut short_answered = 0;
+    for step in 0..STEPS {
+        harness.now += SERVICE_TIME / 2;
+        let mut arrivals = [(2_000 + step, KEYED, 5 * S), (5_000 + step, IDEMPOTENT, 300 * MS)];
+        if step / 2 % 2 == 1 {
+            arrivals.reverse();
+        }
+        for (id, class, time) in arrivals {
+            let request = Request { id, deadline: harness.now + time, class, ..Request::default() };
+            let sent = sends(&harness.feed(Event::Request(request)));
+            queue.extend(sent.iter().map(|_| (id, harness.now, time)));
+        }
+        if step % 2 == 1
+            && let Some((id, sent_at, time)) = queue.pop_front()
+        {
+            let elapsed = harness.now - sent_at;
+            short_answered += u64::from(id >= 5_000 && elapsed < time);
+            harness.end_attempt(id, 0, 10, Outcome::Ok, elapsed);
+        }
+    }
+    let fair_share = STEPS / 2 / 2;
+    assert!(short_answered >= fair_share / 2, "{short_answered} of a fair share of {fair_share}");
+}
