Admission: what is refused follows from clients that got no answer in their time

Callers saw: clients who wait for 1.2 s and whose answers took 0.5 s were refused, up to nine in ten; clients who did run out of time, with no queue in sight, were not refused but kept waiting to the end. Cause: `should_shed` counted as late what came after the latency objective, and shed by constants on that share. The share fades by a tenth a second, as before, so that servers are tried again. The stored names and their order stay.

--- a/src/event_loop.rs
+++ b/src/event_loop.rs
@@ -14,8 +14,9 @@
 pub(crate) const MAINTENANCE_INTERVAL: Micros = 100 * MILLISECOND;
 /// The share by which a server's record moves towards that of a healthy server in each round of maintenance.
 const SERVER_RECORD_DECAY_SHARE: f64 = 0.03;
-/// The late shares are multiplied by this factor in each round of maintenance.
-const LATE_SHARE_RETAINED: f64 = 0.99;
+/// The shares of unanswered attempts are multiplied by this factor in each round of maintenance, so that a lane
+/// that is refused is tried again.
+const UNANSWERED_SHARE_RETAINED: f64 = 0.99;
 
 impl Balancer {
     /// Handles one event and appends the resulting actions to `out`. `now` must never be earlier than in the
@@ -95,10 +96,10 @@
         for server in self.state.servers.values_mut() {
             server.decay(SERVER_RECORD_DECAY_SHARE);
         }
-        for share in self.state.late_share_by_lane.values_mut() {
-            *share *= LATE_SHARE_RETAINED;
+        for share in self.state.unanswered_share_by_lane.values_mut() {
+            *share *= UNANSWERED_SHARE_RETAINED;
         }
-        self.state.late_share *= LATE_SHARE_RETAINED;
+        self.state.unanswered_share *= UNANSWERED_SHARE_RETAINED;
         self.update_capacity_estimate(now);
     }
 }
--- a/src/outcomes.rs
+++ b/src/outcomes.rs
@@ -1,11 +1,10 @@
 //! Handles the ends of attempts: what they reveal about lateness, servers, builds and sticky keys.
 
-use crate::admission::LANE_LATE_MARGIN;
 use crate::analysis::AttemptContext;
 use crate::balancer::Balancer;
-use crate::interface::{Action, AttemptEnd, Micros, Outcome, Phase};
+use crate::interface::{Action, AttemptEnd, Micros, Outcome, Phase, Request};
 use crate::retry::MAX_RETRY_BUDGET;
-use crate::state::{Attempt, Lane, MAX_TRIAL_CREDIT, smooth};
+use crate::state::{Attempt, MAX_TRIAL_CREDIT, smooth};
 
 /// The number of recent latencies that are kept for each class.
 const MAX_RECENT_LATENCIES: usize = 100;
@@ -13,8 +12,8 @@
 const RECORD_SMOOTHING: f64 = 0.15;
 /// The weight of a response that was faster than the server's record.
 const FASTER_SMOOTHING: f64 = 0.5;
-/// The weight of the newest outcome in the late shares.
-const LATE_SMOOTHING: f64 = 0.1;
+/// The weight of the newest outcome in the shares of unanswered attempts.
+const UNANSWERED_SMOOTHING: f64 = 0.1;
 /// Slowness, the ratio of a latency to the typical one, is limited to this value in a server's record.
 const MAX_SLOWNESS: f64 = 10.0;
 
@@ -31,7 +30,7 @@
         let objective = self.settings.classes[client_request.class].latency_objective;
         let late = now >= request.arrived + objective;
         let work = client_request.cost_hint.unwrap_or(objective).max(1) as f64;
-        self.record_lateness(self.lane(&client_request), late, end.outcome);
+        self.record_answered(&client_request, end);
         self.refund_unsent_attempt(&attempt, end);
         self.record_server_outcome(now, client_request.class, attempt.concurrency, end);
         self.record_build_outcome(
@@ -57,22 +56,24 @@
         }
     }
 
-    /// Records whether an attempt was late.
+    /// Records whether a server answered an attempt in its client's time. An attempt that timed out counts
+    /// only if it had as long as answers of its class usually take: a client that waits for less says nothing
+    /// about the servers.
     ///
-    /// The late share covers all servers together, because with little traffic the queue of a single server
-    /// is not visible to this balancer. A lane that is late by much more than the rest has a cause of its
-    /// own. It is shed by its own late share and left out of the overall one, so that it neither causes other
-    /// lanes to be shed nor takes up their capacity.
-    fn record_lateness(&mut self, lane: Lane, late: bool, outcome: Outcome) {
-        if !matches!(outcome, Outcome::Ok | Outcome::Timeout | Outcome::Rejected) {
-            return;
-        }
-        let lateness = f64::from(u8::from(late || outcome == Outcome::Rejected));
-        let lane_late_share = self.state.late_share_by_lane.entry(lane).or_default();
-        smooth(lane_late_share, lateness, LATE_SMOOTHING);
-        let lane_alone_is_late = *lane_late_share > self.state.late_share + LANE_LATE_MARGIN;
-        let weight = if lane_alone_is_late { 0.0 } else { LATE_SMOOTHING };
-        smooth(&mut self.state.late_share, lateness, weight);
+    /// With little traffic the queue of a single server is not visible to this balancer, so the shares cover
+    /// all servers together. Each lane has its own, so that one with a cause of its own costs no other.
+    fn record_answered(&mut self, request: &Request, end: AttemptEnd) {
+        let usual_latency = self.state.latencies[request.class].median;
+        let unanswered = match end.outcome {
+            Outcome::Ok => 0.0,
+            Outcome::Rejected => 1.0,
+            Outcome::Timeout if end.elapsed as f64 >= usual_latency => 1.0,
+            _ => return,
+        };
+        let lane = self.lane(request);
+        let lane_share = self.state.unanswered_share_by_lane.entry(lane).or_default();
+        smooth(lane_share, unanswered, UNANSWERED_SMOOTHING);
+        smooth(&mut self.state.unanswered_share, unanswered, UNANSWERED_SMOOTHING);
     }
 
     /// Refunds what was taken for an attempt that was never sent.
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -31,7 +31,8 @@
 /// Maximum number of first attempts at the build on trial that can be saved up.
 pub(crate) const MAX_TRIAL_CREDIT: f64 = 2.0;
 
-/// A lane: the requests of one class and one tenant. Lateness is counted for each lane separately.
+/// A lane: the requests of one class and one tenant. What servers leave unanswered is counted for
+/// each lane separately.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 #[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Lane {
@@ -123,10 +124,12 @@
     pub trial_credit: f64,
     /// Cost of the requests that arrived.
     pub offered_cost: SlidingSum,
-    /// Smoothed share of late responses, 0 to 1.
-    pub late_share: f64,
-    /// Smoothed share of late responses in each lane, 0 to 1.
-    pub late_share_by_lane: BTreeMap<Lane, f64>,
+    /// Smoothed share of attempts that no server answered in their client's time, 0 to 1.
+    #[cfg_attr(feature = "serde", serde(rename = "late_share"))]
+    pub unanswered_share: f64,
+    /// The same share in each lane.
+    #[cfg_attr(feature = "serde", serde(rename = "late_share_by_lane"))]
+    pub unanswered_share_by_lane: BTreeMap<Lane, f64>,
     /// Time at which the next maintenance is due.
     pub next_maintenance: Micros,
     /// Time at which the earliest timer that has been set expires.
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -127,3 +127,74 @@
     let fair_share = STEPS / 2 / 2;
     assert!(short_answered >= fair_share / 2, "{short_answered} of a fair share of {fair_share}");
 }
+
+/// Answers that take 0.5 s reach clients who wait for 1.2 s in time, whatever the latency objective is: nobody
+/// is refused for them.
+#[test]
+fn nobody_is_refused_because_of_answers_that_come_in_time() {
+    let mut harness = Harness::new(settings(), &server_list(6, 0), RELEASED);
+    let actions = harness.run_traffic(&[IDEMPOTENT], 400, |_, _| (Outcome::Ok, 30 * MS));
+    assert_eq!(sends(&actions).len(), 400);
+    let mut refused = 0;
+    for _ in 0..300 {
+        let (id, actions) = harness.request(IDEMPOTENT);
+        refused += final_responses(&actions, id).0;
+        harness.now += 500 * MS;
+        for (id, server) in sends(&actions) {
+            harness.end_attempt(id, 0, server, Outcome::Ok, 500 * MS);
+        }
+    }
+    assert_eq!(refused, 0);
+}
+
+/// A client who waits for less than answers usually take says nothing about the servers: others are not
+/// refused for its time-out.
+#[test]
+fn clients_with_hardly_any_time_do_not_get_others_refused() {
+    let mut harness = Harness::new(settings(), &server_list(6, 0), RELEASED);
+    harness.run_traffic(&[IDEMPOTENT], 60, |_, _| (Outcome::Ok, 100 * MS));
+    let mut refused = 0;
+    for id in 0..300 {
+        let hasty = request_with_time(&mut harness, 10_000 + id, 20 * MS);
+        harness.now += 10 * MS;
+        for (hasty_id, server) in sends(&hasty) {
+            harness.end_attempt(hasty_id, 0, server, Outcome::Timeout, 10 * MS);
+        }
+        let (id, actions) = harness.request(IDEMPOTENT);
+        refused += final_responses(&actions, id).0;
+        harness.advance(100 * MS);
+        for (id, server) in sends(&actions) {
+            harness.end_attempt(id, 0, server, Outcome::Ok, 100 * MS);
+        }
+    }
+    assert_eq!(refused, 0);
+}
+
+/// With one attempt in flight at a time no queue is visible. While every second client of a class runs out of
+/// time, as large a share is told at once, and clients are tried again soon after the servers have recovered.
+#[test]
+fn as_many_are_refused_at_once_as_would_run_out_of_time() {
+    let mut harness = Harness::new(settings(), &server_list(6, 0), RELEASED);
+    harness.run_traffic(&[NON_IDEMPOTENT], 60, |_, _| (Outcome::Ok, 100 * MS));
+    let refused_of = |harness: &mut Harness, n: u64, answers_every: u64| {
+        let mut refused = 0;
+        for i in 0..n {
+            let (id, actions) = harness.request(NON_IDEMPOTENT);
+            refused += final_responses(&actions, id).0;
+            let answered = i % answers_every == 0;
+            let elapsed = if answered { 100 * MS } else { 1_190 * MS };
+            harness.advance(20 * MS);
+            for (id, server) in sends(&actions) {
+                let outcome = if answered { Outcome::Ok } else { Outcome::Timeout };
+                harness.end_attempt(id, 0, server, outcome, elapsed);
+            }
+        }
+        refused
+    };
+    refused_of(&mut harness, 100, 2);
+    let under_overload = refused_of(&mut harness, 400, 2);
+    assert!((100..300).contains(&under_overload), "{under_overload} of 400 refused");
+    refused_of(&mut harness, 500, 1);
+    let after_recovery = refused_of(&mut harness, 200, 1);
+    assert!(after_recovery < 10, "{after_recovery} of 200 refused after the servers had recovered");
+}
