Retry-After says when the work ahead is done, and nothing where nothing is known

Callers saw: who was refused in an overload was told to stay away for the longest time that clients honour, a second in the test where clients wait for 0.2 s; so was a client whose attempts had failed, once the latency objective had passed, with idle servers at hand. Cause: `finish_unanswered` gave `max_retry_after` to all that was shed or after the objective. Change: an overload's refusal carries the usual latency of the class, as observed, at most what clients honour: by then what the servers have ahead is done. Refusals for want of a server and after failures carry none.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -41,7 +41,7 @@
         self.state.offered_cost.add(now, cost);
         self.state.requests.insert(id, InFlightRequest::new(request, now, cost));
         if self.should_shed(now, &request) {
-            self.finish_unanswered(now, id, UnansweredReason::LoadShed, out);
+            self.finish_unanswered(id, UnansweredReason::Overloaded, out);
         } else {
             self.route_request(now, id, out);
         }
@@ -121,14 +121,14 @@
         let Some(in_flight_request) = self.state.requests.get(&id).cloned() else { return };
         if let Some(server) = self.pick_server(now, id) {
             if self.is_congested(now, &in_flight_request, server) {
-                self.finish_unanswered(now, id, UnansweredReason::LoadShed, out);
+                self.finish_unanswered(id, UnansweredReason::Overloaded, out);
             } else {
                 self.send(now, id, server, out);
             }
         } else if self.leaves_time_for_answer(now, &in_flight_request) {
             self.state.schedule_check(id, now + self.settings.tick);
         } else {
-            self.finish_unanswered(now, id, UnansweredReason::LoadShed, out);
+            self.finish_unanswered(id, UnansweredReason::NoServer, out);
         }
     }
 
--- a/src/completion.rs
+++ b/src/completion.rs
@@ -6,8 +6,10 @@
 /// Why a request ends without a server's response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum UnansweredReason {
-    /// The request is rejected to shed load.
-    LoadShed,
+    /// The servers have more work than they can do in the clients' time.
+    Overloaded,
+    /// No server may take the request before its client stops waiting.
+    NoServer,
     /// The attempts of the request failed, or its deadline is near.
     AttemptsFailed,
 }
@@ -17,7 +19,6 @@
     /// by the client is harmless, otherwise a failure.
     pub(crate) fn finish_unanswered(
         &mut self,
-        now: Micros,
         id: RequestId,
         reason: UnansweredReason,
         out: &mut Vec<Action>,
@@ -29,10 +30,7 @@
             class.idempotency == Idempotency::Keyed && class.dedup_group == DedupGroup::All;
         let retry_is_harmless = keyed_across_all_servers || class.idempotency == Idempotency::Idempotent;
         if never_ran || retry_is_harmless {
-            let late = now >= request.arrived + class.latency_objective;
-            let shed = reason == UnansweredReason::LoadShed;
-            let has_retry_after = self.settings.limits.retry_after && (shed || late);
-            let retry_after = if has_retry_after { self.settings.limits.max_retry_after } else { 0 };
+            let retry_after = self.retry_after(request.request.class, reason);
             out.push(Action::Reject { request: id, retry_after });
         } else {
             out.push(Action::Fail { request: id });
@@ -40,6 +38,17 @@
         self.finish(id, out);
     }
 
+    /// When a client should come again that is refused for this reason; 0 is no advice. In an overload this is
+    /// the usual latency of its class: by then what the servers have ahead now is done. Nothing is known of
+    /// when a server appears, and a client whose attempts failed may come again at once.
+    fn retry_after(&self, class: usize, reason: UnansweredReason) -> Micros {
+        if reason != UnansweredReason::Overloaded || !self.settings.limits.retry_after {
+            return 0;
+        }
+        let usual_latency = self.state.latencies[class].median as Micros;
+        usual_latency.min(self.settings.limits.max_retry_after)
+    }
+
     /// Finishes a request that needs no further response: its attempts in flight are cancelled where that is
     /// allowed, and the request is kept only until they have ended.
     pub(crate) fn finish(&mut self, id: RequestId, out: &mut Vec<Action>) {
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -22,7 +22,7 @@
             return;
         }
         if now + self.final_response_margin() >= request.request.deadline {
-            self.finish_unanswered(now, id, UnansweredReason::AttemptsFailed, out);
+            self.finish_unanswered(id, UnansweredReason::AttemptsFailed, out);
         } else if request.attempts_in_flight() == 0 {
             self.route_request(now, id, out);
         } else {
@@ -93,7 +93,7 @@
             self.state.retry_budget -= budget_cost;
             self.route_request(now, id, out);
         } else {
-            self.finish_unanswered(now, id, UnansweredReason::AttemptsFailed, out);
+            self.finish_unanswered(id, UnansweredReason::AttemptsFailed, out);
         }
     }
 
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -198,3 +198,42 @@
     let after_recovery = refused_of(&mut harness, 200, 1);
     assert!(after_recovery < 10, "{after_recovery} of 200 refused after the servers had recovered");
 }
+
+/// The advice of each rejection among the actions, in microseconds.
+fn retry_advice(actions: &[Action]) -> Vec<Micros> {
+    let advice = |action: &Action| match action {
+        Action::Reject { retry_after, .. } => Some(*retry_after),
+        _ => None,
+    };
+    actions.iter().filter_map(advice).collect()
+}
+
+/// A client that is refused because of the work ahead is told to come again when that is done, not later: it
+/// waits for 0.2 s in all, and a second of waiting would end its chances.
+#[test]
+fn a_client_refused_in_an_overload_is_told_when_the_work_ahead_is_done() {
+    let mut harness = busy_harness(settings(), 100 * MS);
+    for id in 0..10 {
+        request_with_time(&mut harness, 700 + id, 1_200 * MS);
+    }
+    let advice = retry_advice(&request_with_time(&mut harness, 900, 200 * MS));
+    assert!(matches!(advice[..], [100_000..=200_000]), "{advice:?}");
+}
+
+/// A client whose attempts failed is not told to stay away, however long they took: the servers have nothing
+/// ahead that it would have to wait for.
+#[test]
+fn a_client_whose_attempts_failed_may_come_again_at_once() {
+    let mut harness = Harness::new(settings(), &server_list(4, 0), RELEASED);
+    harness.run_traffic(&[IDEMPOTENT], 60, |_, _| (Outcome::Ok, 100 * MS));
+    let (id, actions) = harness.request(IDEMPOTENT);
+    let mut actions = actions;
+    let mut rejections = Vec::new();
+    for attempt in 0..4 {
+        let Some(&(_, server)) = sends(&actions).first() else { break };
+        harness.now += 200 * MS;
+        actions = harness.end_attempt(id, attempt, server, Outcome::Error, 200 * MS);
+        rejections.extend(retry_advice(&actions));
+    }
+    assert_eq!(rejections, [0]);
+}
