Hedging: a second attempt follows from the client's time and the work ahead

Callers saw: with 0.8 s left and answers within 0.3 s a silent server cost them the answer, as no second attempt was made; with 0.08 s left one was made that could not be answered in time; and one was made behind work for longer than the client had. Cause: `second_attempt_is_worthwhile` ended at the latency objective, and `hedge` did not ask for congestion.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -146,7 +146,7 @@
     /// so whatever is sent now stands before those; a client with more time can come again when less does.
     ///
     /// A server without own attempts in flight is always tried, because only its answer shows how long it takes.
-    fn is_congested(&self, now: Micros, request: &InFlightRequest, server: ServerId) -> bool {
+    pub(crate) fn is_congested(&self, now: Micros, request: &InFlightRequest, server: ServerId) -> bool {
         let server = &self.state.servers[&server];
         if server.in_flight == 0 {
             return false;
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -46,16 +46,18 @@
 
     fn second_attempt_is_worthwhile(&self, now: Micros, request: &InFlightRequest) -> bool {
         let class = &self.settings.classes[request.request.class];
-        let in_time = now < request.arrived + class.latency_objective;
         request.attempts_in_flight() == 1
-            && in_time
+            && self.leaves_time_for_answer(now, request)
             && self.state.retry_budget >= 1.0
             && class.idempotency != Idempotency::NonIdempotent
             && request.attempts.len() < self.settings.limits.max_attempts
     }
 
     fn hedge(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
-        if let Some(server) = self.pick_server(now, id) {
+        let Some(request) = self.state.requests.get(&id).cloned() else { return };
+        if let Some(server) = self.pick_server(now, id)
+            && !self.is_congested(now, &request, server)
+        {
             self.state.retry_budget -= 1.0;
             self.send(now, id, server, out);
         }
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -237,3 +237,43 @@
     }
     assert_eq!(rejections, [0]);
 }
+
+/// Settings that allow a second attempt while the first is in flight.
+fn hedging_settings() -> Settings {
+    let mut settings = settings();
+    settings.limits.hedging = true;
+    settings
+}
+
+/// A silent server must not cost a client its answer: with 0.8 s left and answers within 0.3 s, a second attempt
+/// is worth its cost, whether or not the latency objective has passed.
+#[test]
+fn a_slow_attempt_is_hedged_while_an_answer_can_come_in_time() {
+    let mut harness = Harness::new(hedging_settings(), &server_list(6, 0), RELEASED);
+    harness.run_traffic(&[IDEMPOTENT], 100, |_, _| (Outcome::Ok, 300 * MS));
+    let (id, actions) = harness.request(IDEMPOTENT);
+    assert_eq!(sends(&actions).len(), 1);
+    let hedges = sends(&harness.advance(500 * MS));
+    assert!(matches!(hedges[..], [(request, _)] if request == id), "{hedges:?}");
+}
+
+/// A second attempt that can't be answered in time any more only adds work.
+#[test]
+fn a_slow_attempt_is_not_hedged_if_the_answer_would_come_too_late() {
+    let mut harness = Harness::new(hedging_settings(), &server_list(6, 0), RELEASED);
+    harness
+        .run_traffic(&[IDEMPOTENT], 100, |_, i| (Outcome::Ok, if i % 2 == 0 { 100 * MS } else { 90 * MS }));
+    let actions = request_with_time(&mut harness, 900, 210 * MS);
+    assert_eq!(sends(&actions).len(), 1);
+    assert_eq!(sends(&harness.advance(190 * MS)), []);
+}
+
+/// A second attempt behind as much work as its client has time for only takes time from others.
+#[test]
+fn a_slow_attempt_is_not_hedged_at_servers_with_too_much_work_ahead() {
+    let mut harness = Harness::new(hedging_settings(), &server_list(2, 0), RELEASED);
+    harness.run_traffic(&[IDEMPOTENT], 100, |_, _| (Outcome::Ok, 300 * MS));
+    let sent: usize = (0..8).map(|_| sends(&harness.request(IDEMPOTENT).1).len()).sum();
+    assert!(sent >= 4, "{sent} attempts at two servers");
+    assert_eq!(sends(&harness.advance(500 * MS)), []);
+}
