Test of hedges at busy servers: answers take 0.5 s, with more margin; correction

Traced: server 11 had one attempt of 0.33 s ahead and a client with 0.66 s left, which the rule allows; the load, and not the rule, was off. Answers take 0.5 s now and the client has 0.53 s left behind at least one of them. The check is the same, no hedge at all.

--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -272,8 +272,8 @@
 #[test]
 fn a_slow_attempt_is_not_hedged_at_servers_with_too_much_work_ahead() {
     let mut harness = Harness::new(hedging_settings(), &server_list(2, 0), RELEASED);
-    harness.run_traffic(&[IDEMPOTENT], 100, |_, _| (Outcome::Ok, 400 * MS));
+    harness.run_traffic(&[IDEMPOTENT], 100, |_, _| (Outcome::Ok, 500 * MS));
     let sent: usize = (0..8).map(|_| sends(&harness.request(IDEMPOTENT).1).len()).sum();
     assert!(sent >= 3, "{sent} attempts at two servers");
-    assert_eq!(sends(&harness.advance(600 * MS)), []);
+    assert_eq!(sends(&harness.advance(680 * MS)), []);
 }
