Latencies are unknown until servers have answered, not a share of the objective

Callers saw: after a start the first slow attempt was hedged after 0.2 s, and a server that had not answered for 0.3 s got none of the next 40 requests, both for a latency that nobody had observed. Cause: `initial_latency` set the first median and 95th percentile to a quarter and a half of the objective; they stood until 20 responses had come, with little traffic for long. Evidence: no_attempt_is_hedged_before_the_servers_have_shown_how_long_they_take and no_server_is_avoided_as_stalled_before_the_first_answers (0 of 40) failed before; all tests of the package pass. Change: a class has no median before its first response, and no 95th percentile before 20. Without them nothing is stalled, slow, hedged or evidence, and requests count the same. Slow start stays safe: its budget comes from the same costs as what it is compared with, and lags behind when they become known (tests/gossip.rs, 300 balancers).

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -36,6 +36,7 @@
         self.record_client_time(now, &request);
         self.state.retry_budget = (self.state.retry_budget + RETRY_BUDGET_PER_REQUEST).min(MAX_RETRY_BUDGET);
         self.add_exposure_allowance(now, class);
+        // Until the first response shows a cost, all requests of the class count as one microsecond.
         let typical_cost = self.state.latencies[class].median;
         let cost = request.cost_hint.map_or(typical_cost, |hint| hint as f64).max(1.0);
         self.state.offered_cost.add(now, cost);
--- a/src/analysis/windows.rs
+++ b/src/analysis/windows.rs
@@ -47,11 +47,12 @@
     pub(crate) fn record_build_outcome(&mut self, context: &AttemptContext, end: AttemptEnd) {
         let &AttemptContext { attempt, class, work, late } = context;
         let elapsed = end.elapsed as f64;
-        let typical_latency = self.state.latencies[class].median;
+        let typical_latency = self.state.latencies[class].known_median();
         let error = end.outcome == Outcome::Error;
         let timeout = end.outcome == Outcome::Timeout && late && !attempt.warming_up;
         let cut_short = matches!(end.outcome, Outcome::Cancelled | Outcome::Timeout);
-        let cut_short_early = cut_short && elapsed < typical_latency && !timeout;
+        let is_early = typical_latency.is_none_or(|typical| elapsed < typical);
+        let cut_short_early = cut_short && is_early && !timeout;
         let Some(release) = self.state.release else { return };
         let build = attempt.to.build;
         if build > release.build || cut_short_early || !end.outcome.may_have_run() {
@@ -62,7 +63,7 @@
             server: attempt.to.id,
             error,
             failed: error || timeout || end.outcome == Outcome::Reset,
-            slow: elapsed > typical_latency * MAX_LATENCY_RATIO,
+            slow: typical_latency.is_some_and(|typical| elapsed > typical * MAX_LATENCY_RATIO),
             pace: (!attempt.warming_up && !error).then_some(elapsed / work),
         };
         self.state.analysis.evidence.own.add(arm_of(build, release), &sample);
--- a/src/attempts.rs
+++ b/src/attempts.rs
@@ -21,7 +21,8 @@
         self.reserve(now, id, started.attempt);
         let cut_at = started.deadline.saturating_sub(self.attempt_timeout_margin()).max(now + 1);
         out.push(Action::Send { request: id, server: server_id, cut_at });
-        let hedge_at = now + (self.state.latencies[started.class].tail * HEDGE_DELAY_FACTOR) as Micros;
+        let tail = self.state.latencies[started.class].known_tail();
+        let hedge_at = tail.map_or(cut_at, |tail| now + (tail * HEDGE_DELAY_FACTOR) as Micros);
         self.state.schedule_check(id, hedge_at.min(cut_at));
     }
 
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -2,7 +2,7 @@
 //!
 //! The decisions are methods in separate modules; `src/event_loop.rs` calls them for each event.
 
-use crate::interface::{Micros, RequestClass, Settings};
+use crate::interface::{Micros, Settings};
 use crate::retry::MAX_RETRY_BUDGET;
 use crate::state::{BalancerState, LatencyEstimate, RandomSource};
 use crate::time::MILLISECOND;
@@ -27,7 +27,7 @@
     pub fn new(mut settings: Settings, seed: u64) -> Self {
         settings.tick = settings.tick.max(MIN_TICK);
         settings.rollout.votes_to_roll_back = settings.rollout.votes_to_roll_back.max(1.0);
-        let latencies = settings.classes.iter().map(initial_latency).collect();
+        let latencies = vec![LatencyEstimate::default(); settings.classes.len()];
         let mut state = BalancerState {
             random: RandomSource(seed),
             latencies,
@@ -54,9 +54,3 @@
         successor
     }
 }
-
-/// The latency estimate of a class before its first responses, derived from its latency objective.
-fn initial_latency(class: &RequestClass) -> LatencyEstimate {
-    let objective = class.latency_objective as f64;
-    LatencyEstimate::new(objective / 4.0, objective / 2.0)
-}
--- a/src/outcomes.rs
+++ b/src/outcomes.rs
@@ -90,14 +90,16 @@
 
     fn record_server_outcome(&mut self, now: Micros, class: usize, concurrency: u32, end: AttemptEnd) {
         let AttemptEnd { server: id, outcome, elapsed, .. } = end;
-        let typical_latency = self.state.latencies[class].median.max(1.0);
+        let typical_latency = self.state.latencies[class].known_median();
         let Some(server) = self.state.servers.get_mut(&id) else { return };
         server.in_flight = server.in_flight.saturating_sub(1);
         if matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Rejected) {
             server.waiting_since = now;
         }
         let latency_per_attempt = elapsed as f64 / f64::from(concurrency.max(1));
-        let slowness = (elapsed as f64 / typical_latency).min(MAX_SLOWNESS);
+        // Without a typical latency nothing is slow.
+        let slowness =
+            typical_latency.map_or(1.0, |typical| (elapsed as f64 / typical.max(1.0)).min(MAX_SLOWNESS));
         match outcome {
             Outcome::Ok => {
                 smooth(&mut server.failure_share, 0.0, RECORD_SMOOTHING);
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -5,7 +5,7 @@
 
 use crate::balancer::Balancer;
 use crate::interface::{Build, Micros, Phase, RequestId, ServerId, ServerStatus};
-use crate::state::{Candidate, InFlightRequest, MAX_TRIAL_CREDIT, ServerRecord};
+use crate::state::{Candidate, InFlightRequest, LatencyEstimate, MAX_TRIAL_CREDIT, ServerRecord};
 
 /// A server counts as stalled when it has not answered for this multiple of the typical latency.
 const STALL_LATENCY_FACTOR: f64 = 4.0;
@@ -99,7 +99,8 @@
             admits: self.build_admits(now, build, request),
         };
         let admissions: Vec<BuildAdmission> = self.state.builds.iter().map(admission).collect();
-        let typical_latency = self.state.latencies.iter().map(|latency| latency.median).fold(0.0, f64::max);
+        let known_medians = self.state.latencies.iter().filter_map(LatencyEstimate::known_median);
+        let typical_latency = known_medians.max_by(f64::total_cmp);
         let mut pools = Pools::default();
         for (&id, server) in &self.state.servers {
             let ready = server.entry.status == ServerStatus::Ready;
@@ -127,12 +128,13 @@
 
     /// A server's weight in its pool: the product of its size and warm fraction, reduced by the failures,
     /// slowness and stalls that this balancer has observed.
-    fn weight(&self, now: Micros, server: &ServerRecord, typical_latency: f64) -> f64 {
+    fn weight(&self, now: Micros, server: &ServerRecord, typical_latency: Option<f64>) -> f64 {
         let health = (1.0 - server.failure_share).powi(3) / server.slowness.max(1.0).powi(2);
         // A server with attempts in flight and no response for a long time is paused, unreachable or dead.
         // The cause does not matter.
+        let waiting_for = now.saturating_sub(server.waiting_since) as f64;
         let long_without_answer =
-            now.saturating_sub(server.waiting_since) as f64 > STALL_LATENCY_FACTOR * typical_latency;
+            typical_latency.is_some_and(|typical| waiting_for > STALL_LATENCY_FACTOR * typical);
         let stalled = server.in_flight > 0 && long_without_answer;
         let warm_fraction = server.warm_fraction(now, &self.settings.rules);
         let capacity = server.size(self.settings.sizes_known) * warm_fraction;
--- a/src/state/latency.rs
+++ b/src/state/latency.rs
@@ -12,16 +12,21 @@
 pub struct LatencyEstimate {
     /// Most recent latencies.
     pub recent: VecDeque<f64>,
-    /// Median of the recent latencies.
+    /// Median of the recent latencies; 0 before the first response.
     pub median: f64,
-    /// 95th percentile of the recent latencies.
+    /// 95th percentile of the recent latencies; 0 before there are enough responses for it.
     pub tail: f64,
 }
 
 impl LatencyEstimate {
-    /// Creates an initial estimate to use before the first responses.
-    pub fn new(median: f64, tail: f64) -> Self {
-        LatencyEstimate { recent: VecDeque::new(), median, tail }
+    /// Returns the median, or `None` before the first response.
+    pub fn known_median(&self) -> Option<f64> {
+        Some(self.median).filter(|median| *median > 0.0)
+    }
+
+    /// Returns the 95th percentile, or `None` before there are enough responses for it.
+    pub fn known_tail(&self) -> Option<f64> {
+        Some(self.tail).filter(|tail| *tail > 0.0)
     }
 
     /// Adds a latency. Only the latest `capacity` latencies are kept.
@@ -38,13 +43,12 @@
         above as f64 / self.recent.len().max(1) as f64
     }
 
-    /// Recalculates the median and the tail if there are enough responses.
+    /// Recalculates the median, and the tail if there are enough responses.
     pub fn refresh(&mut self) {
-        if self.recent.len() < MIN_RESPONSES {
-            return;
-        }
         let mut recent: Vec<f64> = self.recent.iter().copied().collect();
         self.median = quantile(&mut recent, 0.5).unwrap_or(self.median);
-        self.tail = quantile(&mut recent, 0.95).unwrap_or(self.tail);
+        if recent.len() >= MIN_RESPONSES {
+            self.tail = quantile(&mut recent, 0.95).unwrap_or(self.tail);
+        }
     }
 }
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -277,3 +277,28 @@
     assert!(sent >= 3, "{sent} attempts at two servers");
     assert_eq!(sends(&harness.advance(680 * MS)), []);
 }
+
+/// Nothing is known of the servers before they have answered. A client that waits for 1.2 s does not need a second
+/// attempt because its first takes 0.4 s: that may be what such requests take.
+#[test]
+fn no_attempt_is_hedged_before_the_servers_have_shown_how_long_they_take() {
+    let mut harness = Harness::new(hedging_settings(), &server_list(6, 0), RELEASED);
+    let (_, actions) = harness.request(IDEMPOTENT);
+    assert_eq!(sends(&actions).len(), 1);
+    assert_eq!(sends(&harness.advance(400 * MS)), []);
+}
+
+/// A server is not avoided as silent while nobody knows how long requests take.
+#[test]
+fn no_server_is_avoided_as_stalled_before_the_first_answers() {
+    let mut harness = Harness::new(settings(), &server_list(2, 0), RELEASED);
+    let (_, first) = harness.request(IDEMPOTENT);
+    let busy = sends(&first)[0].1;
+    harness.advance(500 * MS);
+    let mut to_busy = 0;
+    for id in 0..40 {
+        let actions = request_with_time(&mut harness, 700 + id, 1_200 * MS);
+        to_busy += sends(&actions).iter().filter(|(_, server)| *server == busy).count();
+    }
+    assert!(to_busy > 10, "{to_busy} of 40 attempts to the server that has not answered yet");
+}
--- a/tests/gossip.rs
+++ b/tests/gossip.rs
@@ -296,7 +296,7 @@
     let requests_per_s = 4.0;
     let (warm, span) = (30, 3 * S);
     let mut entries = server_list(warm, 0);
-    let (start, cost) = (100 * S, 0.075); // the initial cost estimate: a quarter of the objective
+    let (start, cost) = (100 * S, 0.075); // any cost: it is a factor of both the work sent and its limit
     entries.push(ServerEntry { started_at: start, ..server(50, 1) });
     let result =
         simulate(&entries, release_status(1, 3, Phase::Released, 1.0), requests_per_s, span, false, ok);
