Canary analysis: a time-out counts if its client waited long enough, not past the objective

Callers saw: a build that left every fourth request without an answer in 1.19 s was promoted where the objective was longer than that; a build was sent back because clients waited for less than answers usually take. Cause: `record_build_outcome` took time-outs for failures from the latency objective on. Evidence: attempts_that_run_out_of_their_clients_time_count_against_the_build (was promoted) and attempts_with_hardly_any_time_do_not_count_against_the_build failed before; all tests of the package pass. Cut short before the usual latency it is no evidence, as before.

--- a/src/analysis/windows.rs
+++ b/src/analysis/windows.rs
@@ -33,8 +33,6 @@
     /// The expected work of the request: its cost hint, or the latency objective of its class. All balancers
     /// use the same unit, because their counters are added up.
     pub work: f64,
-    /// Whether the attempt ended after the latency objective.
-    pub late: bool,
 }
 
 impl Balancer {
@@ -42,14 +40,16 @@
     ///
     /// Rejections, failed connects and attempts that were never sent are not evidence about the build. An
     /// attempt that was cut short would have taken at least its elapsed time. That is evidence only if the
-    /// elapsed time reaches the typical latency, or if the attempt timed out at a warm server after the
-    /// latency objective.
+    /// elapsed time reaches the typical latency. It is a failure if the attempt timed out at a warm server and
+    /// had as long as 95% of the responses of its class take: its client would have waited long enough for a
+    /// sound build.
     pub(crate) fn record_build_outcome(&mut self, context: &AttemptContext, end: AttemptEnd) {
-        let &AttemptContext { attempt, class, work, late } = context;
+        let &AttemptContext { attempt, class, work } = context;
         let elapsed = end.elapsed as f64;
         let typical_latency = self.state.latencies[class].known_median();
         let error = end.outcome == Outcome::Error;
-        let timeout = end.outcome == Outcome::Timeout && late && !attempt.warming_up;
+        let had_enough_time = self.state.latencies[class].known_tail().is_some_and(|tail| elapsed >= tail);
+        let timeout = end.outcome == Outcome::Timeout && had_enough_time && !attempt.warming_up;
         let cut_short = matches!(end.outcome, Outcome::Cancelled | Outcome::Timeout);
         let is_early = typical_latency.is_none_or(|typical| elapsed < typical);
         let cut_short_early = cut_short && is_early && !timeout;
--- a/src/outcomes.rs
+++ b/src/outcomes.rs
@@ -28,13 +28,12 @@
         let client_request = request.request;
         let cost = request.cost;
         let objective = self.settings.classes[client_request.class].latency_objective;
-        let late = now >= request.arrived + objective;
         let work = client_request.cost_hint.unwrap_or(objective).max(1) as f64;
         self.record_answered(&client_request, end);
         self.refund_unsent_attempt(&attempt, end);
         self.record_server_outcome(now, client_request.class, attempt.concurrency, end);
         self.record_build_outcome(
-            &AttemptContext { attempt: &attempt, class: client_request.class, work, late },
+            &AttemptContext { attempt: &attempt, class: client_request.class, work },
             end,
         );
         if end.outcome == Outcome::Ok && !attempt.warming_up {
--- a/tests/analysis.rs
+++ b/tests/analysis.rs
@@ -232,3 +232,37 @@
     assert_eq!(votes_with(GateMode::Share, true), []);
     assert_eq!(votes_with(GateMode::Any, false), []);
 }
+
+/// Guards against releasing a build whose answers do not come in the time that clients have: its time-outs count
+/// as failures whatever the latency objective is, because others are answered well within that time.
+#[test]
+fn attempts_that_run_out_of_their_clients_time_count_against_the_build() {
+    let mut settings = settings();
+    for class in &mut settings.classes {
+        class.latency_objective = 10 * S;
+    }
+    let mut harness = Harness::new(settings, &server_list(6, 4), release_status(2, 2, Phase::Trial, 1.0));
+    let silent = |to, i| if to >= 100 && i % 4 == 0 { (Outcome::Timeout, 1_190 * MS) } else { OK };
+    let actions = harness.run_traffic(&[IDEMPOTENT], 2_000, silent);
+    assert_eq!(votes(&actions).last(), Some(&Verdict::RollBack));
+}
+
+/// Guards against blaming a build for clients that wait for less than answers usually take: the other build would
+/// not have answered them either.
+#[test]
+fn attempts_with_hardly_any_time_do_not_count_against_the_build() {
+    let mut settings = settings();
+    for class in &mut settings.classes {
+        class.latency_objective = MS;
+    }
+    let mut harness = Harness::new(settings, &server_list(6, 4), release_status(2, 2, Phase::Trial, 1.0));
+    let hasty = |to, i| {
+        if to >= 100 && i % 4 == 0 {
+            (Outcome::Timeout, 60 * MS)
+        } else {
+            (Outcome::Ok, 20 * MS * (1 + i as u64 % 4))
+        }
+    };
+    let actions = harness.run_traffic(&[IDEMPOTENT], 2_000, hasty);
+    assert!(!votes(&actions).contains(&Verdict::RollBack), "{:?}", votes(&actions));
+}
