Evidence is counted per unit of work that no deployment sets; a test that objectives decide nothing

Callers saw: with the same requests, answers and faults a build was judged otherwise under another latency objective, as the times of requests without a cost hint were counted in units of it: where it was long, fast answers fell into the lowest bin, and a slower build could not be told from a sound one. Change: the unit is a constant, 131 ms, with which the bins cover 1 ms to 4 s. The layout version of gossip rises to 3, so that counters in the two units are never added up while a fleet is being replaced; a successor in a takeover may compare one window, at most 9 s, with counts in both units. The tests' messages of layout 2 are of another layout now; those that were malformed in the present layout are so in 3.

--- a/src/analysis/mod.rs
+++ b/src/analysis/mod.rs
@@ -11,4 +11,4 @@
 mod windows;
 
 pub(crate) use gossip::GOSSIP_INTERVAL;
-pub(crate) use windows::AttemptContext;
+pub(crate) use windows::{AttemptContext, UNHINTED_WORK};
--- a/src/analysis/windows.rs
+++ b/src/analysis/windows.rs
@@ -24,14 +24,17 @@
 /// The most lines that a balancer writes to the log during its life.
 const MAX_LOG_LINES: u32 = 100;
 
+/// The work of a request without a cost hint. All balancers use the same value, because their counters are added
+/// up; the bins for times per unit of work then cover one millisecond to four seconds.
+pub(crate) const UNHINTED_WORK: Micros = 1 << 17;
+
 /// What is needed to judge the end of an attempt.
 pub(crate) struct AttemptContext<'a> {
     /// The attempt that has ended.
     pub attempt: &'a Attempt,
     /// The class of its request.
     pub class: usize,
-    /// The expected work of the request: its cost hint, or the latency objective of its class. All balancers
-    /// use the same unit, because their counters are added up.
+    /// The expected work of the request: its cost hint, or [`UNHINTED_WORK`].
     pub work: f64,
 }
 
--- a/src/evidence/message.rs
+++ b/src/evidence/message.rs
@@ -6,8 +6,8 @@
 
 /// Maximum size of a message in bytes.
 pub const MAX_MESSAGE_BYTES: usize = 256;
-/// Version of the message layout. Messages of other versions are ignored.
-const LAYOUT_VERSION: u8 = 2;
+/// Version of the message layout and of the units of its counters. Messages of other versions are ignored.
+const LAYOUT_VERSION: u8 = 3;
 /// Number of bits of a counter's value in each byte. The highest bit tells whether another byte follows.
 const VALUE_BITS_PER_BYTE: u32 = 7;
 const VALUE_MASK: u8 = 0x7f;
--- a/src/outcomes.rs
+++ b/src/outcomes.rs
@@ -1,6 +1,6 @@
 //! Handles the ends of attempts: what they reveal about lateness, servers, builds and sticky keys.
 
-use crate::analysis::AttemptContext;
+use crate::analysis::{AttemptContext, UNHINTED_WORK};
 use crate::balancer::Balancer;
 use crate::interface::{Action, AttemptEnd, Micros, Outcome, Phase, Request};
 use crate::retry::MAX_RETRY_BUDGET;
@@ -27,8 +27,7 @@
         let attempt = attempt.clone();
         let client_request = request.request;
         let cost = request.cost;
-        let objective = self.settings.classes[client_request.class].latency_objective;
-        let work = client_request.cost_hint.unwrap_or(objective).max(1) as f64;
+        let work = client_request.cost_hint.unwrap_or(UNHINTED_WORK).max(1) as f64;
         self.record_answered(&client_request, end);
         self.refund_unsent_attempt(&attempt, end);
         self.record_server_outcome(now, client_request.class, attempt.concurrency, end);
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -302,3 +302,80 @@
     }
     assert!(to_busy > 10, "{to_busy} of 40 attempts to the server that has not answered yet");
 }
+
+/// Plays random requests, outcomes, releases and server changes, and returns all actions.
+fn play(settings: Settings, is_retry: impl Fn(u64) -> bool) -> Vec<Action> {
+    let mut harness = Harness::new(settings, &server_list(5, 3), release_status(2, 2, Phase::Trial, 0.6));
+    let mut random = violetseam::state::RandomSource(11);
+    let mut all_actions = Vec::new();
+    let mut in_flight: Vec<(Micros, Micros, RequestId, usize, ServerId)> = Vec::new();
+    for id in 1..=3_000 {
+        let class = (id % 3) as usize;
+        let deadline = harness.now + 50 * MS + (random.unit() * 1_500.0) as Micros * MS;
+        let key = (class == KEYED).then_some(id % 97);
+        let request = Request { id, deadline, class, key, is_retry: is_retry(id), ..Request::default() };
+        let mut actions = harness.feed(Event::Request(request));
+        // From time to time all servers are much slower than usual.
+        let slowdown = if id / 500 % 2 == 1 { 20.0 } else { 1.0 };
+        let mut next = 0;
+        loop {
+            for (request, server) in sends(&actions[next..]) {
+                let latency = (random.unit() * 60.0 * slowdown) as Micros * MS + MS;
+                let earlier = all_actions.iter().chain(&actions[..next]);
+                let number = earlier
+                    .filter(|action| matches!(action, Action::Send { request: sent, .. } if *sent == request))
+                    .count();
+                in_flight.push((harness.now + latency, harness.now, request, number, server));
+            }
+            next = actions.len();
+            in_flight.sort_unstable();
+            let Some(&(at, sent_at, request, attempt, server)) =
+                in_flight.first().filter(|attempt| attempt.0 <= harness.now)
+            else {
+                break;
+            };
+            in_flight.remove(0);
+            let outcome = match request % 17 {
+                0 => Outcome::Error,
+                1 => Outcome::Rejected,
+                2 => Outcome::Timeout,
+                _ => Outcome::Ok,
+            };
+            actions.extend(harness.end_attempt(request, attempt, server, outcome, at - sent_at));
+        }
+        all_actions.append(&mut actions);
+        all_actions.extend(harness.advance(5 * MS));
+    }
+    all_actions
+}
+
+/// What callers get follows from their time, from the work and from the servers. The latency objective and the
+/// weights by which somebody may count service afterwards decide nothing, and neither does a client's mark that it
+/// asks again.
+#[test]
+fn decisions_do_not_depend_on_objectives_weights_or_retry_marks() {
+    let settings_with = |objective, priority_weight, late_weight| {
+        let mut settings = hedging_settings();
+        (settings.fleet_size, settings.limits.gossip) = (4, true);
+        settings.rollout.sticky_to_new_build = true;
+        for class in &mut settings.classes {
+            class.latency_objective = objective;
+            class.priority_weight = priority_weight;
+            class.late_weight = late_weight;
+        }
+        settings.over_quota_weight = late_weight;
+        settings
+    };
+    let usual = play(settings_with(300 * MS, 1.0, 0.0), |_| false);
+    let count = |wanted: fn(&Action) -> bool| usual.iter().filter(|action| wanted(action)).count();
+    let rejected = count(|action| matches!(action, Action::Reject { .. }));
+    let votes = count(|action| matches!(action, Action::Vote { .. }));
+    let gossip = count(|action| matches!(action, Action::GossipToAll { .. }));
+    assert!(rejected > 100 && votes > 1 && gossip > 5, "{rejected} rejected, {votes} votes, {gossip} gossip");
+    for (objective, priority_weight, late_weight) in [(1, 9.0, 1.0), (40 * MS, 1.0, 0.2), (20 * S, 0.1, 0.0)]
+    {
+        let other = play(settings_with(objective, priority_weight, late_weight), |id| id % 3 == 0);
+        let same = usual.iter().zip(&other).take_while(|(first, second)| first == second).count();
+        assert!(usual == other, "objective {objective}: only {same} of {} actions are the same", usual.len());
+    }
+}
--- a/tests/gossip.rs
+++ b/tests/gossip.rs
@@ -350,8 +350,9 @@
         encode(header(2, 1, true), &failing),
         [&[1], &complete[1..]].concat(),
         complete.clone(),
-        vec![2, 0, 1, 2, 0, 2, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff],
-        vec![2],
+        [&[2], &complete[1..]].concat(),
+        vec![3, 0, 1, 2, 0, 2, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff],
+        vec![3],
         Vec::new(),
     ] {
         assert_eq!(
