Slow start: a waiting repeat draws once for a cold server, like a waiting first attempt

Callers saw: a server in slow start got every request that waited after a failed attempt, 60 of 60, and 9 of 60 of those that waited for their first: the repeats of hundreds of proxies would push it over. Cause: `pick_server` took the one chance for used only where no attempt had been made; a repeat drew again at each check until it won. Change: a request keeps since when it has needed a server, its arrival or the end of its last attempt, and draws at that moment alone. A second attempt beside one in flight is no wait and draws once.

--- a/src/outcomes.rs
+++ b/src/outcomes.rs
@@ -25,6 +25,7 @@
             return;
         }
         let attempt = attempt.clone();
+        request.waiting_since = now;
         let client_request = request.request;
         let cost = request.cost;
         let work = client_request.cost_hint.unwrap_or(UNHINTED_WORK).max(1) as f64;
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -80,7 +80,7 @@
         let total_weight = pools.total_weight();
         // A waiting request has already had its random chance of a server in slow start. Drawing again at
         // each check would in the end always succeed.
-        let chance_already_drawn = first_attempt && request.arrived < now;
+        let chance_already_drawn = request.attempts_in_flight() == 0 && request.waiting_since < now;
         self.limit_slow_start(now, &request, &mut pools.stable, total_weight, chance_already_drawn);
         self.limit_slow_start(now, &request, &mut pools.trial, total_weight, chance_already_drawn);
         let rolling_back = self.state.release.is_some_and(|release| release.phase == Phase::RollingBack);
--- a/src/state/request.rs
+++ b/src/state/request.rs
@@ -45,12 +45,14 @@
     pub streaming: bool,
     /// Time of the next check of the request.
     pub next_check: Micros,
+    /// Time since which the request has needed a server: its arrival or the end of its last attempt.
+    pub waiting_since: Micros,
 }
 
 impl InFlightRequest {
     /// Creates the state of a request that has just arrived.
     pub fn new(request: Request, arrived: Micros, cost: f64) -> Self {
-        InFlightRequest { request, arrived, cost, ..InFlightRequest::default() }
+        InFlightRequest { request, arrived, cost, waiting_since: arrived, ..InFlightRequest::default() }
     }
 
     /// Returns the first attempt that may have run or may still run.
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -379,3 +379,41 @@
         assert!(usual == other, "objective {objective}: only {same} of {} actions are the same", usual.len());
     }
 }
+
+/// A server in slow start is drawn once for each wait, so that the draws of hundreds of balancers keep to what it
+/// can do. A request that waits after a failed attempt draws no more often than one that waits for its first.
+#[test]
+fn a_request_that_waits_for_a_cold_server_draws_once_whether_or_not_it_was_sent_before() {
+    let cold_sends = |sent_before: bool| {
+        let mut sent = 0;
+        for seed in 0..60 {
+            let mut harness = Harness::new(settings(), &server_list(4, 0), RELEASED);
+            harness.balancer = violetseam::balancer::Balancer::new(settings(), seed);
+            list(&mut harness, &server_list(4, 0));
+            harness.feed(Event::Release(RELEASED));
+            // One request a second: the budget of a cold server is below the cost of one request.
+            for _ in 0..30 {
+                harness.run_traffic(&[IDEMPOTENT], 1, |_, _| (Outcome::Ok, 100 * MS));
+                harness.advance(S);
+            }
+            let cold = ServerEntry { started_at: harness.now, ..server(50, 1) };
+            if sent_before {
+                let (id, actions) = harness.request(IDEMPOTENT);
+                list(&mut harness, &[cold]);
+                let first = sends(&actions)[0].1;
+                let mut actions = harness.end_attempt(id, 0, first, Outcome::ConnectFailed, 5 * MS);
+                actions.extend(harness.advance(1_000 * MS));
+                sent += sends(&actions).len();
+            } else {
+                list(&mut harness, &[cold]);
+                let (_, mut actions) = harness.request(IDEMPOTENT);
+                actions.extend(harness.advance(1_000 * MS));
+                sent += sends(&actions).len();
+            }
+        }
+        sent
+    };
+    let (first, repeat) = (cold_sends(false), cold_sends(true));
+    assert!(first < 40 && repeat < 40, "{first} first attempts and {repeat} repeats of 60 to a cold server");
+    assert!(repeat <= first + 10, "{repeat} repeats, {first} first attempts of 60 to a cold server");
+}
