Order of service: of the requests that are due for a server, the least time goes first

Callers saw: when a server came up after an outage, those who had waited longest were served first, and a client with 0.3 s left stood behind one with 1.1 s: with one place it ran out of time while the other could have waited. Cause: `on_timer` took due requests by the time of their check and then by number, which is arrival. Evidence: of_waiting_requests_the_one_with_the_least_time_is_served_first failed before ([900, 901, 902] where [902, 901, 900] is wanted) and passes now; all tests of the package pass. Change: the checks that are due are taken at once and run in the order of their clients' deadlines. Stays: an arrival is routed at once, so that in the tick between two checks it may come before one that waits.

--- a/src/event_loop.rs
+++ b/src/event_loop.rs
@@ -78,7 +78,8 @@
     }
 
     fn on_timer(&mut self, now: Micros, out: &mut Vec<Action>) {
-        while let Some(id) = self.state.next_check(now) {
+        // Requests that wait for a server are served in the order in which their clients stop waiting.
+        for id in self.state.take_due_checks(now) {
             self.check_request(now, id, out);
         }
         if now >= self.state.next_maintenance {
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -249,14 +249,14 @@
         }
     }
 
-    /// Removes and returns the next request whose check is due.
-    pub fn next_check(&mut self, now: Micros) -> Option<RequestId> {
-        let &(at, id) = self.checks.first()?;
-        if at > now {
-            return None;
-        }
-        self.checks.pop_first();
-        Some(id)
+    /// Removes the checks that are due, and returns their requests in the order of their deadlines.
+    pub fn take_due_checks(&mut self, now: Micros) -> Vec<RequestId> {
+        let later = self.checks.split_off(&(now + 1, 0));
+        let due = std::mem::replace(&mut self.checks, later);
+        let deadline = |id| self.requests.get(&id).map_or(Micros::MAX, |request| request.request.deadline);
+        let mut by_deadline: Vec<_> = due.into_iter().map(|(_, id)| (deadline(id), id)).collect();
+        by_deadline.sort_unstable();
+        by_deadline.into_iter().map(|(_, id)| id).collect()
     }
 
     /// Counts a log line. Returns `false` if `max_lines` lines have already been written.
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -417,3 +417,19 @@
     assert!(first < 40 && repeat < 40, "{first} first attempts and {repeat} repeats of 60 to a cold server");
     assert!(repeat <= first + 10, "{repeat} repeats, {first} first attempts of 60 to a cold server");
 }
+
+/// Only one of two waiting requests can be served for now. It is the one whose client has less time; the other
+/// can still be served after it.
+#[test]
+fn of_waiting_requests_the_one_with_the_least_time_is_served_first() {
+    let mut harness = Harness::new(settings(), &server_list(1, 0), RELEASED);
+    harness.run_traffic(&[IDEMPOTENT], 60, |_, _| (Outcome::Ok, 50 * MS));
+    list(&mut harness, &[]);
+    request_with_time(&mut harness, 900, 1_200 * MS);
+    request_with_time(&mut harness, 901, 1_000 * MS);
+    request_with_time(&mut harness, 902, 400 * MS);
+    harness.advance(50 * MS);
+    list(&mut harness, &server_list(1, 0));
+    let order: Vec<RequestId> = sends(&harness.advance(10 * MS)).iter().map(|send| send.0).collect();
+    assert_eq!(order, [902, 901, 900]);
+}
