--- a/src/interface.rs
+++ b/src/interface.rs
@@ -43,7 +43,7 @@
 #[derive(Clone, Debug, Default)]
 #[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct RequestClass {
-    /// Latency objective: responses within this time earn the full weight of the request.
+    /// Latency objective: responses within this time earn the full weight of the request. It decides nothing.
     pub latency_objective: Micros,
     /// The total time that a client waits, over all its tries, in microseconds.
     pub deadline: Micros,
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -10,7 +10,7 @@
 /// The maximum number of retries and hedges that can be saved up.
 pub(crate) const MAX_RETRY_BUDGET: f64 = 4.0;
 /// A second attempt is made once the first has taken this multiple of the class's 95th percentile of latency:
-/// earlier it would not be worth its cost.
+/// until then most first attempts end, and a second one takes work from other clients.
 pub(crate) const HEDGE_DELAY_FACTOR: f64 = 1.3;
 
 impl Balancer {
