Admission: the shortest client time is found without counting all answers; sums saturate

Cause: for each request `shortest_client_time` counted up to 100 answers of each class where the first that was fast enough tells as much; a cost hint near the largest number would have overflowed a sum.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -1,5 +1,5 @@
-//! Admission: decides which requests are admitted, and rejects at once those whose response would be late
-//! anyway.
+//! Admission: decides which requests are admitted, and rejects at once those whose response would come after
+//! their clients have stopped waiting.
 
 use crate::balancer::Balancer;
 use crate::completion::UnansweredReason;
@@ -59,7 +59,7 @@
         }
     }
 
-    /// Returns the lane in which a request's lateness is counted.
+    /// Returns the lane in which it is counted whether a request was answered.
     pub(crate) fn lane(&self, request: &Request) -> Lane {
         Lane { class: request.class, tenant: request.tenant.min(self.settings.tenants.len()) }
     }
@@ -109,7 +109,7 @@
         let counted = times.filter_map(|(class, (time, latency))| {
             let ClientTime { given, last_arrival } = (*time)?;
             let came_lately = now.saturating_sub(last_arrival) as f64 <= given;
-            let can_be_served = latency.share_above(given) < 1.0;
+            let can_be_served = latency.has_been_within(given);
             (came_lately && can_be_served).then_some(ShortestClientTime { class, given })
         });
         counted.min_by(|first, second| first.given.total_cmp(&second.given))
@@ -139,7 +139,7 @@
         let Request { class, cost_hint, deadline, .. } = request.request;
         let usual_latency = self.state.latencies[class].median as Micros;
         let expected_latency = usual_latency.max(cost_hint.unwrap_or(0));
-        now + expected_latency + self.final_response_margin() < deadline
+        now.saturating_add(expected_latency).saturating_add(self.final_response_margin()) < deadline
     }
 
     /// Whether the response to one more request at this server would probably come too late: for its own
