Tests: one client that writes in pieces serves the memory tests and the soak's crowd

Cause: connecting, writing a piece and reading what came stood three times, in http_memory.rs, platform_memory.rs and soak/crowd.rs. Change: `common/piecewise_writer.rs`; sizes, time-outs, checks and bounds are the same. A member of the crowd whose connection was reset is replaced at the read and no longer at the next write.

--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod capacity;
 pub mod fleet;
+pub mod piecewise_writer;
 pub mod platform;
 pub mod publisher;
 pub mod services;
--- a/crates/cli/tests/http_memory.rs
+++ b/crates/cli/tests/http_memory.rs
@@ -2,9 +2,10 @@
 
 mod common;
 
+use common::piecewise_writer::PiecewiseWriter;
 use common::{LARGE_PATH, SLOW_PATH, start};
 use socket2::SockRef;
-use std::io::{ErrorKind, Read, Write};
+use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -23,32 +24,6 @@
 /// The loads of these tests take most of a machine.
 static ONE_LOAD_AT_A_TIME: Mutex<()> = Mutex::new(());
 
-/// A client that sends one message in pieces.
-struct Writer {
-    stream: TcpStream,
-    rest: Vec<u8>,
-}
-
-impl Writer {
-    fn connect(addr: SocketAddr, message: &[u8]) -> Option<Writer> {
-        let stream = TcpStream::connect_timeout(&addr, WAIT).ok()?;
-        stream.set_nonblocking(true).unwrap();
-        Some(Writer { stream, rest: message.to_vec() })
-    }
-
-    /// Sends a piece and reads what has come. Returns whether the connection is still open.
-    fn write_piece(&mut self, bytes: usize) -> bool {
-        let length = self.rest.len().min(bytes);
-        match (&self.stream).write(&self.rest[..length]) {
-            Ok(count) => drop(self.rest.drain(..count)),
-            Err(e) if e.kind() == ErrorKind::WouldBlock => {}
-            Err(_) => return false,
-        }
-        let read = (&self.stream).read(&mut [0; 4096]);
-        !matches!(read, Ok(0)) && read.err().is_none_or(|e| e.kind() == ErrorKind::WouldBlock)
-    }
-}
-
 /// Repeats one round of a load, with an ordinary request after each, and checks by how much the process grows and
 /// that each of these requests is answered. Returns how many there were, and how many were served.
 fn check_growth(name: &str, mut run_round: impl FnMut(SocketAddr)) -> (usize, usize) {
@@ -74,11 +49,11 @@
 
 /// Keeps clients busy with a message that they send in pieces of this size.
 fn check_writers(name: &str, message: &[u8], piece: usize) -> (usize, usize) {
-    let mut writers: Vec<Option<Writer>> = (0..CLIENTS).map(|_| None).collect();
+    let mut writers: Vec<Option<PiecewiseWriter>> = (0..CLIENTS).map(|_| None).collect();
     check_growth(name, |addr| {
         for writer in &mut writers {
             if writer.is_none() {
-                *writer = Writer::connect(addr, message);
+                *writer = PiecewiseWriter::connect(addr, WAIT, message.to_vec());
             }
             if writer.as_mut().is_some_and(|writer| !writer.write_piece(piece)) {
                 *writer = None;
--- a/crates/cli/tests/platform_memory.rs
+++ b/crates/cli/tests/platform_memory.rs
@@ -3,11 +3,12 @@
 
 mod common;
 
+use common::piecewise_writer::PiecewiseWriter;
 use common::platform::{
     Client, Heard, Say, Server, config, discovery, encode_command, good, look, pipeline, server, start, value,
 };
 use socket2::SockRef;
-use std::io::{ErrorKind, Read, Write};
+use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, PoisonError};
@@ -25,6 +26,8 @@
 const LOAD_SPAN: Duration = Duration::from_secs(4);
 /// How long an ordinary client waits for its answer, and for how much longer an answer is no loss.
 const WAIT_MS: u64 = 1_200;
+/// How long a new connection may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 const ANSWER_SLACK: Duration = Duration::from_millis(500);
 
 /// The loads of these tests take most of a machine.
@@ -35,34 +38,6 @@
     encode_command(&["CALL.POST", &format!("key-{id}"), id, &options, &"x".repeat(LARGE_BODY_BYTES)])
 }
 
-/// A client that sends one message piece by piece.
-struct Writer {
-    stream: TcpStream,
-    message: Vec<u8>,
-    written: usize,
-}
-
-impl Writer {
-    fn connect(addr: SocketAddr, message: Vec<u8>) -> Option<Writer> {
-        let stream = TcpStream::connect_timeout(&addr, Duration::from_millis(100)).ok()?;
-        stream.set_nonblocking(true).unwrap();
-        Some(Writer { stream, message, written: 0 })
-    }
-
-    /// Writes the next piece, as far as the connection takes it, and reads what has come. Returns whether the
-    /// connection is still open.
-    fn write_piece(&mut self, bytes: usize) -> bool {
-        let end = self.message.len().min(self.written.saturating_add(bytes));
-        match (&self.stream).write(&self.message[self.written..end]) {
-            Ok(count) => self.written += count,
-            Err(e) if e.kind() == ErrorKind::WouldBlock => {}
-            Err(_) => return false,
-        }
-        let read = (&self.stream).read(&mut [0; 4096]);
-        !matches!(read, Ok(0)) && read.err().is_none_or(|e| e.kind() == ErrorKind::WouldBlock)
-    }
-}
-
 /// Keeps `CLIENTS` connections busy until told to stop. Each sends its message in pieces of this size, and is
 /// replaced by a new one once the proxy has closed it.
 fn run_writers(
@@ -71,13 +46,13 @@
     piece: usize,
     message: &(dyn Fn(usize) -> Vec<u8> + Sync),
 ) {
-    let mut writers: Vec<Option<Writer>> = (0..CLIENTS).map(|_| None).collect();
+    let mut writers: Vec<Option<PiecewiseWriter>> = (0..CLIENTS).map(|_| None).collect();
     let mut opened = 0;
     while !stop.load(Ordering::Relaxed) {
         for writer in &mut writers {
             if writer.is_none() {
                 opened += 1;
-                *writer = Writer::connect(addr, message(opened));
+                *writer = PiecewiseWriter::connect(addr, CONNECT_TIMEOUT, message(opened));
             }
             if writer.as_mut().is_some_and(|writer| !writer.write_piece(piece)) {
                 *writer = None;
--- a/crates/cli/tests/soak/crowd.rs
+++ b/crates/cli/tests/soak/crowd.rs
@@ -1,23 +1,24 @@
 //! A crowd of bad clients at one proxy: they stop inside commands, write slowly, send bursts and noise, and
 //! leave while what they sent is unread.
 
+use super::common::piecewise_writer::PiecewiseWriter;
 use super::common::platform::{encode_command, look};
 use super::draw::Rng;
-use std::io::{ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 /// The number of connections of one member of the crowd.
 const CONNECTIONS: usize = 100;
+/// How long a new connection may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(50);
 const ROUND: Duration = Duration::from_millis(10);
 const LARGE_BODY_BYTES: usize = 64 * 1024;
 const PING: &[u8] = b"*1\r\n$4\r\nPING\r\n";
 
 /// One connection: what is left to be sent on it, and how much of it at once.
 struct BadClient {
-    stream: TcpStream,
-    rest: Vec<u8>,
+    writer: PiecewiseWriter,
     piece: usize,
     /// For how many rounds the client stays.
     rounds_left: u64,
@@ -43,23 +44,16 @@
 
 impl BadClient {
     fn connect(addr: SocketAddr, rng: &mut Rng, message: Vec<u8>) -> Option<BadClient> {
-        let stream = TcpStream::connect_timeout(&addr, Duration::from_millis(50)).ok()?;
-        stream.set_nonblocking(true).unwrap();
+        let writer = PiecewiseWriter::connect(addr, CONNECT_TIMEOUT, message)?;
         let piece = *rng.pick(&[7, 900, 20_000, usize::MAX]);
-        Some(BadClient { stream, rest: message, piece, rounds_left: rng.below(200) })
+        Some(BadClient { writer, piece, rounds_left: rng.below(200) })
     }
 
     /// Sends a piece and reads what has come. Returns whether the client stays.
     fn run_round(&mut self) -> bool {
-        let length = self.rest.len().min(self.piece);
-        match (&self.stream).write(&self.rest[..length]) {
-            Ok(count) => drop(self.rest.drain(..count)),
-            Err(e) if e.kind() == ErrorKind::WouldBlock => {}
-            Err(_) => return false,
-        }
-        let is_closed = matches!((&self.stream).read(&mut [0; 4096]), Ok(0));
+        let is_open = self.writer.write_piece(self.piece);
         self.rounds_left = self.rounds_left.saturating_sub(1);
-        !is_closed && self.rounds_left > 0
+        is_open && self.rounds_left > 0
     }
 }
 
