Admission: who waits for long looks for a server ever less often, and at each change of the list

Seen by reading: since waits last as long as clients have time, and each waiting request is checked at every tick, 500 that wait for cold servers would cost 100,000 looks at all servers a second; others would be answered late. Evidence: a_request_that_waits_for_long_is_checked_ever_less_often failed before (200 timers in a second, 100 at most are wanted) and passes now. A first form without the latest start failed no_request_goes_to_a_build_with_ cap_zero_after_the_grace: a check came after the last moment; hence `latest_start`. Change: a waiting request is checked after a sixteenth of its wait, at the last moment at which an answer can come in time, and when the list or its lease changes; then all that wait are due and go by deadline.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -13,6 +13,10 @@
 /// The weight of the newest request in the time that clients of a class wait.
 const CLIENT_TIME_SMOOTHING: f64 = 0.1;
 
+/// A request that waits for a server is checked after this part of the time that it has waited, so that many
+/// that wait for long leave the processor to others. A change of the server list is looked at at once.
+const WAIT_PER_CHECK_INTERVAL: Micros = 16;
+
 /// The clients with the least time.
 #[derive(Clone, Copy, Debug)]
 struct ShortestClientTime {
@@ -127,19 +131,27 @@
                 self.send(now, id, server, out);
             }
         } else if self.leaves_time_for_answer(now, &in_flight_request) {
-            self.state.schedule_check(id, now + self.settings.tick);
+            let waited = now.saturating_sub(in_flight_request.waiting_since);
+            let interval = self.settings.tick.max(waited / WAIT_PER_CHECK_INTERVAL);
+            let latest_start = self.latest_start(&in_flight_request);
+            self.state.schedule_check(id, (now + interval).min(latest_start));
         } else {
             self.finish_unanswered(id, UnansweredReason::NoServer, out);
         }
     }
 
-    /// Whether an answer to a request that is sent now would come before its client stops waiting, if it
-    /// takes as long as answers of its class usually do, and no shorter than its expected service time.
+    /// Whether an answer to a request that is sent now would usually come before its client stops waiting.
     pub(crate) fn leaves_time_for_answer(&self, now: Micros, request: &InFlightRequest) -> bool {
+        now < self.latest_start(request)
+    }
+
+    /// The time from which an answer to a request would come too late if it took as long as answers of its class
+    /// usually do, and no shorter than its expected service time.
+    fn latest_start(&self, request: &InFlightRequest) -> Micros {
         let Request { class, cost_hint, deadline, .. } = request.request;
         let usual_latency = self.state.latencies[class].median as Micros;
         let expected_latency = usual_latency.max(cost_hint.unwrap_or(0));
-        now.saturating_add(expected_latency).saturating_add(self.final_response_margin()) < deadline
+        deadline.saturating_sub(self.final_response_margin()).saturating_sub(expected_latency)
     }
 
     /// Whether the response to one more request at this server would probably come too late: for its own
--- a/src/endpoints.rs
+++ b/src/endpoints.rs
@@ -27,6 +27,7 @@
         let trial = self.state.release.filter(|release| release.phase == Phase::Trial);
         let trial_gained_servers = self.state.apply_list(kind, entries, trial.map(|release| release.build));
         self.bind_relisted_keys();
+        self.state.check_waiting_requests(now);
         if trial_gained_servers {
             // The evidence must come from all servers that the stage has now, because some faults show only
             // under load or after a while. The window starts again, and a vote to promote is withdrawn.
--- a/src/event_loop.rs
+++ b/src/event_loop.rs
@@ -58,7 +58,10 @@
             Event::PeerMessage { from, payload } => self.on_peer_message(from, payload),
             Event::Operator(command) => self.on_operator_command(now, command, out),
             Event::ReadyToSend { request, attempt } => self.on_ready_to_send(now, request, attempt, out),
-            Event::ListLease { until } => self.state.list.lease_until = Some(until),
+            Event::ListLease { until } => {
+                self.state.list.lease_until = Some(until);
+                self.state.check_waiting_requests(now);
+            }
             Event::ShutdownAt { at } => self.on_shutdown(at),
             Event::HealthChecked { .. } | Event::LoadReport { .. } => {}
         }
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -249,6 +249,16 @@
         }
     }
 
+    /// Schedules a check now for each request that waits for a server.
+    pub fn check_waiting_requests(&mut self, now: Micros) {
+        let waits = |request: &InFlightRequest| !request.done && request.attempts_in_flight() == 0;
+        let waiting: Vec<RequestId> =
+            self.requests.iter().filter(|(_, request)| waits(request)).map(|(&id, _)| id).collect();
+        for id in waiting {
+            self.schedule_check(id, now);
+        }
+    }
+
     /// Removes the checks that are due, and returns their requests in the order of their deadlines.
     pub fn take_due_checks(&mut self, now: Micros) -> Vec<RequestId> {
         let later = self.checks.split_off(&(now + 1, 0));
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -433,3 +433,19 @@
     let order: Vec<RequestId> = sends(&harness.advance(10 * MS)).iter().map(|send| send.0).collect();
     assert_eq!(order, [902, 901, 900]);
 }
+
+/// Many may wait for a server for seconds: the work for each must not grow with its wait in ticks, which would keep
+/// the proxy from answering others in time. A hundred checks are half of those that each tick of 5 ms would make.
+#[test]
+fn a_request_that_waits_for_long_is_checked_ever_less_often() {
+    let mut harness = Harness::new(settings(), &server_list(1, 0), RELEASED);
+    harness.run_traffic(&[IDEMPOTENT], 60, |_, _| (Outcome::Ok, 50 * MS));
+    list(&mut harness, &[]);
+    let (id, _) = harness.request(IDEMPOTENT);
+    let actions = harness.advance(1_000 * MS);
+    let timers = actions.iter().filter(|action| matches!(action, Action::SetTimer { .. })).count();
+    assert_eq!(final_responses(&actions, id), (0, 0));
+    assert!(timers <= 100, "{timers} timers in one second");
+    list(&mut harness, &server_list(1, 0));
+    assert_eq!(sends(&harness.advance(5 * MS)), [(id, 10)], "a change of the list is not looked at at once");
+}
