Admission: who is turned away because its time is over gets no others refused

Callers saw: 134 of 300 clients with 1.2 s were refused while others, who wait for 40 ms where answers take 100 ms, were turned away by servers that had their time over (PROTOCOL: "or the request is already over"). Cause: `record_answered` counted each rejection by a server, and a time-out by how long it took. Evidence: clients_whose_time_is_over_when_they_reach_a_server_do_not_get_others_refused failed before (134) and passes. Change: both count only if the client had as long, from the sending, as answers of its class usually take.

--- a/src/outcomes.rs
+++ b/src/outcomes.rs
@@ -29,7 +29,7 @@
         let client_request = request.request;
         let cost = request.cost;
         let work = client_request.cost_hint.unwrap_or(UNHINTED_WORK).max(1) as f64;
-        self.record_answered(&client_request, end);
+        self.record_answered(&client_request, attempt.sent_at, end.outcome);
         self.refund_unsent_attempt(&attempt, end);
         self.record_server_outcome(now, client_request.class, attempt.concurrency, end);
         self.record_build_outcome(
@@ -55,18 +55,18 @@
         }
     }
 
-    /// Records whether a server answered an attempt in its client's time. An attempt that timed out counts
-    /// only if it had as long as answers of its class usually take: a client that waits for less says nothing
-    /// about the servers.
+    /// Records whether a server answered an attempt in its client's time. An attempt that timed out or was turned
+    /// away counts only if its client had as long as answers of the class usually take: one that waits for less
+    /// says nothing about the servers.
     ///
     /// With little traffic the queue of a single server is not visible to this balancer, so the shares cover
     /// all servers together. Each lane has its own, so that one with a cause of its own costs no other.
-    fn record_answered(&mut self, request: &Request, end: AttemptEnd) {
-        let usual_latency = self.state.latencies[request.class].median;
-        let unanswered = match end.outcome {
+    fn record_answered(&mut self, request: &Request, sent_at: Micros, outcome: Outcome) {
+        let time_given = request.deadline.saturating_sub(sent_at) as f64;
+        let had_enough_time = time_given >= self.state.latencies[request.class].median;
+        let unanswered = match outcome {
             Outcome::Ok => 0.0,
-            Outcome::Rejected => 1.0,
-            Outcome::Timeout if end.elapsed as f64 >= usual_latency => 1.0,
+            Outcome::Rejected | Outcome::Timeout if had_enough_time => 1.0,
             _ => return,
         };
         let lane = self.lane(request);
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -170,6 +170,29 @@
     assert_eq!(refused, 0);
 }
 
+/// The same holds where servers turn such a request away because its time is over before they begin it.
+#[test]
+fn clients_whose_time_is_over_when_they_reach_a_server_do_not_get_others_refused() {
+    let mut harness = Harness::new(settings(), &server_list(6, 0), RELEASED);
+    harness.run_traffic(&[IDEMPOTENT], 60, |_, _| (Outcome::Ok, 100 * MS));
+    let mut refused = 0;
+    for id in 0..300 {
+        let hasty = request_with_time(&mut harness, 10_000 + id, 40 * MS);
+        harness.now += 2 * MS;
+        for (hasty_id, server) in sends(&hasty) {
+            harness.end_attempt(hasty_id, 0, server, Outcome::Rejected, 2 * MS);
+            harness.feed(Event::ClientDisconnected { request: hasty_id });
+        }
+        let (id, actions) = harness.request(IDEMPOTENT);
+        refused += final_responses(&actions, id).0;
+        harness.advance(100 * MS);
+        for (id, server) in sends(&actions) {
+            harness.end_attempt(id, 0, server, Outcome::Ok, 100 * MS);
+        }
+    }
+    assert_eq!(refused, 0);
+}
+
 /// With one attempt in flight at a time no queue is visible. While every second client of a class runs out of
 /// time, as large a share is told at once, and clients are tried again soon after the servers have recovered.
 #[test]
