--- a/crates/cli/tests/platform_crossings.rs
+++ b/crates/cli/tests/platform_crossings.rs
@@ -406,13 +406,14 @@
     for n in 0..20 {
         let (id, next) = (format!("n{n}"), format!("next{n}"));
         client.send(&get(&id));
-        let (mut connection, words) = accept_on_idle_or_new(&server_a, &mut idle);
+        let (mut connection, words) = accept_on_idle_or_new(&server_a, &mut [&mut idle]);
         let answered = Instant::now();
         connection.send(&good(&words));
         assert_eq!(client.read_reply(), Heard::Value(value(&id)));
         client.send(&get(&next));
         let mut old = Some(connection);
-        let (mut new, words) = accept_on_idle_or_new(&server_a, &mut old);
+        // If the last call came on a new connection, the one before it may be idle too and be used.
+        let (mut new, words) = accept_on_idle_or_new(&server_a, &mut [&mut old, &mut idle]);
         assert_eq!(words[2], next);
         match old {
             None => assert!(
@@ -438,29 +439,29 @@
     proxy.end();
 }
 
-/// Reads the next command, from the idle connection or from a new one. `idle` is `None` afterwards if the
-/// idle connection was used or has ended.
+/// Reads the next command, from one of the idle connections or from a new one. An idle connection is `None`
+/// afterwards if it was used or has ended.
 fn accept_on_idle_or_new(
     peer: &ManualListener,
-    idle: &mut Option<ManualConnection>,
+    idle: &mut [&mut Option<ManualConnection>],
 ) -> (ManualConnection, Vec<String>) {
     let mut fresh = None;
+    let has_input = |connection: &&mut Option<ManualConnection>| {
+        connection.as_ref().is_some_and(ManualConnection::has_input)
+    };
     wait_until("no command arrives", || {
         fresh = peer.try_accept();
-        fresh.is_some() || idle.as_ref().is_some_and(ManualConnection::has_input)
+        fresh.is_some() || idle.iter().any(has_input)
     });
-    match fresh {
-        Some(mut connection) => {
-            let words = connection.expect_command();
-            (connection, words)
-        }
-        None => {
-            let mut connection = idle.take().unwrap();
-            match connection.next_command() {
-                Some(words) => (connection, words),
-                // The idle connection has ended.
-                None => accept_on_idle_or_new(peer, &mut None),
-            }
-        }
+    if let Some(mut connection) = fresh {
+        let words = connection.expect_command();
+        return (connection, words);
+    }
+    let used = idle.iter().position(has_input).unwrap();
+    let mut connection = idle[used].take().unwrap();
+    match connection.next_command() {
+        Some(words) => (connection, words),
+        // The idle connection has ended.
+        None => accept_on_idle_or_new(peer, idle),
     }
 }
