--- a/src/admission.rs
+++ b/src/admission.rs
@@ -14,8 +14,9 @@
 const CLIENT_TIME_SMOOTHING: f64 = 0.1;
 /// The weight of the newest request in the shares of the classes among all requests.
 const REQUEST_SHARE_SMOOTHING: f64 = 0.01;
-/// Other clients give way to those of a class only if it has at least this share of the requests: the platform
-/// counts service for each class with a twentieth of them. Fewer must not keep all others from the servers.
+/// Other clients give way to those of a class only if it has at least this share of the requests: the
+/// platform counts service for each class with a twentieth of them. Fewer must not keep all others from the
+/// servers.
 const MIN_REQUEST_SHARE: f64 = 0.05;
 
 /// A request that waits for a server is checked after this part of the time that it has waited, so that many
@@ -98,8 +99,8 @@
         unanswered.min(self.state.latencies[class].share_above(shortest.given))
     }
 
-    /// Records how long the client of a new request waits. One that waits for less than an answer usually takes
-    /// could not be served whatever else was refused, and is left out.
+    /// Records how long the client of a new request waits. One that waits for less than an answer usually
+    /// takes could not be served whatever else was refused, and is left out.
     fn record_client_time(&mut self, now: Micros, request: &Request) {
         let given = request.deadline.saturating_sub(now) as f64;
         if given < self.state.latencies[request.class].median {
@@ -151,8 +152,8 @@
         now < self.latest_start(request)
     }
 
-    /// The time from which an answer to a request would come too late if it took as long as answers of its class
-    /// usually do, and no shorter than its expected service time.
+    /// The time from which an answer to a request would come too late if it took as long as answers of its
+    /// class usually do, and no shorter than its expected service time.
     fn latest_start(&self, request: &InFlightRequest) -> Micros {
         let Request { class, cost_hint, deadline, .. } = request.request;
         let usual_latency = self.state.latencies[class].median as Micros;
@@ -161,10 +162,12 @@
     }
 
     /// Whether the response to one more request at this server would probably come too late: for its own
-    /// client, or for the clients who come next and have the least time. Servers work in the order of arrival,
-    /// so whatever is sent now stands before those; a client with more time can come again when less does.
+    /// client, or for the clients who come next and have the least time. Servers work in the order of
+    /// arrival, so whatever is sent now stands before those; a client with more time can come again when
+    /// less does.
     ///
-    /// A server without own attempts in flight is always tried, because only its answer shows how long it takes.
+    /// A server without own attempts in flight is always tried, because only its answer shows how long it
+    /// takes.
     pub(crate) fn is_congested(&self, now: Micros, request: &InFlightRequest, server: ServerId) -> bool {
         let server = &self.state.servers[&server];
         if server.in_flight == 0 {
--- a/src/analysis/windows.rs
+++ b/src/analysis/windows.rs
@@ -24,8 +24,8 @@
 /// The most lines that a balancer writes to the log during its life.
 const MAX_LOG_LINES: u32 = 100;
 
-/// The work of a request without a cost hint. All balancers use the same value, because their counters are added
-/// up; the bins for times per unit of work then cover one millisecond to four seconds.
+/// The work of a request without a cost hint. All balancers use the same value, because their counters are
+/// added up; the bins for times per unit of work then cover one millisecond to four seconds.
 pub(crate) const UNHINTED_WORK: Micros = 1 << 17;
 
 /// What is needed to judge the end of an attempt.
@@ -43,9 +43,9 @@
     ///
     /// Rejections, failed connects and attempts that were never sent are not evidence about the build. An
     /// attempt that was cut short would have taken at least its elapsed time. That is evidence only if the
-    /// elapsed time reaches the typical latency. It is a failure if the attempt timed out at a warm server and
-    /// had as long as 95% of the responses of its class take: its client would have waited long enough for a
-    /// sound build.
+    /// elapsed time reaches the typical latency. It is a failure if the attempt timed out at a warm server
+    /// and had as long as 95% of the responses of its class take: its client would have waited long enough
+    /// for a sound build.
     pub(crate) fn record_build_outcome(&mut self, context: &AttemptContext, end: AttemptEnd) {
         let &AttemptContext { attempt, class, work } = context;
         let elapsed = end.elapsed as f64;
--- a/src/completion.rs
+++ b/src/completion.rs
@@ -38,9 +38,9 @@
         self.finish(id, out);
     }
 
-    /// When a client should come again that is refused for this reason; 0 is no advice. In an overload this is
-    /// the usual latency of its class: by then what the servers have ahead now is done. Nothing is known of
-    /// when a server appears, and a client whose attempts failed may come again at once.
+    /// When a client should come again that is refused for this reason; 0 is no advice. In an overload this
+    /// is the usual latency of its class: by then what the servers have ahead now is done. Nothing is known
+    /// of when a server appears, and a client whose attempts failed may come again at once.
     fn retry_after(&self, class: usize, reason: UnansweredReason) -> Micros {
         if reason != UnansweredReason::Overloaded || !self.settings.limits.retry_after {
             return 0;
--- a/src/event_loop.rs
+++ b/src/event_loop.rs
@@ -14,8 +14,8 @@
 pub(crate) const MAINTENANCE_INTERVAL: Micros = 100 * MILLISECOND;
 /// The share by which a server's record moves towards that of a healthy server in each round of maintenance.
 const SERVER_RECORD_DECAY_SHARE: f64 = 0.03;
-/// The shares of unanswered attempts are multiplied by this factor in each round of maintenance, so that a lane
-/// that is refused is tried again.
+/// The shares of unanswered attempts are multiplied by this factor in each round of maintenance, so that a
+/// lane that is refused is tried again.
 const UNANSWERED_SHARE_RETAINED: f64 = 0.99;
 
 impl Balancer {
--- a/src/outcomes.rs
+++ b/src/outcomes.rs
@@ -55,9 +55,9 @@
         }
     }
 
-    /// Records whether a server answered an attempt in its client's time. An attempt that timed out or was turned
-    /// away counts only if its client had as long as answers of the class usually take: one that waits for less
-    /// says nothing about the servers.
+    /// Records whether a server answered an attempt in its client's time. An attempt that timed out or was
+    /// turned away counts only if its client had as long as answers of the class usually take: one that
+    /// waits for less says nothing about the servers.
     ///
     /// With little traffic the queue of a single server is not visible to this balancer, so the shares cover
     /// all servers together. Each lane has its own, so that one with a cause of its own costs no other.
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -74,8 +74,8 @@
             return None;
         }
         let request = self.state.requests.get(&id)?.clone();
-        // Only first attempts earn and take the trial build's turns. The design page: "First tries go to the new
-        // build at its share of listed machines, rising with warmth".
+        // Only first attempts earn and take the trial build's turns. The design page: "First tries go to
+        // the new build at its share of listed machines, rising with warmth".
         let first_attempt = request.attempts.is_empty();
         let just_arrived = request.arrived == now;
         let mut pools = self.collect_pools(now, &request);
