--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -147,18 +147,18 @@
     assert_eq!(refused, 0);
 }
 
-/// A client who waits for less than answers usually take says nothing about the servers: others are not
-/// refused for its time-out.
-#[test]
-fn clients_with_hardly_any_time_do_not_get_others_refused() {
+/// Sends requests whose clients wait for `hasty_time` and whose attempts end with `outcome` after `elapsed`, and
+/// after each an ordinary one that is answered in 100 ms. Returns how many of these 300 were refused on arrival.
+fn refused_beside_hasty_clients(hasty_time: Micros, outcome: Outcome, elapsed: Micros) -> usize {
     let mut harness = Harness::new(settings(), &server_list(6, 0), RELEASED);
     harness.run_traffic(&[IDEMPOTENT], 60, |_, _| (Outcome::Ok, 100 * MS));
     let mut refused = 0;
     for id in 0..300 {
-        let hasty = request_with_time(&mut harness, 10_000 + id, 20 * MS);
-        harness.now += 10 * MS;
+        let hasty = request_with_time(&mut harness, 10_000 + id, hasty_time);
+        harness.now += elapsed;
         for (hasty_id, server) in sends(&hasty) {
-            harness.end_attempt(hasty_id, 0, server, Outcome::Timeout, 10 * MS);
+            harness.end_attempt(hasty_id, 0, server, outcome, elapsed);
+            harness.feed(Event::ClientDisconnected { request: hasty_id });
         }
         let (id, actions) = harness.request(IDEMPOTENT);
         refused += final_responses(&actions, id).0;
@@ -167,30 +167,20 @@
             harness.end_attempt(id, 0, server, Outcome::Ok, 100 * MS);
         }
     }
-    assert_eq!(refused, 0);
+    refused
+}
+
+/// A client who waits for less than answers usually take says nothing about the servers: others are not
+/// refused for its time-out.
+#[test]
+fn clients_with_hardly_any_time_do_not_get_others_refused() {
+    assert_eq!(refused_beside_hasty_clients(20 * MS, Outcome::Timeout, 10 * MS), 0);
 }
 
 /// The same holds where servers turn such a request away because its time is over before they begin it.
 #[test]
 fn clients_whose_time_is_over_when_they_reach_a_server_do_not_get_others_refused() {
-    let mut harness = Harness::new(settings(), &server_list(6, 0), RELEASED);
-    harness.run_traffic(&[IDEMPOTENT], 60, |_, _| (Outcome::Ok, 100 * MS));
-    let mut refused = 0;
-    for id in 0..300 {
-        let hasty = request_with_time(&mut harness, 10_000 + id, 40 * MS);
-        harness.now += 2 * MS;
-        for (hasty_id, server) in sends(&hasty) {
-            harness.end_attempt(hasty_id, 0, server, Outcome::Rejected, 2 * MS);
-            harness.feed(Event::ClientDisconnected { request: hasty_id });
-        }
-        let (id, actions) = harness.request(IDEMPOTENT);
-        refused += final_responses(&actions, id).0;
-        harness.advance(100 * MS);
-        for (id, server) in sends(&actions) {
-            harness.end_attempt(id, 0, server, Outcome::Ok, 100 * MS);
-        }
-    }
-    assert_eq!(refused, 0);
+    assert_eq!(refused_beside_hasty_clients(40 * MS, Outcome::Rejected, 2 * MS), 0);
 }
 
 /// With one attempt in flight at a time no queue is visible. While every second client of a class runs out of
