Admission: a request is no longer copied whole to be routed or hedged

Cause: `route_request` and `hedge` cloned the request with its attempts, on the path of every request, for a few plain fields; the latest start was computed twice, and `leaves_time_for_answer` only compared it with the clock.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -130,32 +130,29 @@
     /// still come in time. A request whose response would be late anyway is rejected at once, so that an
     /// overload does not make every response late.
     pub(crate) fn route_request(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
-        let Some(in_flight_request) = self.state.requests.get(&id).cloned() else { return };
+        let Some(&InFlightRequest { request, waiting_since, .. }) = self.state.requests.get(&id) else {
+            return;
+        };
+        let latest_start = self.latest_start(&request);
         if let Some(server) = self.pick_server(now, id) {
-            if self.is_congested(now, &in_flight_request, server) {
+            if self.is_congested(now, &request, server) {
                 self.finish_unanswered(id, UnansweredReason::Overloaded, out);
             } else {
                 self.send(now, id, server, out);
             }
-        } else if self.leaves_time_for_answer(now, &in_flight_request) {
-            let waited = now.saturating_sub(in_flight_request.waiting_since);
+        } else if now < latest_start {
+            let waited = now.saturating_sub(waiting_since);
             let interval = self.settings.tick.max(waited / WAIT_PER_CHECK_INTERVAL);
-            let latest_start = self.latest_start(&in_flight_request);
             self.state.schedule_check(id, (now + interval).min(latest_start));
         } else {
             self.finish_unanswered(id, UnansweredReason::NoServer, out);
         }
     }
 
-    /// Whether an answer to a request that is sent now would usually come before its client stops waiting.
-    pub(crate) fn leaves_time_for_answer(&self, now: Micros, request: &InFlightRequest) -> bool {
-        now < self.latest_start(request)
-    }
-
     /// The time from which an answer to a request would come too late if it took as long as answers of its
     /// class usually do, and no shorter than its expected service time.
-    fn latest_start(&self, request: &InFlightRequest) -> Micros {
-        let Request { class, cost_hint, deadline, .. } = request.request;
+    pub(crate) fn latest_start(&self, request: &Request) -> Micros {
+        let &Request { class, cost_hint, deadline, .. } = request;
         let usual_latency = self.state.latencies[class].median as Micros;
         let expected_latency = usual_latency.max(cost_hint.unwrap_or(0));
         deadline.saturating_sub(self.final_response_margin()).saturating_sub(expected_latency)
@@ -168,14 +165,14 @@
     ///
     /// A server without own attempts in flight is always tried, because only its answer shows how long it
     /// takes.
-    pub(crate) fn is_congested(&self, now: Micros, request: &InFlightRequest, server: ServerId) -> bool {
+    pub(crate) fn is_congested(&self, now: Micros, request: &Request, server: ServerId) -> bool {
         let server = &self.state.servers[&server];
         if server.in_flight == 0 {
             return false;
         }
         let work_ahead = server.latency_per_attempt * f64::from(server.in_flight);
-        let own_work = request.request.cost_hint.map_or(server.latency_per_attempt, |hint| hint as f64);
-        let time_left = request.request.deadline.saturating_sub(now) as f64;
+        let own_work = request.cost_hint.map_or(server.latency_per_attempt, |hint| hint as f64);
+        let time_left = request.deadline.saturating_sub(now) as f64;
         let shortest_client_time = self.shortest_client_time().map_or(f64::INFINITY, |time| time.given);
         let margin = self.final_response_margin() as f64;
         work_ahead + own_work + margin > time_left.min(shortest_client_time)
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -47,14 +47,14 @@
     fn second_attempt_is_worthwhile(&self, now: Micros, request: &InFlightRequest) -> bool {
         let class = &self.settings.classes[request.request.class];
         request.attempts_in_flight() == 1
-            && self.leaves_time_for_answer(now, request)
+            && now < self.latest_start(&request.request)
             && self.state.retry_budget >= 1.0
             && class.idempotency != Idempotency::NonIdempotent
             && request.attempts.len() < self.settings.limits.max_attempts
     }
 
     fn hedge(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
-        let Some(request) = self.state.requests.get(&id).cloned() else { return };
+        let Some(&InFlightRequest { request, .. }) = self.state.requests.get(&id) else { return };
         if let Some(server) = self.pick_server(now, id)
             && !self.is_congested(now, &request, server)
         {
