--- a/review/6/stand_ins.rs
+++ b/review/6/stand_ins.rs
@@ -9,7 +9,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, OnceLock};
+use std::sync::{Arc, Condvar, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
 static START: OnceLock<Instant> = OnceLock::new();
@@ -109,6 +109,38 @@
     Serve(Duration),
     /// It turns the command away, as a draining server does.
     Busy,
+    /// It runs this many commands at once, for this time each, lets as many wait as the queue holds, and turns
+    /// others away.
+    Limited { cores: usize, queue: usize, time: Duration },
+}
+
+/// The commands that a server holds, and those that run.
+#[derive(Default)]
+struct Held {
+    all: Mutex<(usize, usize)>,
+    ended: Condvar,
+}
+
+impl Held {
+    /// Runs one command. Returns false if there is no room for it.
+    fn run(&self, cores: usize, queue: usize, time: Duration) -> bool {
+        let mut held = self.all.lock().unwrap();
+        if held.0 >= cores + queue {
+            return false;
+        }
+        held.0 += 1;
+        while held.1 >= cores {
+            held = self.ended.wait(held).unwrap();
+        }
+        held.1 += 1;
+        drop(held);
+        std::thread::sleep(time);
+        let mut held = self.all.lock().unwrap();
+        held.0 -= 1;
+        held.1 -= 1;
+        self.ended.notify_one();
+        true
+    }
 }
 
 /// One attempt as its server saw it.
@@ -141,10 +173,12 @@
             work: Arc::new(Mutex::new(work)),
         };
         let (attempts, count, work) = (server.attempts.clone(), server.count.clone(), server.work.clone());
+        let held: Arc<Held> = Arc::default();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let (attempts, count, work) = (attempts.clone(), count.clone(), work.clone());
-                std::thread::spawn(move || serve(stream, &attempts, &count, &work, keep));
+                let held = held.clone();
+                std::thread::spawn(move || serve(stream, &attempts, &count, &work, &held, keep));
             }
         });
         server
@@ -163,7 +197,14 @@
     }
 }
 
-fn serve(mut stream: TcpStream, attempts: &Mutex<Vec<Attempt>>, count: &AtomicU64, work: &Mutex<Work>, keep: bool) {
+fn serve(
+    mut stream: TcpStream,
+    attempts: &Mutex<Vec<Attempt>>,
+    count: &AtomicU64,
+    work: &Mutex<Work>,
+    held: &Held,
+    keep: bool,
+) {
     let _ = stream.set_nodelay(true);
     let mut input = Vec::new();
     let mut chunk = [0; 16384];
@@ -183,12 +224,19 @@
             }
             first_at = now();
             let todo = *work.lock().unwrap();
-            let answer = match todo {
-                Work::Busy => b"-BUSY\r\n".to_vec(),
+            let runs = match todo {
+                Work::Busy => false,
                 Work::Serve(time) => {
                     if !time.is_zero() {
                         std::thread::sleep(time);
                     }
+                    true
+                }
+                Work::Limited { cores, queue, time } => held.run(cores, queue, time),
+            };
+            let answer = match runs {
+                false => b"-BUSY\r\n".to_vec(),
+                true => {
                     let value = format!("value-of-{}", words[2]);
                     format!("*3\r\n${}\r\n{value}\r\n$-1\r\n$-1\r\n", value.len()).into_bytes()
                 }
