review: case 6, a keyed order is refused after its servers forgot it, and runs twice

Cause: a keyed request that may have run is refused whenever its group is all, however long ago it was sent; the client repeats what the servers no longer remember. Added: the case.

--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -1,20 +1,45 @@
-//! Case 6: a watch of the server list falls silent, and then discovery goes down.
+//! Case 6: a request with a key whose answer is lost is refused after its servers have forgotten the key.
 
 #[path = "stand_ins.rs"]
 mod stand_ins;
 
 use stand_ins::*;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-/// A missed change counts as told this long after its watch fell silent and after discovery had it.
-const TOLD_AFTER: f64 = 6.0;
-/// DrainGrace of the settings, and the 50 ms by which every limit is longer on sockets.
-const GRACE: f64 = 2.0 + 0.05;
+/// The longest that a client waits over all its tries, and in its first try, in seconds.
+const GIVE_UP: f64 = 3.0;
+const FIRST_TRY: f64 = 2.2;
+
+/// Sends one order, and sends it again when that is refused, as long as there is time.
+fn order(addr: SocketAddr, number: u64, refused: &Mutex<Vec<(String, f64, f64)>>) {
+    let Ok(mut stream) = TcpStream::connect(addr) else { return };
+    let _ = stream.set_nodelay(true);
+    let began_at = now();
+    let k = format!("{:016x}", 0x5c0f_0000 + number);
+    let mut wait = FIRST_TRY;
+    let mut mark = "";
+    loop {
+        let id = new_id();
+        let options = format!("c=service-log,t=athi-cement,d={},k={k}{mark}", (wait * 1000.0) as u64);
+        let sent_at = now();
+        let bytes = command(&["CALL.POST", &format!("{number:016x}"), &id, &options, "job done"]);
+        let answer = exchange(&mut stream, &bytes, Duration::from_secs_f64(wait + 0.6));
+        note(format!("client {number}: {id} ({options}) sent at {sent_at:.3}, after {:.3} s: {answer:?}", now() - sent_at));
+        let left = GIVE_UP - (now() - began_at);
+        if answer != Answer::Refused || left < 0.1 {
+            return;
+        }
+        refused.lock().unwrap().push((k.clone(), sent_at, now()));
+        (wait, mark) = (left, ",r=1");
+    }
+}
 
 fn main() {
     now();
-    let servers: Vec<Server> =
-        (0..4).map(|n| Server::start(&format!("s-{n}"), Work::Serve(Duration::from_millis(20)), true)).collect();
+    let work = Work::Serve(Duration::from_millis(40));
+    let servers: Vec<Server> = (0..5).map(|n| Server::start(&format!("s-{n}"), work, true)).collect();
     let discovery = Discovery::start(41, &servers.iter().collect::<Vec<_>>());
     let config = Config {
         discovery: discovery.addr,
@@ -26,44 +51,38 @@
     };
     let mut proxy = Proxy::start("n0", free_address(), &config);
     proxy.wait_ready(10.0);
-    let load = Load::start(proxy.addr, 8, 80.0, true);
-    // A watch has just begun, so it is open for three seconds at least.
-    let (_, watch_at, wait) = discovery.next_watch();
-    sleep_until(watch_at + 0.2);
-    let silent_at = now();
+    let addr = proxy.addr;
+    let load = Load::start(addr, 8, 40.0, false);
+    sleep_until(now() + 3.0);
+    let lost_from = now();
     if with_trouble() {
-        discovery.silence_open_watches();
+        note("server s-4: its answers are lost");
+        servers[4].set(Work::Lose(Duration::from_millis(40)));
     }
-    sleep_until(watch_at + 0.5);
-    let drained = &servers[3];
-    drained.set(Work::Busy);
-    discovery.change(&drained.id, drained.entry("draining"));
-    let changed_at = now();
-    sleep_until(watch_at + 2.9);
-    if with_trouble() {
-        discovery.go_down();
+    let refused: Arc<Mutex<Vec<(String, f64, f64)>>> = Arc::default();
+    let mut clients = Vec::new();
+    for number in 0..240 {
+        sleep_until(lost_from + number as f64 * 0.025);
+        let refused = refused.clone();
+        clients.push(std::thread::spawn(move || order(addr, number, &refused)));
     }
-    // The outage lasts 8 s.
-    sleep_until(watch_at + 10.9);
-    if with_trouble() {
-        discovery.come_back();
+    servers[4].set(work);
+    for client in clients {
+        let _ = client.join();
     }
-    sleep_until(watch_at + 18.0);
     load.stop();
-    let told_at = (silent_at.max(changed_at) + TOLD_AFTER).max(watch_at + wait + 2.0);
-    let attempts = drained.attempts.lock().unwrap().clone();
-    for attempt in &attempts {
-        note(format!("server {}: attempt {} began at {:.3} ({})", drained.id, attempt.id, attempt.first_at, attempt.options));
+    let effects = EFFECTS.lock().unwrap().clone();
+    for (k, times) in &effects {
+        note(format!("servers: order {k} took effect {times:?}"));
     }
-    let late: Vec<f64> = attempts.iter().map(|attempt| attempt.first_at).filter(|at| *at > told_at + GRACE).collect();
-    let others: usize = servers[..3].iter().map(|server| server.attempts.lock().unwrap().len()).sum();
-    note(format!("told at {told_at:.3} at the latest, grace until {:.3}", told_at + GRACE));
-    if others < 100 {
-        finish(vec![proxy], 2, "could not run: too little traffic");
+    let twice = effects.iter().filter(|(_, times)| times.len() > 1).count();
+    let refusals = refused.lock().unwrap().len();
+    if effects.len() < 120 {
+        finish(vec![proxy], 2, "could not run: too few orders ran");
     }
-    match late.last() {
-        Some(last) => finish(vec![proxy], 1, &format!(
-            "broken: {} attempts at a draining server after the grace, the last {:.2} s after it", late.len(), last - told_at - GRACE)),
-        None => finish(vec![proxy], 0, "held: no attempt at the draining server after the grace"),
+    let numbers = format!("of {} orders {twice} took effect twice; {refusals} refusals", effects.len());
+    if twice > 0 {
+        finish(vec![proxy], 1, &format!("broken: {numbers}"));
     }
+    finish(vec![proxy], 0, &format!("held: {numbers}"))
 }
--- a/review/6/stand_ins.rs
+++ b/review/6/stand_ins.rs
@@ -109,6 +109,8 @@
     Serve(Duration),
     /// It turns the command away, as a draining server does.
     Busy,
+    /// It runs the command in this time, and its answer is lost.
+    Lose(Duration),
     /// It runs this many commands at once, for this time each, lets as many wait as the queue holds, and turns
     /// others away.
     Limited { cores: usize, queue: usize, time: Duration },
@@ -143,6 +145,25 @@
     }
 }
 
+/// For how long all servers together remember the key of a request and drop its repeats, in seconds.
+pub const REMEMBERED: f64 = 2.0;
+
+/// The effects that requests with a key had: by key, when and at which server.
+pub static EFFECTS: Mutex<BTreeMap<String, Vec<(f64, String)>>> = Mutex::new(BTreeMap::new());
+
+/// Runs a request with a key at a server, unless it is a repeat that the servers remember.
+fn take_effect(words: &[String], server: &str) {
+    let key = words.get(3).and_then(|options| options.split(',').find_map(|option| option.strip_prefix("k=")));
+    if let Some(key) = key {
+        let mut effects = EFFECTS.lock().unwrap();
+        let earlier = effects.entry(key.to_owned()).or_default();
+        let at = now();
+        if earlier.last().is_none_or(|(last_at, _)| at >= last_at + REMEMBERED) {
+            earlier.push((at, server.to_owned()));
+        }
+    }
+}
+
 /// One attempt as its server saw it.
 #[derive(Clone)]
 pub struct Attempt {
@@ -174,11 +195,12 @@
         };
         let (attempts, count, work) = (server.attempts.clone(), server.count.clone(), server.work.clone());
         let held: Arc<Held> = Arc::default();
+        let id = server.id.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let (attempts, count, work) = (attempts.clone(), count.clone(), work.clone());
-                let held = held.clone();
-                std::thread::spawn(move || serve(stream, &attempts, &count, &work, &held, keep));
+                let (held, id) = (held.clone(), id.clone());
+                std::thread::spawn(move || serve(stream, &id, &attempts, &count, &work, &held, keep));
             }
         });
         server
@@ -199,6 +221,7 @@
 
 fn serve(
     mut stream: TcpStream,
+    id: &str,
     attempts: &Mutex<Vec<Attempt>>,
     count: &AtomicU64,
     work: &Mutex<Work>,
@@ -224,8 +247,15 @@
             }
             first_at = now();
             let todo = *work.lock().unwrap();
+            if todo != Work::Busy {
+                take_effect(&words, id);
+            }
             let runs = match todo {
                 Work::Busy => false,
+                Work::Lose(time) => {
+                    std::thread::sleep(time);
+                    continue;
+                }
                 Work::Serve(time) => {
                     if !time.is_zero() {
                         std::thread::sleep(time);
--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -1,118 +1,130 @@
-//! Case 8: the connection of a watch is reset under the answer that tells a drain.
+//! Case 8: bad clients connect by the hundred and say nothing, while usual clients open connections.
 
 #[path = "../6/stand_ins.rs"]
 mod stand_ins;
 
 use stand_ins::*;
-use std::io::{Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::io::{ErrorKind, Read};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-/// DrainGrace of the settings, and the 50 ms by which every limit is longer on sockets.
-const GRACE: f64 = 2.0 + 0.05;
-const ROUNDS: usize = 3;
+/// Each bad client holds so many silent connections, and opens each anew when it is closed.
+const BAD_CLIENTS: usize = 9;
+const CONNECTIONS: usize = 100;
+/// Usual clients that open a connection for a request, about one each 0.7 s.
+const USUAL_CLIENTS: u64 = 10;
+/// For how long a usual client waits, in milliseconds.
+const WAIT_MS: u64 = 100;
+/// Up to half a second after its time a request only earns nothing; limits are 50 ms longer on sockets.
+const LOST_AFTER: f64 = WAIT_MS as f64 / 1000.0 + 0.5 + 0.05;
+const SECONDS: f64 = 20.0;
 
-/// The network between the proxy and discovery. Once `lose` is set, the next answer is lost and its connection is
-/// reset. `lost_at` is when.
-struct Network {
-    addr: SocketAddr,
-    lose: Arc<AtomicBool>,
-    lost_at: Arc<Mutex<f64>>,
-}
-
-fn network(discovery: SocketAddr) -> Network {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
-    let addr = listener.local_addr().unwrap();
-    let (lose, lost_at): (Arc<AtomicBool>, Arc<Mutex<f64>>) = Default::default();
-    let (shared_lose, shared_lost_at) = (lose.clone(), lost_at.clone());
-    std::thread::spawn(move || {
-        for near in listener.incoming().flatten() {
-            let (lose, lost_at) = (shared_lose.clone(), shared_lost_at.clone());
-            std::thread::spawn(move || carry(near, discovery, &lose, &lost_at));
-        }
-    });
-    Network { addr, lose, lost_at }
-}
-
-fn carry(mut near: TcpStream, discovery: SocketAddr, lose: &AtomicBool, lost_at: &Mutex<f64>) {
-    let Ok(mut far) = TcpStream::connect(discovery) else { return };
-    near.set_read_timeout(Some(Duration::from_millis(2))).unwrap();
-    far.set_read_timeout(Some(Duration::from_millis(2))).unwrap();
-    let mut chunk = [0; 65536];
-    loop {
-        match near.read(&mut chunk) {
-            Ok(0) => return,
-            Ok(n) => {
-                let _ = far.write_all(&chunk[..n]);
+fn connect_silently(addr: SocketAddr, stop: &AtomicBool, opened: &AtomicU64) {
+    let mut connections: Vec<Option<TcpStream>> = (0..CONNECTIONS).map(|_| None).collect();
+    while !stop.load(Ordering::Relaxed) {
+        for place in &mut connections {
+            if place.is_none() {
+                let stream = TcpStream::connect_timeout(&addr, Duration::from_millis(200)).ok();
+                if let Some(stream) = &stream {
+                    let _ = stream.set_nonblocking(true);
+                    opened.fetch_add(1, Ordering::Relaxed);
+                }
+                *place = stream;
             }
-            Err(_) => {}
-        }
-        match far.read(&mut chunk) {
-            Ok(0) => return,
-            Ok(_) if lose.swap(false, Ordering::SeqCst) => {
-                *lost_at.lock().unwrap() = now();
-                note("network: an answer of discovery is lost, its connection is reset");
-                return reset(&near);
-            }
-            Ok(n) => {
-                let _ = near.write_all(&chunk[..n]);
+            let ended = place.as_mut().is_some_and(|stream| match stream.read(&mut [0; 64]) {
+                Ok(n) => n == 0,
+                Err(e) => e.kind() != ErrorKind::WouldBlock,
+            });
+            if ended {
+                *place = None;
             }
-            Err(_) => {}
         }
+        std::thread::sleep(Duration::from_millis(1));
     }
 }
 
 fn main() {
     now();
-    let servers: Vec<Server> =
-        (0..8).map(|n| Server::start(&format!("s-{n}"), Work::Serve(Duration::from_millis(20)), true)).collect();
+    let work = Work::Serve(Duration::from_millis(20));
+    let servers: Vec<Server> = (0..4).map(|n| Server::start(&format!("s-{n}"), work, true)).collect();
     let discovery = Discovery::start(41, &servers.iter().collect::<Vec<_>>());
-    let network = network(discovery.addr);
     let config = Config {
-        discovery: network.addr,
+        discovery: discovery.addr,
         pipeline: pipeline(),
         settings: settings("on_request"),
         known: discovery.whole_list(),
         memory_mb: 64,
-        sockets: 512,
+        sockets: 256,
     };
     let mut proxy = Proxy::start("n0", free_address(), &config);
     proxy.wait_ready(10.0);
-    let load = Load::start(proxy.addr, 16, 160.0, true);
-    let mut written = Vec::new();
-    for drained in &servers[..ROUNDS] {
-        let (_, watch_at, _) = discovery.next_watch();
-        sleep_until(watch_at + 1.0);
-        if with_trouble() {
-            network.lose.store(true, Ordering::SeqCst);
+    let addr = proxy.addr;
+    // Clients that keep their connections.
+    let load = Load::start(addr, 8, 40.0, false);
+    sleep_until(now() + 2.0);
+    let stop: Arc<AtomicBool> = Arc::default();
+    let opened: Arc<AtomicU64> = Arc::default();
+    let mut bad = Vec::new();
+    if with_trouble() {
+        for _ in 0..BAD_CLIENTS {
+            let (stop, opened) = (stop.clone(), opened.clone());
+            bad.push(std::thread::spawn(move || connect_silently(addr, &stop, &opened)));
         }
-        drained.set(Work::Busy);
-        discovery.change(&drained.id, drained.entry("draining"));
-        sleep_until(now() + 0.3);
-        // The change counts as told when it was written.
-        let told_at = if with_trouble() { *network.lost_at.lock().unwrap() } else { now() };
-        written.push((drained, told_at));
-        sleep_until(now() + 12.0);
+    }
+    sleep_until(now() + 2.0);
+    let end = now() + SECONDS;
+    let times: Arc<Mutex<Vec<(f64, f64)>>> = Arc::default();
+    let usual: Vec<_> = (0..USUAL_CLIENTS)
+        .map(|number| {
+            let times = times.clone();
+            std::thread::spawn(move || {
+                sleep_until(now() + number as f64 * 0.07);
+                while now() < end {
+                    let began_at = now();
+                    // A connection that is not made within 0.2 s is given up: no request was written to it.
+                    if let Ok(mut stream) = TcpStream::connect_timeout(&addr, Duration::from_millis(200)) {
+                        let _ = stream.set_nodelay(true);
+                        let id = new_id();
+                        let options = format!("c=status-read,t=athi-cement,d={WAIT_MS}");
+                        let bytes = command(&["CALL.GET", &format!("{number:016x}"), &id, &options]);
+                        let sent_at = now();
+                        let answer = exchange(&mut stream, &bytes, Duration::from_secs(3));
+                        let took = now() - sent_at;
+                        let is_lost = took > LOST_AFTER;
+                        note(format!("client {number}: {id} sent at {sent_at:.3} took {took:.3} s: {answer:?}{}", if is_lost { ", lost" } else { "" }));
+                        times.lock().unwrap().push((sent_at, took));
+                    }
+                    sleep_until(began_at + 0.7);
+                }
+            })
+        })
+        .collect();
+    for thread in usual {
+        let _ = thread.join();
+    }
+    stop.store(true, Ordering::Relaxed);
+    for thread in bad {
+        let _ = thread.join();
     }
     load.stop();
-    let mut late_count = 0;
-    let mut latest = 0.0_f64;
-    for (drained, told_at) in written {
-        let attempts = drained.attempts.lock().unwrap().clone();
-        let after: Vec<f64> = attempts.iter().map(|attempt| attempt.first_at).filter(|at| *at > told_at).collect();
-        let late = after.iter().filter(|at| **at > told_at + GRACE).count();
-        let last = after.last().map_or(0.0, |at| at - told_at);
-        note(format!("server {}: told at {told_at:.3}; {} attempts after that, the last {last:.3} s after it; {late} after the grace", drained.id, after.len()));
-        late_count += late;
-        latest = latest.max(last);
+    for server in &servers {
+        for attempt in server.attempts.lock().unwrap().iter().filter(|attempt| attempt.options.contains("c=status-read")) {
+            note(format!("server {}: {} at {:.3} ({})", server.id, attempt.id, attempt.last_at, attempt.options));
+        }
     }
-    if servers[7].attempts.lock().unwrap().len() < 100 {
-        finish(vec![proxy], 2, "could not run: too little traffic");
+    let mut took: Vec<f64> = times.lock().unwrap().iter().map(|(_, took)| *took).collect();
+    took.sort_by(f64::total_cmp);
+    note(format!("bad clients opened {} connections", opened.load(Ordering::Relaxed)));
+    if took.len() < 50 {
+        finish(vec![proxy], 2, "could not run: too few connections were made");
     }
-    if late_count > 0 {
-        finish(vec![proxy], 1, &format!("broken: {late_count} attempts at draining servers after the grace, up to {latest:.2} s after the answer was written"));
+    let lost = took.iter().filter(|took| **took > LOST_AFTER).count();
+    let (median, longest) = (took[took.len() / 2], took[took.len() - 1]);
+    let numbers = format!("of {} requests on new connections, answered after {median:.3} s in the median and {longest:.3} s at most, {lost} were lost", took.len());
+    if lost > 0 {
+        finish(vec![proxy], 1, &format!("broken: {numbers}"));
     }
-    finish(vec![proxy], 0, "held: no attempt at a draining server after the grace")
+    finish(vec![proxy], 0, &format!("held: {numbers}"))
 }
