--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -6,6 +6,7 @@
 [ -x "target/review-2/case-$number" ] && [ -x target/release/violetseam ] || { echo "build first" >&2; exit 2; }
 CASE_DIR=$here CASE_TMP=$(mktemp -d) || exit 2
 export CASE_DIR CASE_TMP
+ulimit -n 4096 2>/dev/null || true # a thousand connections are more than some machines allow a process at first
 # Ends what is left if this script is stopped, and removes its folder.
 clean() {
     [ -z "$case" ] || kill -9 "$case" 2>/dev/null
