Sliding sums drop what is old when they grow, so requests leave no memory behind

Cause: a SlidingSum dropped old entries only when it was read. The sums of offered and of sent work are read for servers in slow start alone, so while no server started they kept 16 bytes for each request and each attempt. The sum of served work is read in maintenance, but only while half of the servers are warm.

The stored form and the recorded decisions stay as they were (stored_module.rs).

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -5,6 +5,7 @@
 use crate::completion::UnansweredReason;
 use crate::interface::{Action, Micros, Request, RequestId, ServerId};
 use crate::retry::{MAX_RETRY_BUDGET, RETRY_BUDGET_PER_REQUEST};
+use crate::slow_start::LOAD_WINDOW;
 use crate::state::{ClientTime, InFlightRequest, Lane, smooth};
 
 /// The share of the exposure cap that each request adds to the allowance of a build on trial. It is below 1
@@ -49,7 +50,7 @@
         // Until the first response shows a cost, all requests of the class count as one microsecond.
         let typical_cost = self.state.latencies[class].median;
         let cost = request.cost_hint.map_or(typical_cost, |hint| hint as f64).max(1.0);
-        self.state.offered_cost.add(now, cost);
+        self.state.offered_cost.add(now, cost, LOAD_WINDOW);
         self.state.requests.insert(id, InFlightRequest::new(request, now, cost));
         if self.should_shed(&request) {
             self.finish_unanswered(id, UnansweredReason::Overloaded, out);
--- a/src/attempts.rs
+++ b/src/attempts.rs
@@ -54,7 +54,7 @@
             attempt.exposed = exposed;
         }
         if let Some(server) = self.state.servers.get_mut(&server_entry.id) {
-            server.sent_cost.add(now, cost);
+            server.sent_cost.add(now, cost, self.settings.rules.overload_span);
         }
     }
 
@@ -90,7 +90,7 @@
             counter.remove_attempt(sent_at);
         }
         if let Some(server) = self.state.servers.get_mut(&to.id) {
-            server.sent_cost.remove(sent_at, cost);
+            server.sent_cost.remove(sent_at, cost, self.settings.rules.overload_span);
         }
     }
 
--- a/src/outcomes.rs
+++ b/src/outcomes.rs
@@ -4,6 +4,7 @@
 use crate::balancer::Balancer;
 use crate::interface::{Action, AttemptEnd, Micros, Outcome, Phase, Request};
 use crate::retry::MAX_RETRY_BUDGET;
+use crate::slow_start::LOAD_WINDOW;
 use crate::state::{Attempt, MAX_TRIAL_CREDIT, smooth};
 
 /// The number of recent latencies that are kept for each class.
@@ -37,7 +38,7 @@
             end,
         );
         if end.outcome == Outcome::Ok && !attempt.warming_up {
-            self.state.served_cost.add(now, cost);
+            self.state.served_cost.add(now, cost, LOAD_WINDOW);
         }
         if let Some(key) = client_request.key {
             self.record_key_outcome(key, &attempt, end.outcome);
--- a/src/slow_start.rs
+++ b/src/slow_start.rs
@@ -10,7 +10,7 @@
 /// of one request.
 const SMALL_BUDGET_SHARE: f64 = 0.5;
 /// The window over which offered and served load are averaged.
-const LOAD_WINDOW: Micros = 2 * SECOND;
+pub(crate) const LOAD_WINDOW: Micros = 2 * SECOND;
 /// In each round of maintenance the capacity estimate falls to no less than this share of its value.
 const CAPACITY_ESTIMATE_RETAINED: f64 = 0.995;
 
