Platform lists: a response that is lost with its connection counts as received

Cause: list_evidence took a reset before the first byte of an answer for no evidence about the list. The lease stayed as it was, up to 7.75 s from the last answer, and the next query came 1.5 to 4.5 s later. But what discovery writes counts as told when it is written.

Evidence: in a test in which no later query is answered, the list was used for 5.99 s after the reset; the reset itself is noticed at once, and sends end with the next answer.

Change: such a reset shrinks the lease to the drain grace, and discovery is asked again after 0.04 to 0.12 s, four times at doubling intervals. A watch also ends by a reset when discovery goes down, so the queries that follow decide: an answer renews the lease, a refused connection extends it as before, and where all of them fail the lease is again what it was before the reset. Where lists are pushed, each failed query already shrank the lease.

--- a/crates/platform-proxy/src/discovery/exchange.rs
+++ b/crates/platform-proxy/src/discovery/exchange.rs
@@ -92,6 +92,9 @@
     ServiceDown,
     /// A part of a list has arrived. The service counts the list as received, although it cannot be used.
     PartialList,
+    /// The connection was lost while a response was due. The service may have written one, which then counts
+    /// as received.
+    ResponseLost,
     /// The failure shows nothing about the list.
     None,
 }
@@ -143,6 +146,11 @@
             // even immediately, may have reached a service that is up but overloaded.
             QueryFailure::ConnectionRefused => ListEvidence::ServiceDown,
             _ if self.has_ok_status() => ListEvidence::PartialList,
+            QueryFailure::Reset | QueryFailure::Closed | QueryFailure::InvalidHttp(_)
+                if self.is_connected && self.status.is_none() =>
+            {
+                ListEvidence::ResponseLost
+            }
             _ => ListEvidence::None,
         }
     }
--- a/crates/platform-proxy/src/discovery/mod.rs
+++ b/crates/platform-proxy/src/discovery/mod.rs
@@ -10,10 +10,12 @@
 //! fetched only where a delta would not be sound.
 //!
 //! - `exchange`: one query and its response
+//! - `lost_response`: the queries that ask again for a response that was lost with its connection
 //! - `responses`: handles responses and failed queries
 //! - `timing`: time-outs and intervals
 
 mod exchange;
+mod lost_response;
 mod responses;
 mod timing;
 
@@ -23,6 +25,7 @@
 use crate::proxy::Proxy;
 use calloop::{Interest, Readiness};
 use exchange::{Exchange, Query, QueryFailure};
+use lost_response::ResponseLoss;
 use rand::RngExt;
 use std::net::SocketAddr;
 use timing::{
@@ -50,6 +53,8 @@
     address_has_answered: bool,
     /// How many queries have failed since the last list.
     failures: u32,
+    /// The loss of a response since the last confirmation of the list, if there was one.
+    response_loss: Option<ResponseLoss>,
     /// The exchange in progress.
     exchange: Option<Exchange>,
     /// When the next query is scheduled, if one is.
@@ -72,6 +77,7 @@
             has_been_ready: false,
             address_has_answered: false,
             failures: 0,
+            response_loss: None,
             exchange: None,
             next_query_at: None,
             verify_at: None,
--- a/crates/platform-proxy/src/discovery/responses.rs
+++ b/crates/platform-proxy/src/discovery/responses.rs
@@ -167,7 +167,8 @@
             "server list query failed"
         );
         exchange.socket.remove(&self.loop_handle);
-        match exchange.list_evidence(&failure) {
+        let evidence = exchange.list_evidence(&failure);
+        match evidence {
             ListEvidence::WatchAlive => self.confirm_list(now, self.previous_poll_at),
             ListEvidence::ServiceDown => {
                 self.engine.update_list_lease(now, |lease| lease.discovery_down(exchange.started_at));
@@ -175,7 +176,10 @@
             ListEvidence::PartialList => {
                 self.engine.update_list_lease(now, |lease| lease.notification_missed(now));
             }
-            ListEvidence::None => {}
+            ListEvidence::ResponseLost | ListEvidence::None => {}
+        }
+        if let Some(interval) = self.check_response_loss(evidence, now) {
+            return self.retry_query_after(&failure, interval);
         }
         match failure {
             QueryFailure::TimedOut if exchange.is_renewal => {
@@ -198,6 +202,7 @@
     /// Renews the lease on the list. `at` is a time at which the list was current.
     fn confirm_list(&mut self, now: Micros, at: Micros) {
         let was_usable = self.engine.permissions().list.holds(now);
+        self.discovery.response_loss = None;
         self.engine.update_list_lease(now, |lease| lease.record_confirmation(at));
         let is_usable = self.engine.permissions().list.holds(now);
         if is_usable && !was_usable {
--- a/crates/platform-proxy/src/discovery/timing.rs
+++ b/crates/platform-proxy/src/discovery/timing.rs
@@ -42,6 +42,13 @@
 /// After a dead watch or an incomplete list, the next query is made after this interval before jitter,
 /// because the lease on the list ends soon.
 pub(super) const WATCH_RETRY_INTERVAL: Micros = 300_000;
+/// The interval before jitter between a lost response and the query that asks for it again; it doubles with
+/// each such query that fails. A watch that is asked for again within 200 ms goes on as the one before and
+/// costs the service nothing.
+pub(super) const LOST_RESPONSE_RETRY_INTERVAL: Micros = 80_000;
+/// How many queries ask again for a lost response at these short intervals. All of them fit into the time for
+/// which the list may be used after the loss.
+pub(super) const MAX_LOST_RESPONSE_RETRIES: u32 = 4;
 /// How many times the interval before the next query is doubled at most; it is doubled once after each failed
 /// query. A service that handles its queries one by one and receives too many of them spends its time on
 /// queries that have already waited for too long, until fewer queries arrive.
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -42,6 +42,9 @@
     /// The latest end of the lease after a missed change that counts as notified; `None` if no such change is
     /// known. An outage of discovery cannot extend the lease beyond it; only a new confirmation can.
     missed_change_limit: Option<Micros>,
+    /// When the lease would end if the latest lost response were taken for the beginning of an outage; `None`
+    /// if no response has been lost since the last confirmation.
+    until_without_loss: Option<Micros>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -55,26 +58,30 @@
 impl ListLease {
     /// Creates a lease that never ends, for protocols that state no limit on the use of a list.
     pub fn unlimited() -> Self {
-        ListLease { terms: None, until: Micros::MAX, missed_change_limit: None }
+        ListLease { terms: None, until: Micros::MAX, missed_change_limit: None, until_without_loss: None }
     }
 
     /// Creates a lease that is not valid before the first confirmation of the list.
     pub fn unconfirmed(rules: &ServiceRules) -> Self {
         let grace = rules.drain_grace.saturating_sub(MAX_STALL);
         let span = MAX_NOTIFICATION_DELAY.min(rules.poll_interval_max).saturating_add(grace);
-        ListLease { terms: Some(LeaseTerms { span, grace }), until: 0, missed_change_limit: None }
+        let terms = Some(LeaseTerms { span, grace });
+        ListLease { terms, until: 0, missed_change_limit: None, until_without_loss: None }
     }
 
     /// Records that discovery confirmed the list as current at that time.
     pub fn record_confirmation(&mut self, at: Micros) {
         if let Some(LeaseTerms { span, .. }) = self.terms {
             self.missed_change_limit = None;
+            self.until_without_loss = None;
             self.until = self.until.max(at.saturating_add(span));
         }
     }
 
-    /// Records that discovery was certainly down at that time, so that it notified nobody of any change.
+    /// Records that discovery was certainly down at that time, so that it notified nobody of any change. If
+    /// the query before this one lost its connection, that was the beginning of the outage.
     pub fn discovery_down(&mut self, at: Micros) {
+        self.loss_was_outage();
         if let Some(LeaseTerms { span, .. }) = self.terms {
             let until = at.saturating_add(span).min(self.missed_change_limit.unwrap_or(Micros::MAX));
             self.until = self.until.max(until);
@@ -82,8 +89,11 @@
     }
 
     /// Records that discovery moved to another address at that time; changes count as notified soon
-    /// afterwards.
+    /// afterwards. A response that the old address lost stays lost, whatever happens at the new one.
     pub fn discovery_moved(&mut self, at: Micros) {
+        if self.until_without_loss.take().is_some() {
+            self.limit_extension(self.until);
+        }
         self.notification_missed(at.saturating_add(NOTIFICATION_DELAY_AFTER_MOVE));
     }
 
@@ -91,9 +101,26 @@
     pub fn notification_missed(&mut self, at: Micros) {
         if let Some(LeaseTerms { grace, .. }) = self.terms {
             let until = at.saturating_add(grace);
-            self.missed_change_limit =
-                Some(self.missed_change_limit.map_or(until, |earlier_limit| earlier_limit.min(until)));
-            self.until = self.until.min(until);
+            self.limit_extension(until);
+            self.end_by(until);
+        }
+    }
+
+    /// Records that the connection of a query was lost at that time. A response may have been lost with it,
+    /// and what it told counts as notified. The list may therefore be used for the grace period only, until it
+    /// is confirmed or [`ListLease::loss_was_outage`] shows another cause of the loss.
+    pub fn response_lost(&mut self, at: Micros) {
+        if let Some(LeaseTerms { grace, .. }) = self.terms {
+            self.until_without_loss.get_or_insert(self.until);
+            self.until = self.until.min(at.saturating_add(grace));
+        }
+    }
+
+    /// Records that the queries after a lost response failed as well, so that discovery is taken to be down
+    /// since the loss: the connection was then lost without a response.
+    pub fn loss_was_outage(&mut self) {
+        if let Some(until_without_loss) = self.until_without_loss.take() {
+            self.until = until_without_loss;
         }
     }
 
@@ -101,10 +128,22 @@
     /// made.
     pub fn watch_lost(&mut self, at: Micros) {
         if let Some(LeaseTerms { grace, .. }) = self.terms {
-            self.until = self.until.min(at.saturating_add(grace));
+            self.end_by(at.saturating_add(grace));
         }
     }
 
+    /// Keeps outages from extending the lease beyond this.
+    fn limit_extension(&mut self, until: Micros) {
+        let earlier_limit = self.missed_change_limit.unwrap_or(Micros::MAX);
+        self.missed_change_limit = Some(earlier_limit.min(until));
+    }
+
+    /// Makes the lease end no later than this, whatever a lost response turns out to be.
+    fn end_by(&mut self, until: Micros) {
+        self.until = self.until.min(until);
+        self.until_without_loss = self.until_without_loss.map(|without_loss| without_loss.min(until));
+    }
+
     /// When the lease ends, as far as is known now.
     pub fn until(&self) -> Micros {
         self.until
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -80,6 +80,33 @@
     assert_eq!(watched.until(), 101 * S + GRACE);
 }
 
+#[test]
+fn a_lost_response_counts_as_notified_unless_an_outage_explains_the_loss() {
+    let mut lost = lease();
+    lost.record_confirmation(100 * S);
+    lost.response_lost(101 * S);
+    lost.response_lost(102 * S);
+    assert_eq!(lost.until(), 101 * S + GRACE, "a second loss changed the lease");
+    let mut confirmed = lost;
+    confirmed.record_confirmation(102 * S);
+    confirmed.loss_was_outage();
+    assert_eq!(confirmed.until(), 108 * S + GRACE, "a loss from before the confirmation changed the lease");
+    let mut unreachable = lost;
+    unreachable.loss_was_outage();
+    assert_eq!(unreachable.until(), 106 * S + GRACE, "the lease differs from the one before the loss");
+    let mut refused = lost;
+    refused.discovery_down(103 * S);
+    assert_eq!(refused.until(), 109 * S + GRACE, "an outage after a loss did not extend the lease");
+    let mut cut = lost;
+    cut.notification_missed(102 * S);
+    cut.loss_was_outage();
+    assert_eq!(cut.until(), 102 * S + GRACE, "a missed notification after the loss was forgotten");
+    let mut moved = lost;
+    moved.discovery_moved(102 * S);
+    moved.discovery_down(103 * S);
+    assert_eq!(moved.until(), 101 * S + GRACE, "an outage at a new address explained a loss at the old one");
+}
+
 #[test]
 fn a_process_sends_final_responses_and_exits_before_it_is_killed() {
     for (longest_deadline, kill_delay) in
