Lease: an outage makes no list valid that discovery never confirmed

The list of the configuration may lack any change from before the start.

Evidence: the lease alone held after discovery_down without a confirmation.

Change: discovery_down leaves a lease alone that was never confirmed. Running proxies are not concerned.

--- a/crates/cli/tests/common/steps.rs
+++ b/crates/cli/tests/common/steps.rs
@@ -23,7 +23,12 @@
 
 impl ManualListener {
     pub fn new() -> ManualListener {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+        Self::at(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))
+    }
+
+    /// Creates a listener at this address.
+    pub fn at(addr: SocketAddr) -> ManualListener {
+        let listener = TcpListener::bind(addr).unwrap();
         ManualListener { addr: listener.local_addr().unwrap(), listener, backlog_filler: None }
     }
 
--- a/crates/cli/tests/platform_outages.rs
+++ b/crates/cli/tests/platform_outages.rs
@@ -272,3 +272,36 @@
         }
     });
 }
+
+/// Guards against a process that starts in an outage and uses the list of its configuration, which may lack any
+/// change from before the outage: a refused connection confirms nothing.
+#[test]
+fn a_process_that_starts_in_an_outage_waits_until_its_list_is_confirmed() {
+    std::thread::scope(|scope| {
+        for lists in BOTH {
+            scope.spawn(move || start_in_an_outage(lists));
+        }
+    });
+}
+
+fn start_in_an_outage(lists: Lists) {
+    let (departed, listed) = (TimedServer::start(), TimedServer::start());
+    let address = ManualListener::new().addr;
+    let name = format!("started-{lists:?}");
+    let proxy = launch(&name, &configuration(lists, address, &departed.listed()).to_string());
+    wait_until("the proxy does not listen", || proxy.ping().is_some());
+    let answers = Answers::default();
+    let started = Instant::now();
+    answers.record_during(&proxy, &name, || {
+        std::thread::sleep(OUTAGE);
+        let discovery = ManualListener::at(address);
+        let mut connection = discovery.accept();
+        connection.expect_request_line();
+        respond(&mut connection, &list_json(2, &[member("s-2", listed.server.addr, 7)]));
+        connection.expect_request_line();
+        wait_until("no request is served after the outage", || listed.last_call_after(started).is_some());
+    });
+    let stale_calls = departed.calls.lock().unwrap().len();
+    assert_eq!(stale_calls, 0, "{lists:?}: requests went to a server of a list that nothing confirmed");
+    proxy.end();
+}
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -80,7 +80,13 @@
 
     /// Records that discovery was certainly down at that time, so that it notified nobody of any change. If
     /// the query before this one lost its connection, that was the beginning of the outage.
+    ///
+    /// A list that was never confirmed may have missed any change from before the outage, so an outage makes no
+    /// lease valid that was not valid before.
     pub fn discovery_down(&mut self, at: Micros) {
+        if !self.was_confirmed() {
+            return;
+        }
         self.loss_was_outage();
         if let Some(LeaseTerms { span, .. }) = self.terms {
             let until = at.saturating_add(span).min(self.missed_change_limit.unwrap_or(Micros::MAX));
@@ -132,6 +138,11 @@
         }
     }
 
+    /// Whether discovery has ever confirmed the list.
+    fn was_confirmed(&self) -> bool {
+        self.until > 0
+    }
+
     /// Keeps outages from extending the lease beyond this.
     fn limit_extension(&mut self, until: Micros) {
         let earlier_limit = self.missed_change_limit.unwrap_or(Micros::MAX);
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -61,6 +61,22 @@
     assert_eq!(lease.until(), 114 * S + GRACE);
 }
 
+/// Guards against a list from before the start that is used in an outage, although nothing ever confirmed it.
+#[test]
+fn an_outage_makes_no_lease_valid_before_the_first_confirmation() {
+    let mut unconfirmed = lease();
+    for at in 100..110 {
+        unconfirmed.discovery_down(at * S);
+        unconfirmed.watch_lost(at * S);
+        unconfirmed.response_lost(at * S);
+        unconfirmed.loss_was_outage();
+        assert!(!unconfirmed.holds(at * S), "the lease holds for a list that was never confirmed");
+    }
+    unconfirmed.record_confirmation(110 * S);
+    unconfirmed.discovery_down(111 * S);
+    assert_eq!(unconfirmed.until(), 117 * S + GRACE);
+}
+
 #[test]
 fn a_move_of_discovery_and_the_loss_of_a_watch_shorten_the_lease() {
     let mut moved = lease();
