Lease: an outage extends no list after a query that got no answer

What callers saw: a watch of the list falls silent, the proxy gives it up, and discovery goes down before it answers the next query.

Cause: discovery_down extended the lease from each refused connection, as if the watch had been alive when the outage began. A query that was silent, declined or replaced before left no trace in the lease.

Evidence: the last request came as the test ended, and the test checks that the watch is replaced in time.

Change: ListLease::query_unanswered keeps later outages from extending the lease until the list is confirmed again. What a failed query shows about the list moves to its own module, discovery/list_lease.rs.

--- a/crates/cli/tests/platform_outages.rs
+++ b/crates/cli/tests/platform_outages.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::platform::{Client, Heard, Proxy, Say, Server, good, launch, look, server, value, wait_until};
+use common::platform::{Client, Heard, Proxy, Say, good, launch, look, timed_server, value, wait_until};
 use common::services::{DECLINED_RESPONSE, Member, list_json, member, set_reset_on_close};
 use common::steps::{ManualConnection, ManualListener};
 use common::world::{RELEASED_TO_ALL, environment, respond};
@@ -34,9 +34,9 @@
 
 const BOTH: [Lists; 2] = [Lists::Requested, Lists::Pushed];
 
-/// A server that records when it was called.
+/// A server that records when calls arrived at its machine.
 struct TimedServer {
-    server: Server,
+    addr: SocketAddr,
     calls: Arc<Mutex<Vec<Instant>>>,
 }
 
@@ -44,16 +44,16 @@
     fn start() -> TimedServer {
         let calls: Arc<Mutex<Vec<Instant>>> = Arc::default();
         let recorded = calls.clone();
-        let server = server(move |words, _| {
-            recorded.lock().unwrap().push(Instant::now());
+        let addr = timed_server(move |words, arrived_at| {
+            recorded.lock().unwrap().push(arrived_at);
             Say::Bytes(good(words))
         });
-        TimedServer { server, calls }
+        TimedServer { addr, calls }
     }
 
     /// The server as an entry of the list.
     fn listed(&self) -> Member {
-        member("s-1", self.server.addr, 7)
+        member("s-1", self.addr, 7)
     }
 
     fn last_call_after(&self, start: Instant) -> Option<Instant> {
@@ -297,7 +297,7 @@
         let discovery = ManualListener::at(address);
         let mut connection = discovery.accept();
         connection.expect_request_line();
-        respond(&mut connection, &list_json(2, &[member("s-2", listed.server.addr, 7)]));
+        respond(&mut connection, &list_json(2, &[member("s-2", listed.addr, 7)]));
         connection.expect_request_line();
         wait_until("no request is served after the outage", || listed.last_call_after(started).is_some());
     });
@@ -305,3 +305,34 @@
     assert_eq!(stale_calls, 0, "{lists:?}: requests went to a server of a list that nothing confirmed");
     proxy.end();
 }
+
+/// Guards against an outage that prolongs the use of a list whose watch had fallen silent before: the change
+/// that the watch missed counts as told six seconds after discovery had it.
+#[test]
+fn an_outage_after_a_silent_watch_does_not_prolong_the_use_of_the_list() {
+    std::thread::scope(|scope| {
+        for lists in BOTH {
+            scope.spawn(move || fall_silent_before_an_outage(lists));
+        }
+    });
+}
+
+fn fall_silent_before_an_outage(lists: Lists) {
+    let (server, discovery) = (TimedServer::start(), ManualListener::new());
+    let name = format!("silent-{lists:?}");
+    let (proxy, watch) = start_with_watch(&name, lists, &discovery, &server.listed());
+    let answers = Answers::default();
+    let silent_at = Instant::now();
+    answers.record_during(&proxy, &name, || {
+        // The proxy gives the silent watch up and asks again. Discovery goes down before it answers.
+        let query = discovery.accept();
+        assert!(silent_at.elapsed() < MAX_NOTIFICATION_DELAY, "{lists:?}: the watch was replaced too late");
+        set_reset_on_close(&query.stream);
+        drop((query, watch, discovery));
+        std::thread::sleep(OUTAGE);
+    });
+    let last = server.last_call_after(silent_at).expect("the server is not called");
+    let allowed = MAX_NOTIFICATION_DELAY + DRAIN_GRACE + SOCKET_SLACK;
+    assert!(last - silent_at <= allowed, "{lists:?}: the list was used for {:?} after", last - silent_at);
+    proxy.end();
+}
--- a/crates/platform-proxy/src/discovery/lost_response.rs
+++ b/crates/platform-proxy/src/discovery/lost_response.rs
@@ -22,35 +22,46 @@
 }
 
 impl Proxy {
-    /// Updates the lease after a failed query that may have lost a response, or that asked for a lost one.
-    /// Returns after which time, before jitter, the response is asked for again; `None` if the usual interval
-    /// applies.
-    ///
-    /// If the service pushes lists, the lease ends soon after any failed query and queries are repeated
-    /// quickly anyway.
+    /// Whether this failure is the first since the last confirmation to lose a response that matters.
+    pub(super) fn is_first_response_loss(&self, evidence: ListEvidence, now: Micros) -> bool {
+        evidence == ListEvidence::ResponseLost
+            && self.discovery.response_loss.is_none()
+            && self.engine.permissions().list.holds(now)
+    }
+
+    /// Returns after which time, before jitter, a response is asked for again that this failed query may have
+    /// lost or has asked for; `None` if the usual interval applies. Updates the lease accordingly.
     pub(super) fn check_response_loss(&mut self, evidence: ListEvidence, now: Micros) -> Option<Micros> {
-        if self.discovery.lists_are_pushed {
+        if matches!(evidence, ListEvidence::WatchAlive | ListEvidence::ServiceDown) {
+            self.discovery.response_loss = None;
             return None;
         }
-        let list_is_usable = self.engine.permissions().list.holds(now);
-        let retries = match (self.discovery.response_loss, evidence) {
-            (_, ListEvidence::WatchAlive | ListEvidence::ServiceDown) => {
-                self.discovery.response_loss = None;
-                return None;
-            }
-            (Some(ResponseLoss::Retrying(retries)), _) => retries,
-            (None, ListEvidence::ResponseLost) if list_is_usable => {
-                self.engine.update_list_lease(now, |lease| lease.response_lost(now));
-                0
-            }
-            (None | Some(ResponseLoss::TakenForOutage), _) => return None,
-        };
-        if retries < MAX_LOST_RESPONSE_RETRIES && list_is_usable {
-            self.discovery.response_loss = Some(ResponseLoss::Retrying(retries + 1));
-            return Some(LOST_RESPONSE_RETRY_INTERVAL << retries);
+        if self.is_first_response_loss(evidence, now) {
+            return self.begin_response_loss(now);
+        }
+        let Some(ResponseLoss::Retrying(retries)) = self.discovery.response_loss else { return None };
+        if retries < MAX_LOST_RESPONSE_RETRIES && self.engine.permissions().list.holds(now) {
+            return Some(self.retry_lost_response(retries));
         }
         self.discovery.response_loss = Some(ResponseLoss::TakenForOutage);
         self.engine.update_list_lease(now, ListLease::loss_was_outage);
         None
     }
+
+    /// If the service pushes lists, the lease ends soon after any failed query, and queries are repeated
+    /// quickly anyway.
+    fn begin_response_loss(&mut self, now: Micros) -> Option<Micros> {
+        if self.discovery.lists_are_pushed {
+            self.discovery.response_loss = Some(ResponseLoss::TakenForOutage);
+            return None;
+        }
+        self.engine.update_list_lease(now, |lease| lease.response_lost(now));
+        Some(self.retry_lost_response(0))
+    }
+
+    /// Counts a query that asks for the response again, and returns after which time it is made.
+    fn retry_lost_response(&mut self, earlier_retries: u32) -> Micros {
+        self.discovery.response_loss = Some(ResponseLoss::Retrying(earlier_retries + 1));
+        LOST_RESPONSE_RETRY_INTERVAL << earlier_retries
+    }
 }
--- a/crates/platform-proxy/src/discovery/mod.rs
+++ b/crates/platform-proxy/src/discovery/mod.rs
@@ -10,11 +10,13 @@
 //! fetched only where a delta would not be sound.
 //!
 //! - `exchange`: one query and its response
+//! - `list_lease`: what confirms the list, and what a failed query shows about it
 //! - `lost_response`: the queries that ask again for a response that was lost with its connection
 //! - `responses`: handles responses and failed queries
 //! - `timing`: time-outs and intervals
 
 mod exchange;
+mod list_lease;
 mod lost_response;
 mod responses;
 mod timing;
@@ -159,10 +161,12 @@
         }
     }
 
-    /// Closes the exchange in progress.
+    /// Closes the exchange in progress, which has had no complete response until now.
     fn abandon_query(&mut self) {
         if let Some(exchange) = self.discovery.exchange.take() {
             exchange.socket.remove(&self.loop_handle);
+            let evidence = exchange.list_evidence(&QueryFailure::TimedOut);
+            self.update_lease_after_failure(evidence, exchange.started_at, self.now());
         }
     }
 
--- a/crates/platform-proxy/src/discovery/responses.rs
+++ b/crates/platform-proxy/src/discovery/responses.rs
@@ -1,9 +1,9 @@
 //! Handles responses of discovery and failed queries, and updates the lease on the server list accordingly.
 
-use super::exchange::{ListEvidence, Query, QueryFailure};
+use super::exchange::{Query, QueryFailure};
 use super::timing::{
-    EMPTY_LIST_RETRY_INTERVAL, LEASE_RENEWAL_MARGIN, MAX_BACKOFF_DOUBLINGS, MIN_WATCH_DURATION,
-    PUSHED_RETRY_INTERVAL, RETRY_INTERVAL_TENTHS, WATCH_RETRY_INTERVAL,
+    EMPTY_LIST_RETRY_INTERVAL, MAX_BACKOFF_DOUBLINGS, MIN_WATCH_DURATION, PUSHED_RETRY_INTERVAL,
+    RETRY_INTERVAL_TENTHS, WATCH_RETRY_INTERVAL,
 };
 use crate::proxy::Proxy;
 use calloop::Readiness;
@@ -168,16 +168,7 @@
         );
         exchange.socket.remove(&self.loop_handle);
         let evidence = exchange.list_evidence(&failure);
-        match evidence {
-            ListEvidence::WatchAlive => self.confirm_list(now, self.previous_poll_at),
-            ListEvidence::ServiceDown => {
-                self.engine.update_list_lease(now, |lease| lease.discovery_down(exchange.started_at));
-            }
-            ListEvidence::PartialList => {
-                self.engine.update_list_lease(now, |lease| lease.notification_missed(now));
-            }
-            ListEvidence::ResponseLost | ListEvidence::None => {}
-        }
+        self.update_lease_after_failure(evidence, exchange.started_at, now);
         if let Some(interval) = self.check_response_loss(evidence, now) {
             return self.retry_query_after(&failure, interval);
         }
@@ -191,25 +182,6 @@
         }
     }
 
-    /// Returns the latest time at which a query should be made so that its response arrives before the lease
-    /// on the list ends. Returns `None` if that time is too close.
-    fn latest_query_at(&mut self, now: Micros) -> Option<Micros> {
-        let margin = self.with_jitter(LEASE_RENEWAL_MARGIN / 2) + LEASE_RENEWAL_MARGIN / 2;
-        let at = self.engine.permissions().list.until().saturating_sub(margin);
-        (at > now + EMPTY_LIST_RETRY_INTERVAL).then_some(at)
-    }
-
-    /// Renews the lease on the list. `at` is a time at which the list was current.
-    fn confirm_list(&mut self, now: Micros, at: Micros) {
-        let was_usable = self.engine.permissions().list.holds(now);
-        self.discovery.response_loss = None;
-        self.engine.update_list_lease(now, |lease| lease.record_confirmation(at));
-        let is_usable = self.engine.permissions().list.holds(now);
-        if is_usable && !was_usable {
-            tracing::info!(version = self.server_list.version(), "the server list may be used");
-        }
-    }
-
     /// Schedules the query that follows a failed one, with back-off.
     pub(super) fn retry_query(&mut self, failure: &QueryFailure) {
         let interval = self.retry_interval(failure);
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -130,6 +130,13 @@
         }
     }
 
+    /// Records that a query got no answer although discovery may have been up. Changes may have been missed
+    /// that discovery has told others, so an outage that follows cannot extend the lease; only a new
+    /// confirmation can.
+    pub fn query_unanswered(&mut self) {
+        self.limit_extension(self.until_without_loss.unwrap_or(self.until));
+    }
+
     /// Records that no watch has been open since that time, so that each change counts as notified when it is
     /// made.
     pub fn watch_lost(&mut self, at: Micros) {
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -77,6 +77,27 @@
     assert_eq!(unconfirmed.until(), 117 * S + GRACE);
 }
 
+/// Guards against an outage that revives the lease on a list whose watch had fallen silent before.
+#[test]
+fn an_outage_does_not_extend_a_lease_after_an_unanswered_query() {
+    let mut silent = lease();
+    silent.record_confirmation(100 * S);
+    silent.query_unanswered();
+    silent.discovery_down(105 * S);
+    silent.discovery_down(110 * S);
+    assert_eq!(silent.until(), 106 * S + GRACE);
+    let mut lost = lease();
+    lost.record_confirmation(100 * S);
+    lost.response_lost(101 * S);
+    lost.query_unanswered();
+    assert_eq!(lost.until(), 101 * S + GRACE, "an unanswered query explained the loss before it");
+    lost.discovery_down(105 * S);
+    assert_eq!(lost.until(), 106 * S + GRACE);
+    lost.record_confirmation(107 * S);
+    lost.discovery_down(108 * S);
+    assert_eq!(lost.until(), 114 * S + GRACE, "a confirmation did not end the limit");
+}
+
 #[test]
 fn a_move_of_discovery_and_the_loss_of_a_watch_shorten_the_lease() {
     let mut moved = lease();
