Reload: the time for which a list may be used counts from the order, not from the reading

What callers saw: SIGHUP came while the configuration was half written. Requests went to servers of the old list for the 8 s of a test where the old address refused connections, and for 7.74 s where the file was whole 3 s later and the new address did not answer. What discovery tells counts as told 4 s after SIGHUP, so 6.05 s are allowed.

Cause: move_discovery counted the 4 s from the reading of the file, up to 5 s after the order; until then a refused connection at the old address was taken for an outage, which extends the lease.

Evidence: both times fit the cause, and the test waits for the log line that shows the order was noticed at once.

Change: a reload carries the time of its order. While its file cannot be read, a refused connection counts as a move ordered then. A confirmation more than 5 s after the order ends that, so a later outage is an outage.

--- a/crates/cli/tests/platform_outages.rs
+++ b/crates/cli/tests/platform_outages.rs
@@ -7,6 +7,7 @@
 use common::services::{DECLINED_RESPONSE, Member, list_json, member, set_reset_on_close};
 use common::steps::{ManualConnection, ManualListener};
 use common::world::{RELEASED_TO_ALL, environment, respond};
+use rustix::process::Signal;
 use serde_json::{Value, json};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -20,6 +21,8 @@
 const SOCKET_SLACK: Duration = Duration::from_millis(50);
 /// A missed change counts as told this long after discovery had it.
 const MAX_NOTIFICATION_DELAY: Duration = Duration::from_secs(6);
+/// What discovery has to tell counts as told this long after the order to reload.
+const NOTIFICATION_DELAY_AFTER_RELOAD: Duration = Duration::from_secs(4);
 /// How long an outage of discovery lasts on the platform's days.
 const OUTAGE: Duration = Duration::from_secs(8);
 /// The time between two requests of the test's client.
@@ -336,3 +339,57 @@
     assert!(last - silent_at <= allowed, "{lists:?}: the list was used for {:?} after", last - silent_at);
     proxy.end();
 }
+
+/// What happens to a reload whose configuration is half written when it is ordered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum HalfWritten {
+    /// The rest is never written, and the old address refuses connections.
+    ForGood,
+    /// The rest is written later. The new address accepts queries and does not answer them.
+    AtFirst,
+}
+
+/// Guards against a list that is used on because its process could not read at once to where discovery moved:
+/// what discovery tells after a reload counts as told four seconds after the order.
+#[test]
+fn a_reload_whose_configuration_is_half_written_ends_the_use_of_the_list_in_time() {
+    std::thread::scope(|scope| {
+        for lists in BOTH {
+            for half_written in [HalfWritten::ForGood, HalfWritten::AtFirst] {
+                scope.spawn(move || reload_half_written(lists, half_written));
+            }
+        }
+    });
+}
+
+fn reload_half_written(lists: Lists, half_written: HalfWritten) {
+    let (server, discovery) = (TimedServer::start(), ManualListener::new());
+    let new_discovery = ManualListener::new();
+    let name = format!("reload-{lists:?}-{half_written:?}");
+    let (proxy, watch) = start_with_watch(&name, lists, &discovery, &server.listed());
+    let whole = configuration(lists, new_discovery.addr, &server.listed()).to_string();
+    let answers = Answers::default();
+    let mut ordered_at = Instant::now();
+    answers.record_during(&proxy, &name, || {
+        std::fs::write(&proxy.config_file, &whole[..whole.len() / 2]).unwrap();
+        ordered_at = Instant::now();
+        proxy.signal(Signal::HUP);
+        wait_until("the proxy does not read the file", || proxy.log().contains("stays for now"));
+        if half_written == HalfWritten::ForGood {
+            set_reset_on_close(&watch.stream);
+            drop((watch, discovery));
+        } else {
+            std::thread::sleep(Duration::from_secs(3));
+            std::fs::write(&proxy.config_file, &whole).unwrap();
+        }
+        std::thread::sleep(OUTAGE);
+    });
+    let last = server.last_call_after(ordered_at).expect("the server is not called");
+    let allowed = NOTIFICATION_DELAY_AFTER_RELOAD + DRAIN_GRACE + SOCKET_SLACK;
+    let used_for = last - ordered_at;
+    assert!(
+        used_for <= allowed,
+        "{lists:?}, {half_written:?}: the list was used for {used_for:?} after the order"
+    );
+    proxy.end();
+}
--- a/crates/platform-proxy/src/configuration.rs
+++ b/crates/platform-proxy/src/configuration.rs
@@ -11,7 +11,9 @@
 /// The interval between two attempts to read the configuration in one reload.
 const RELOAD_RETRY_INTERVAL: Micros = 200_000;
 /// How many times a reload tries to read the configuration.
-pub(super) const MAX_RELOAD_ATTEMPTS: u32 = 25;
+const MAX_RELOAD_ATTEMPTS: u32 = 25;
+/// For how long a reload tries to read the configuration.
+pub(super) const MAX_RELOAD_TIME: Micros = RELOAD_RETRY_INTERVAL * MAX_RELOAD_ATTEMPTS as Micros;
 
 /// Reads the configuration at the start. An error that is likely to be transient is retried for ten seconds.
 ///
@@ -28,24 +30,32 @@
 }
 
 impl Proxy {
+    /// Handles SIGHUP.
+    pub(super) fn begin_reload(&mut self) {
+        self.reload(self.now(), MAX_RELOAD_ATTEMPTS);
+    }
+
     /// Continues a reload, unless a later one has begun.
-    pub(super) fn retry_reload(&mut self, generation: u64, attempts_left: u32) {
+    pub(super) fn retry_reload(&mut self, generation: u64, ordered_at: Micros, attempts_left: u32) {
         if generation == self.reload_generation {
-            self.reload(attempts_left);
+            self.reload(ordered_at, attempts_left);
         }
     }
 
-    /// Handles SIGHUP. The new addresses take effect at once. If the file cannot be read or is only partly
+    /// Reads the configuration again, as ordered at that time. The new addresses take effect at once. If the file cannot be read or is only partly
     /// written, the old addresses stay in effect and the file is read again later, as long as attempts are
     /// left. Reading it again matters because, after the order to move, discovery counts what it sends from
     /// the new address as received even if this proxy still uses the old one.
-    pub(super) fn reload(&mut self, attempts_left: u32) {
+    fn reload(&mut self, ordered_at: Micros, attempts_left: u32) {
         self.reload_generation = self.next_generation();
-        match parse_config(&self.config_file, std::fs::read(&self.config_file)) {
+        let config = parse_config(&self.config_file, std::fs::read(&self.config_file));
+        self.discovery.unread_move_order = config.is_err().then_some(ordered_at);
+        match config {
             Err(error) if attempts_left > 1 => {
                 tracing::warn!("reload: {error}; the old configuration stays for now");
                 let retry = TimerKind::RetryReload {
                     generation: self.reload_generation,
+                    ordered_at,
                     attempts_left: attempts_left - 1,
                 };
                 self.timers.set(self.now() + RELOAD_RETRY_INTERVAL, retry);
@@ -53,7 +63,7 @@
             Err(error) => tracing::error!("reload: {error}; the old configuration stays"),
             Ok(config) => {
                 tracing::info!(discovery = %config.discovery, pipeline = %config.release_service, "reload");
-                self.move_discovery(config.discovery);
+                self.move_discovery(config.discovery, ordered_at);
                 self.move_release_service(config.release_service);
             }
         }
--- a/crates/platform-proxy/src/discovery/list_lease.rs
+++ b/crates/platform-proxy/src/discovery/list_lease.rs
@@ -2,6 +2,7 @@
 
 use super::exchange::ListEvidence;
 use super::timing::{EMPTY_LIST_RETRY_INTERVAL, LEASE_RENEWAL_MARGIN};
+use crate::configuration::MAX_RELOAD_TIME;
 use crate::proxy::Proxy;
 use violetseam::interface::Micros;
 use violetseam::lease::ListLease;
@@ -19,6 +20,8 @@
     pub(super) fn confirm_list(&mut self, now: Micros, at: Micros) {
         let was_usable = self.engine.permissions().list.holds(now);
         self.discovery.response_loss = None;
+        // Discovery that has moved leaves its old address sooner than that.
+        self.discovery.unread_move_order.take_if(|ordered_at| now > *ordered_at + MAX_RELOAD_TIME);
         self.engine.update_list_lease(now, |lease| lease.record_confirmation(at));
         let is_usable = self.engine.permissions().list.holds(now);
         if is_usable && !was_usable {
@@ -36,9 +39,7 @@
         let is_first_loss = self.is_first_response_loss(evidence, now);
         match evidence {
             ListEvidence::WatchAlive => self.confirm_list(now, self.previous_poll_at),
-            ListEvidence::ServiceDown => {
-                self.engine.update_list_lease(now, |lease| lease.discovery_down(started_at));
-            }
+            ListEvidence::ServiceDown => self.note_refused_query(started_at, now),
             ListEvidence::PartialList => {
                 self.engine.update_list_lease(now, |lease| lease.notification_missed(now));
             }
@@ -49,6 +50,16 @@
         }
     }
 
+    /// Notes that discovery refused a query that began at `started_at`. If a configuration could not be read
+    /// when a reload was ordered, discovery may have moved with that order instead of being down.
+    fn note_refused_query(&mut self, started_at: Micros, now: Micros) {
+        let move_order = self.discovery.unread_move_order;
+        self.engine.update_list_lease(now, |lease| match move_order {
+            Some(ordered_at) => lease.discovery_moved(ordered_at),
+            None => lease.discovery_down(started_at),
+        });
+    }
+
     /// Notes that a query got no answer although discovery may be up. If the service pushes lists, it counts
     /// what it has as received even while no watch is open.
     fn note_unanswered_query(&mut self, now: Micros) {
--- a/crates/platform-proxy/src/discovery/mod.rs
+++ b/crates/platform-proxy/src/discovery/mod.rs
@@ -63,6 +63,8 @@
     next_query_at: Option<Micros>,
     /// From this time on the next query fetches the full list, because the address has changed.
     verify_at: Option<Micros>,
+    /// When a reload was ordered whose configuration has not been readable yet. Discovery may have moved then.
+    pub unread_move_order: Option<Micros>,
     /// Whether the first query of this process has been made or scheduled.
     is_started: bool,
 }
@@ -83,6 +85,7 @@
             exchange: None,
             next_query_at: None,
             verify_at: None,
+            unread_move_order: None,
             is_started: false,
         }
     }
@@ -185,11 +188,11 @@
         }
     }
 
-    /// Moves to an address that a reload has brought and queries the changes since the local version there.
+    /// Moves to an address that a reload, ordered at that time, has brought and queries the changes since the local version there.
     /// If the service at that address has a lower version, its first response shows that. If it has a
     /// different list under the same versions, the full list that is fetched later shows that
     /// ([`VERIFY_FROM_TENTHS`]).
-    pub(super) fn move_discovery(&mut self, address: SocketAddr) {
+    pub(super) fn move_discovery(&mut self, address: SocketAddr, ordered_at: Micros) {
         if self.discovery.address == address {
             return;
         }
@@ -197,7 +200,7 @@
         self.discovery.address_has_answered = false;
         self.abandon_query();
         let now = self.now();
-        self.engine.update_list_lease(now, |lease| lease.discovery_moved(now));
+        self.engine.update_list_lease(now, |lease| lease.discovery_moved(ordered_at));
         self.schedule_verification();
         if self.discovery.lists_are_pushed {
             self.start_query(None);
--- a/crates/platform-proxy/src/event_loop.rs
+++ b/crates/platform-proxy/src/event_loop.rs
@@ -40,6 +40,8 @@
     RetryReload {
         /// The generation of the reload that this continues.
         generation: u64,
+        /// When the reload was ordered.
+        ordered_at: Micros,
         /// How many attempts are left, including this one.
         attempts_left: u32,
     },
@@ -77,8 +79,8 @@
                 TimerKind::ReleaseWatchRetry => self.open_release_watch(),
                 TimerKind::VoteTimeout(connection) => self.on_vote_timeout(connection),
                 TimerKind::ResumeAccepting => self.resume_accepting(),
-                TimerKind::RetryReload { generation, attempts_left } => {
-                    self.retry_reload(generation, attempts_left);
+                TimerKind::RetryReload { generation, ordered_at, attempts_left } => {
+                    self.retry_reload(generation, ordered_at, attempts_left);
                 }
                 TimerKind::BeginDrain => self.begin_drain(),
                 TimerKind::FinalResponses => self.send_final_responses(),
--- a/crates/platform-proxy/src/lib.rs
+++ b/crates/platform-proxy/src/lib.rs
@@ -53,7 +53,6 @@
 
 use calloop::EventLoop;
 use calloop::signals::{Signal, Signals};
-use configuration::MAX_RELOAD_ATTEMPTS;
 use error::to_io_error;
 use proxy::Proxy;
 use std::path::PathBuf;
@@ -97,7 +96,7 @@
     event_loop
         .handle()
         .insert_source(signals, |event, (), proxy: &mut Proxy| match event.signal() {
-            Signal::SIGHUP => proxy.reload(MAX_RELOAD_ATTEMPTS),
+            Signal::SIGHUP => proxy.begin_reload(),
             _ => proxy.begin_shutdown(),
         })
         .map(|_token| ())
