Platform lists: a declined watch after a whole list does not confirm that list

What callers saw: discovery answers with the whole list and declines the watch that follows on the same connection two seconds later.

Cause: a watch on a connection that had just carried any response counted as the continuation of a watch, and a decline as a sign that it had been alive. After a whole list the watch is a new one, which waits in the queue of the service and may be declined before it begins.

Change: Exchange::continues_watch is true only after a watch; how long such a watch may stay silent is as before.

Result: a_declined_watch_after_a_full_list_does_not_confirm_the_list failed before this change and passes now.

--- a/crates/cli/tests/platform_outages.rs
+++ b/crates/cli/tests/platform_outages.rs
@@ -393,3 +393,29 @@
     );
     proxy.end();
 }
+
+/// Guards against a list that counts as confirmed because the watch after it was declined: that watch is the
+/// first, and may never have begun.
+#[test]
+fn a_declined_watch_after_a_full_list_does_not_confirm_the_list() {
+    let (server, discovery) = (TimedServer::start(), ManualListener::new());
+    let mut config = configuration(Lists::Requested, discovery.addr, &server.listed());
+    config.as_object_mut().unwrap().remove("known");
+    let proxy = launch("declined", &config.to_string());
+    let mut connection = discovery.accept();
+    assert_eq!(connection.expect_request_line(), "GET /discovery/hosts HTTP/1.1");
+    respond(&mut connection, &list_json(2, &[server.listed()]));
+    let listed_at = Instant::now();
+    assert!(connection.expect_request_line().contains("index=2&wait="));
+    let answers = Answers::default();
+    answers.record_during(&proxy, "declined", || {
+        std::thread::sleep(Duration::from_secs(2));
+        connection.send(DECLINED_RESPONSE);
+        // Discovery accepts the next queries and does not answer them.
+        std::thread::sleep(OUTAGE);
+    });
+    let last = server.last_call_after(listed_at).expect("the server is not called");
+    let allowed = MAX_NOTIFICATION_DELAY + DRAIN_GRACE + SOCKET_SLACK;
+    assert!(last - listed_at <= allowed, "the list was used for {:?} after its answer", last - listed_at);
+    proxy.end();
+}
--- a/crates/platform-proxy/src/discovery/exchange.rs
+++ b/crates/platform-proxy/src/discovery/exchange.rs
@@ -36,9 +36,13 @@
     pub started_at: Micros,
     /// Whether the connection is established.
     pub is_connected: bool,
-    /// Whether the exchange is a watch that directly follows a response on the same connection, so that no
-    /// change is missed.
-    pub is_renewal: bool,
+    /// Whether the exchange is a watch that directly follows the response to a watch on the same connection, so
+    /// that no change is missed. A watch after a full list is a new one, which the service may decline before
+    /// it begins.
+    pub continues_watch: bool,
+    /// Whether the exchange is a watch that directly follows any response on the same connection, so that the
+    /// service is known to respond.
+    pub follows_response: bool,
     pub query: Query,
 }
 
@@ -111,7 +115,8 @@
             timeout_at: 0,
             started_at: 0,
             is_connected: false,
-            is_renewal: false,
+            continues_watch: false,
+            follows_response: false,
             query,
         }
     }
@@ -140,7 +145,7 @@
     /// Returns what the failure of this exchange shows about the local server list.
     pub fn list_evidence(&self, failure: &QueryFailure) -> ListEvidence {
         match failure {
-            QueryFailure::Declined if self.is_renewal => ListEvidence::WatchAlive,
+            QueryFailure::Declined if self.continues_watch => ListEvidence::WatchAlive,
             QueryFailure::EmptyWatch => ListEvidence::WatchAlive,
             // Only a refused connection shows that the service is down. A query that is declined or reset,
             // even immediately, may have reached a service that is up but overloaded.
--- a/crates/platform-proxy/src/discovery/mod.rs
+++ b/crates/platform-proxy/src/discovery/mod.rs
@@ -214,6 +214,7 @@
         let generation = self.next_generation();
         let address = self.discovery.address;
         let is_reused = connection.is_some();
+        let follows_watch = connection.as_ref().is_some_and(|exchange| exchange.query != Query::FullList);
         let (path, timeout) = match query {
             Query::FullList => (LIST_PATH.to_owned(), QUERY_TIMEOUT),
             Query::ChangesSince(version) => {
@@ -235,7 +236,8 @@
         exchange.socket.set_connect_interest(&self.loop_handle);
         exchange.started_at = self.now();
         exchange.query = query;
-        exchange.is_renewal = is_reused && query != Query::FullList;
+        exchange.continues_watch = follows_watch && query != Query::FullList;
+        exchange.follows_response = is_reused && query != Query::FullList;
         exchange.timeout_at = exchange.started_at + timeout;
         self.timers.set(exchange.timeout_at, TimerKind::DiscoveryTimeout(exchange.generation));
         Some(exchange)
--- a/crates/platform-proxy/src/discovery/responses.rs
+++ b/crates/platform-proxy/src/discovery/responses.rs
@@ -162,7 +162,7 @@
             query = ?exchange.query,
             after_us = now - exchange.started_at,
             status = exchange.status,
-            renewed = exchange.is_renewal,
+            renewed = exchange.continues_watch,
             %failure,
             "server list query failed"
         );
@@ -173,7 +173,7 @@
             return self.retry_query_after(&failure, interval);
         }
         match failure {
-            QueryFailure::TimedOut if exchange.is_renewal => {
+            QueryFailure::TimedOut if exchange.follows_response => {
                 self.retry_query_after(&failure, WATCH_RETRY_INTERVAL);
             }
             QueryFailure::EmptyWatch => self.retry_query(&failure),
