HTTP server list: a copy with too many addresses asks for the whole list

A proxy that has a version only ever asks for changes, so the addresses grow with each server that leaves. No failure from it was seen.

Result: the_addresses_of_removed_servers_do_not_accumulate_while_only_deltas_arrive failed before this change and passes now.

--- a/crates/site-protocol/src/endpoint_list/local_copy.rs
+++ b/crates/site-protocol/src/endpoint_list/local_copy.rs
@@ -7,7 +7,8 @@
 use std::net::SocketAddr;
 use violetseam::interface::{ListKind, Micros, ServerEntry, ServerId, ServerStatus};
 
-/// Once the copy has more addresses than this, the next full list drops the addresses of removed servers.
+/// Once the copy has more addresses than this, the proxy requests the full list, which drops the addresses of
+/// removed servers.
 const MAX_REMEMBERED_ADDRESSES: usize = 2 * MAX_SERVERS;
 
 /// An update that was applied, in the form for the decision module.
@@ -48,10 +49,13 @@
         self.check_version(update)?;
         let addresses = update.servers.iter().map(|endpoint| (endpoint.id, endpoint.addr));
         self.addresses.extend(addresses.clone());
-        if self.addresses.len() > MAX_REMEMBERED_ADDRESSES && update.kind == UpdateKind::Full {
-            self.addresses = addresses.collect();
-        }
         self.version = Some(update.version);
+        if self.addresses.len() > MAX_REMEMBERED_ADDRESSES {
+            match update.kind {
+                UpdateKind::Full => self.addresses = addresses.collect(),
+                UpdateKind::Delta => self.forget_version(),
+            }
+        }
         let kind = match update.kind {
             UpdateKind::Full => ListKind::Full,
             UpdateKind::Delta => ListKind::Delta,
--- a/crates/site-protocol/tests/protocols.rs
+++ b/crates/site-protocol/tests/protocols.rs
@@ -4,7 +4,9 @@
 use proptest::prelude::*;
 use violetseam::interface::{ListKind, Outcome, ServerStatus, Verdict};
 use violetseam_site_protocol::answer_report;
-use violetseam_site_protocol::endpoint_list::{AppliedUpdate, EndpointList, ListUpdate};
+use violetseam_site_protocol::endpoint_list::{
+    AppliedUpdate, EndpointList, EndpointState, ListUpdate, MAX_SERVERS, UpdateKind,
+};
 use violetseam_site_protocol::line_reader::LineReader;
 use violetseam_site_protocol::peer_datagram::{self, Datagram, DatagramError, PayloadKind};
 use violetseam_site_protocol::placement::{
@@ -20,6 +22,32 @@
 
 const ENDPOINT_JSON: &str = r#"{"id":7,"addr":"127.0.0.1:9000","build":3,"state":"ready","age_us":500}"#;
 
+/// Guards against a copy that keeps the address of each server that ever left, while discovery sends changes
+/// and never a full list.
+#[test]
+fn the_addresses_of_removed_servers_do_not_accumulate_while_only_deltas_arrive() {
+    const REPLACED_SERVERS: u64 = 3 * MAX_SERVERS as u64;
+    let mut list = EndpointList::default();
+    let mut full = ListUpdate::parse(list_update("full", 1, 0, ENDPOINT_JSON).as_bytes()).unwrap();
+    list.apply(0, &full).unwrap();
+    let mut delta = full.clone();
+    delta.kind = UpdateKind::Delta;
+    for version in 2..REPLACED_SERVERS {
+        delta.servers[0].id = 100 + version;
+        delta.servers[0].state = EndpointState::Gone;
+        (delta.version, delta.base) = (version, version - 1);
+        list.apply(0, &delta).unwrap();
+        if list.version().is_none() {
+            full.version = version;
+            list.apply(0, &full).unwrap();
+        }
+    }
+    let is_remembered = |id: &u64| list.address(100 + id).is_some();
+    let remembered = (2..REPLACED_SERVERS).filter(is_remembered).count();
+    assert!(remembered <= 2 * MAX_SERVERS, "{remembered} addresses of removed servers are remembered");
+    assert!(list.address(7).is_some(), "the address of a listed server was forgotten");
+}
+
 #[test]
 fn a_full_list_and_a_delta_on_top_of_it_are_applied() {
     let mut list = EndpointList::default();
