--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -117,6 +117,8 @@
     assert_eq!(watched.until(), 101 * S + GRACE);
 }
 
+/// Guards against a list that is used on although its change was lost with the connection, and against
+/// service that stops because an outage begins with a lost connection.
 #[test]
 fn a_lost_response_counts_as_notified_unless_an_outage_explains_the_loss() {
     let mut lost = lease();
