Platform lists: a failure without a response is named Unanswered; comments keep to their width

Cause: ListEvidence::None told of a query that got no response, which now limits the lease, and two comments ran past the width of the others. Nothing that runs is changed.

--- a/crates/platform-proxy/src/configuration.rs
+++ b/crates/platform-proxy/src/configuration.rs
@@ -42,10 +42,11 @@
         }
     }
 
-    /// Reads the configuration again, as ordered at that time. The new addresses take effect at once. If the file cannot be read or is only partly
-    /// written, the old addresses stay in effect and the file is read again later, as long as attempts are
-    /// left. Reading it again matters because, after the order to move, discovery counts what it sends from
-    /// the new address as received even if this proxy still uses the old one.
+    /// Reads the configuration again, as ordered at that time. The new addresses take effect at once. If the
+    /// file cannot be read or is only partly written, the old addresses stay in effect and the file is read
+    /// again later, as long as attempts are left. Reading it again matters because, after the order to move,
+    /// discovery counts what it sends from the new address as received even if this proxy still uses the old
+    /// one.
     fn reload(&mut self, ordered_at: Micros, attempts_left: u32) {
         self.reload_generation = self.next_generation();
         let config = parse_config(&self.config_file, std::fs::read(&self.config_file));
--- a/crates/platform-proxy/src/discovery/exchange.rs
+++ b/crates/platform-proxy/src/discovery/exchange.rs
@@ -99,8 +99,8 @@
     /// The connection was lost while a response was due. The service may have written one, which then counts
     /// as received.
     ResponseLost,
-    /// The failure shows nothing about the list.
-    None,
+    /// The query got no response, although the service may be up. Changes may have been missed.
+    Unanswered,
 }
 
 impl Exchange {
@@ -156,7 +156,7 @@
             {
                 ListEvidence::ResponseLost
             }
-            _ => ListEvidence::None,
+            _ => ListEvidence::Unanswered,
         }
     }
 }
--- a/crates/platform-proxy/src/discovery/list_lease.rs
+++ b/crates/platform-proxy/src/discovery/list_lease.rs
@@ -46,7 +46,7 @@
             // The outage that a loss may be the beginning of extends the lease, unless another query has got
             // no answer since.
             ListEvidence::ResponseLost if is_first_loss => {}
-            ListEvidence::ResponseLost | ListEvidence::None => self.note_unanswered_query(now),
+            ListEvidence::ResponseLost | ListEvidence::Unanswered => self.note_unanswered_query(now),
         }
     }
 
--- a/crates/platform-proxy/src/discovery/mod.rs
+++ b/crates/platform-proxy/src/discovery/mod.rs
@@ -188,9 +188,9 @@
         }
     }
 
-    /// Moves to an address that a reload, ordered at that time, has brought and queries the changes since the local version there.
-    /// If the service at that address has a lower version, its first response shows that. If it has a
-    /// different list under the same versions, the full list that is fetched later shows that
+    /// Moves to an address that a reload, ordered at that time, has brought, and queries the changes since the
+    /// local version there. If the service at that address has a lower version, its first response shows that.
+    /// If it has a different list under the same versions, the full list that is fetched later shows that
     /// ([`VERIFY_FROM_TENTHS`]).
     pub(super) fn move_discovery(&mut self, address: SocketAddr, ordered_at: Micros) {
         if self.discovery.address == address {
