--- a/src/lease.rs
+++ b/src/lease.rs
@@ -81,8 +81,8 @@
     /// Records that discovery was certainly down at that time, so that it notified nobody of any change. If
     /// the query before this one lost its connection, that was the beginning of the outage.
     ///
-    /// A list that was never confirmed may have missed any change from before the outage, so an outage makes no
-    /// lease valid that was not valid before.
+    /// A list that was never confirmed may have missed any change from before the outage, so an outage makes
+    /// no lease valid that was not valid before.
     pub fn discovery_down(&mut self, at: Micros) {
         if !self.was_confirmed() {
             return;
@@ -113,8 +113,8 @@
     }
 
     /// Records that the connection of a query was lost at that time. A response may have been lost with it,
-    /// and what it told counts as notified. The list may therefore be used for the grace period only, until it
-    /// is confirmed or [`ListLease::loss_was_outage`] shows another cause of the loss.
+    /// and what it told counts as notified. The list may therefore be used for the grace period only, until
+    /// it is confirmed or [`ListLease::loss_was_outage`] shows another cause of the loss.
     pub fn response_lost(&mut self, at: Micros) {
         if let Some(LeaseTerms { grace, .. }) = self.terms {
             self.until_without_loss.get_or_insert(self.until);
